--- /dev/null
+++ b/src/batch/host.rs
@@ -0,0 +1,543 @@
+//! Drives the deciding functions of batch work: events in, actions carried out.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::info;
+use serde::Serialize;
+
+use super::items::{self, Lines};
+use super::link;
+use crate::clock;
+use crate::config::Versioned;
+use crate::decide::batch::{Action, Batch, ChunkKey, End, Event, FlightId, JobView, Totals};
+use crate::decide::jobs::{
+    chunk_key, file_key, job_key, ChunkRecord, FileRecord, JobRecord, ResultSegment,
+};
+use crate::engine::Engines;
+use crate::id::{self, EndpointId, Name};
+use crate::platform::{Platform, Settled};
+use crate::segments::Segments;
+use crate::settings::{self, ms};
+use crate::util::{self, lock};
+use crate::wire::{Key, ToBatch, ToEntry};
+
+const TICK: Duration = Duration::from_millis(20);
+/// Threads that talk to the platform and the disks.
+const CLERKS: usize = 8;
+const FLIGHT_STACK_BYTES: usize = 256 * 1024;
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Results of a checkpoint go inline up to this size, so that small jobs need no disk.
+const INLINE_RESULTS: usize = 256 * 1024;
+
+/// What a clerk does next.
+type Work = Box<dyn FnOnce() + Send>;
+
+/// What the host's loop takes.
+#[derive(Debug)]
+pub enum Message {
+    Linked,
+    Unlinked,
+    Entry(ToBatch),
+    Event(Event),
+    /// The lines of a chunk were read, for [`Event::Loaded`].
+    Lines {
+        key: ChunkKey,
+        run: u64,
+        lines: Arc<Lines>,
+    },
+    Stop,
+}
+
+/// What the pages show.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Shown {
+    pub linked: bool,
+    pub totals: Totals,
+    pub jobs: usize,
+    pub runs: Vec<ShownRun>,
+    pub in_flight: usize,
+    pub windows: u32,
+}
+
+/// One chunk in hand.
+#[derive(Debug, Clone, Serialize)]
+pub struct ShownRun {
+    pub job: String,
+    pub chunk: u32,
+    pub open_items: u32,
+    pub waits_for: &'static str,
+}
+
+/// What threads of the host share.
+struct Tools {
+    platform: Platform,
+    segments: Segments,
+    engines: Engines,
+    sender: Sender<Message>,
+    /// Tries under way: endpoint address and attempt id, and whether they were cancelled.
+    flights: Mutex<HashMap<FlightId, (Name, String, bool)>>,
+    files: Mutex<HashMap<String, Arc<FileRecord>>>,
+}
+
+/// The process's state.
+pub struct Host {
+    settings: settings::Batch,
+    key: Key,
+    tools: Arc<Tools>,
+    batch: Batch,
+    config: Option<Arc<Versioned>>,
+    addresses: HashMap<EndpointId, Name>,
+    lines: BTreeMap<ChunkKey, (u64, Arc<Lines>)>,
+    records: BTreeMap<String, JobRecord>,
+    to_entry: Sender<ToEntry>,
+    outgoing: Mutex<Option<Receiver<ToEntry>>>,
+    shown: Arc<Mutex<Shown>>,
+    linked: bool,
+    stopping: bool,
+    said_ready: Option<bool>,
+    to_clerks: Sender<Work>,
+    clerks: Mutex<Option<Receiver<Work>>>,
+}
+
+impl Host {
+    /// A process that has started nothing yet.
+    pub fn new(settings: settings::Batch, sender: Sender<Message>) -> Host {
+        let key = Key::new(&settings.cluster_key);
+        let address = settings.platform_address.to_string();
+        let platform = Platform::new(&address, ms(settings.platform_timeout_ms));
+        let tools = Tools {
+            segments: Segments {
+                platform: platform.clone(),
+                key: key.clone(),
+                bulk: settings.bulk.clone(),
+                copies: settings.bulk_copies,
+            },
+            platform,
+            engines: Engines::new(),
+            sender,
+            flights: Mutex::default(),
+            files: Mutex::default(),
+        };
+        let (to_entry, outgoing) = mpsc::channel();
+        let (to_clerks, clerks) = mpsc::channel();
+        Host {
+            settings,
+            key,
+            tools: Arc::new(tools),
+            batch: Batch::new(util::rng()),
+            config: None,
+            addresses: HashMap::new(),
+            lines: BTreeMap::new(),
+            records: BTreeMap::new(),
+            to_entry,
+            outgoing: Mutex::new(Some(outgoing)),
+            shown: Arc::default(),
+            linked: false,
+            stopping: false,
+            said_ready: None,
+            to_clerks,
+            clerks: Mutex::new(Some(clerks)),
+        }
+    }
+
+    /// What the pages show.
+    pub fn shown(&self) -> Arc<Mutex<Shown>> {
+        self.shown.clone()
+    }
+
+    /// What the link needs; once.
+    pub fn link_settings(&self) -> link::Settings {
+        let outgoing = lock(&self.outgoing)
+            .take()
+            .unwrap_or_else(|| mpsc::channel().1);
+        link::Settings {
+            address: self.settings.entry_address,
+            key: self.key.clone(),
+            outgoing,
+        }
+    }
+
+    /// Starts the loop; the receiver tells when everything was handed over after a stop.
+    pub fn start(mut self, messages: Receiver<Message>) -> io::Result<Receiver<()>> {
+        let clerks = Arc::new(Mutex::new(lock(&self.clerks).take()));
+        for _ in 0..CLERKS {
+            let clerks = clerks.clone();
+            thread::Builder::new()
+                .name("clerk".into())
+                .spawn(move || loop {
+                    let work = match lock(&clerks).as_ref().map(Receiver::recv) {
+                        Some(Ok(work)) => work,
+                        _ => return,
+                    };
+                    work();
+                })?;
+        }
+        let (done, stopped) = mpsc::channel();
+        thread::Builder::new()
+            .name("host".into())
+            .spawn(move || loop {
+                let mut actions = Vec::new();
+                match messages.recv_timeout(TICK) {
+                    Ok(message) => self.take(message, &mut actions),
+                    Err(RecvTimeoutError::Timeout) => self.batch.tick(clock::now(), &mut actions),
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+                self.carry_out(actions);
+                self.tidy();
+                if self.stopping && self.batch.idle() {
+                    let _ = done.send(());
+                    return;
+                }
+            })?;
+        Ok(stopped)
+    }
+
+    fn take(&mut self, message: Message, out: &mut Vec<Action>) {
+        let now = clock::now();
+        let mut handle = |batch: &mut Batch, event| batch.handle(now, event, out);
+        match message {
+            Message::Event(event) => handle(&mut self.batch, event),
+            Message::Linked => {
+                self.linked = true;
+                self.said_ready = None;
+                handle(&mut self.batch, Event::Leave(self.stopping));
+            }
+            Message::Unlinked => {
+                // Without the entry process nothing tells what online requests need: stop sending
+                // at once; what is under way ends.
+                self.linked = false;
+                handle(&mut self.batch, Event::Windows(Vec::new()));
+            }
+            Message::Lines { key, run, lines } => {
+                let items = lines.planned.clone();
+                self.lines.insert(key.clone(), (run, lines));
+                handle(&mut self.batch, Event::Loaded { key, run, items });
+            }
+            Message::Stop => {
+                self.stopping = true;
+                handle(&mut self.batch, Event::Leave(true));
+            }
+            Message::Entry(ToBatch::Config(versioned)) => {
+                let endpoints = versioned.state.endpoints.iter();
+                self.addresses = endpoints
+                    .map(|e| (id::of(&e.name), e.address.clone()))
+                    .collect();
+                let shares = versioned.state.shares.iter();
+                let shares = shares
+                    .map(|s| (s.workspace.clone(), s.batch_share))
+                    .collect();
+                self.config = Some(Arc::new(*versioned));
+                handle(&mut self.batch, Event::Shares(shares));
+            }
+            Message::Entry(ToBatch::Jobs(records)) => {
+                let views = records.iter().map(|record| view(now, record)).collect();
+                self.records = records.into_iter().map(|r| (r.id.to_string(), r)).collect();
+                handle(&mut self.batch, Event::Jobs(views));
+            }
+            Message::Entry(ToBatch::Crew(crew)) => handle(&mut self.batch, Event::Crew(crew)),
+            Message::Entry(ToBatch::Windows(windows)) => {
+                handle(&mut self.batch, Event::Windows(windows));
+            }
+            Message::Entry(ToBatch::Leave) => handle(&mut self.batch, Event::Leave(true)),
+        }
+    }
+
+    /// Tells the entry process and the pages how things stand, and drops what nobody needs.
+    fn tidy(&mut self) {
+        let batch = &self.batch;
+        self.lines
+            .retain(|key, (run, _)| batch.runs.get(key).is_some_and(|r| r.id == *run));
+        // Handed over or not holding anything: the VM may go.
+        let ready = !batch.leaving() || !batch.idle();
+        if self.linked && self.said_ready != Some(ready) {
+            self.said_ready = Some(ready);
+            let _ = self.to_entry.send(ToEntry::Ready(ready));
+        }
+        let shown = Shown {
+            linked: self.linked,
+            totals: batch.totals,
+            jobs: batch.jobs.len(),
+            runs: batch
+                .runs
+                .iter()
+                .map(|(key, run)| ShownRun {
+                    job: key.job.to_string(),
+                    chunk: key.chunk,
+                    open_items: run.open_items(),
+                    waits_for: run.waits_for(),
+                })
+                .collect(),
+            in_flight: batch.flights.len(),
+            windows: batch.slots.values().map(|slot| slot.window).sum(),
+        };
+        *lock(&self.shown) = shown;
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start {
+                    flight,
+                    key,
+                    epoch,
+                    item,
+                    endpoint,
+                } => {
+                    self.start_flight(flight, &key, epoch, item, endpoint);
+                }
+                Action::Cancel { flight } => self.cancel(flight),
+                other => self.clerk(other),
+            }
+        }
+    }
+
+    fn clerk(&self, action: Action) {
+        let (tools, config) = (self.tools.clone(), self.config.clone());
+        let file = match &action {
+            Action::Load { key, .. } => self
+                .records
+                .get(&*key.job)
+                .map(|record| record.file.clone()),
+            _ => None,
+        };
+        let _ = self
+            .to_clerks
+            .send(Box::new(move || tools.run(action, config, file)));
+    }
+
+    fn cancel(&self, flight: FlightId) {
+        let found = lock(&self.tools.flights).get_mut(&flight).map(|entry| {
+            entry.2 = true;
+            (entry.0.clone(), entry.1.clone())
+        });
+        let Some((address, attempt)) = found else {
+            return;
+        };
+        let tools = self.tools.clone();
+        // Not a clerk's work: a burst of online requests must not wait behind the platform.
+        let spawned = thread::Builder::new()
+            .stack_size(FLIGHT_STACK_BYTES)
+            .spawn(move || tools.engines.cancel(&address, &attempt));
+        drop(spawned);
+    }
+
+    fn start_flight(
+        &mut self,
+        flight: FlightId,
+        key: &ChunkKey,
+        epoch: u64,
+        item: u32,
+        endpoint: EndpointId,
+    ) {
+        let lines = self.lines.get(key).map(|(_, lines)| lines.clone());
+        let address = self.addresses.get(&endpoint).cloned();
+        let attempt = format!("{}.{}.{epoch}.{item}.{flight}", key.job, key.chunk);
+        let tools = self.tools.clone();
+        let (Some(lines), Some(address)) = (lines, address) else {
+            let end = items::not_sent("its endpoint is not configured any more");
+            let _ = tools
+                .sender
+                .send(Message::Event(Event::Ended { flight, end }));
+            return;
+        };
+        let name = (address.clone(), attempt.clone(), false);
+        lock(&tools.flights).insert(flight, name);
+        let item_key = format!("{}/{}/{item}", key.job, key.chunk);
+        let sender = tools.sender.clone();
+        let spawned = thread::Builder::new()
+            .stack_size(FLIGHT_STACK_BYTES)
+            .spawn(move || {
+                let end = items::run(&tools.engines, &lines, item, &address, &attempt, &item_key);
+                let cancelled = lock(&tools.flights)
+                    .remove(&flight)
+                    .is_some_and(|entry| entry.2);
+                let end = match end {
+                    End::Failed { .. } | End::Rejected { .. } if cancelled => End::Cancelled,
+                    end => end,
+                };
+                let _ = tools
+                    .sender
+                    .send(Message::Event(Event::Ended { flight, end }));
+            });
+        if spawned.is_err() {
+            let end = items::not_sent("no thread for it");
+            let _ = sender.send(Message::Event(Event::Ended { flight, end }));
+        }
+    }
+}
+
+fn view(now: Duration, record: &JobRecord) -> JobView {
+    let left_ms = record.deadline_ms.saturating_sub(clock::unix_ms());
+    JobView {
+        id: record.id.clone(),
+        workspace: record.workspace.clone(),
+        chunks: record.chunks,
+        state: record.state,
+        deadline: now + ms(left_ms),
+    }
+}
+
+impl Tools {
+    fn run(&self, action: Action, config: Option<Arc<Versioned>>, file: Option<String>) {
+        let message = match action {
+            Action::Read { key, run } => {
+                let read = self.platform.get(&chunk_key(&key.job, key.chunk));
+                let found = read.ok().map(|entry| {
+                    entry.and_then(|entry| {
+                        let record: ChunkRecord = serde_json::from_str(&entry.value).ok()?;
+                        Some((entry.revision, record))
+                    })
+                });
+                Message::Event(Event::Read { key, run, found })
+            }
+            Action::Write {
+                key,
+                run,
+                expect,
+                record,
+            } => {
+                let text = serde_json::to_string(&record).unwrap_or_default();
+                let answer = self
+                    .platform
+                    .put(&chunk_key(&key.job, key.chunk), expect, &text);
+                Message::Event(Event::Written { key, run, answer })
+            }
+            Action::Load { key, run } => match self.load(&key, config, file) {
+                Some(lines) => Message::Lines {
+                    key,
+                    run,
+                    lines: Arc::new(lines),
+                },
+                None => Message::Event(Event::LoadFailed { key, run }),
+            },
+            Action::Store {
+                key,
+                run,
+                output,
+                errors,
+            } => match self.store(&output, &errors) {
+                Some(segments) => Message::Event(Event::Stored { key, run, segments }),
+                None => Message::Event(Event::StoreFailed { key, run }),
+            },
+            Action::Finish { job } => {
+                self.finish(&job);
+                return;
+            }
+            Action::Start { .. } | Action::Cancel { .. } => return,
+        };
+        let _ = self.sender.send(message);
+    }
+
+    fn file(&self, file: &str) -> Option<Arc<FileRecord>> {
+        if let Some(record) = lock(&self.files).get(file) {
+            return Some(record.clone());
+        }
+        let entry = self.platform.get(&file_key(file)).ok()??;
+        let record: Arc<FileRecord> = Arc::new(serde_json::from_str(&entry.value).ok()?);
+        let mut files = lock(&self.files);
+        // A few at a time are in use; the rest can be read again.
+        if files.len() >= 64 {
+            files.clear();
+        }
+        files.insert(file.to_owned(), record.clone());
+        Some(record)
+    }
+
+    fn load(
+        &self,
+        key: &ChunkKey,
+        config: Option<Arc<Versioned>>,
+        file: Option<String>,
+    ) -> Option<Lines> {
+        let (config, file) = (config?, file?);
+        let record = self.file(&file)?;
+        let segment = record.segments.get(key.chunk as usize)?;
+        let content = self.segments.load(segment).ok()?;
+        Some(items::plan(content, &config.state))
+    }
+
+    fn store(&self, output: &[Bytes], errors: &[Bytes]) -> Option<Vec<ResultSegment>> {
+        let mut segments = Vec::new();
+        for (lines, errors) in [(output, false), (errors, true)] {
+            if lines.is_empty() {
+                continue;
+            }
+            let size = lines.iter().map(|line| line.len() + 1).sum();
+            let mut content = Vec::with_capacity(size);
+            for line in lines {
+                content.extend_from_slice(line);
+                content.push(b'\n');
+            }
+            let inline = content.len() <= INLINE_RESULTS || self.segments.bulk.is_empty();
+            for (piece, count) in pieces(content.into(), inline) {
+                let segment = self.segments.store(&piece, count, inline).ok()?;
+                segments.push(ResultSegment { segment, errors });
+            }
+        }
+        Some(segments)
+    }
+
+    /// Ends a job whose chunks have all ended.
+    fn finish(&self, job: &str) {
+        let Ok(Some(entry)) = self.platform.get(&job_key(job)) else {
+            return;
+        };
+        let Ok(record) = serde_json::from_str::<JobRecord>(&entry.value) else {
+            return;
+        };
+        if record.state.ended() {
+            return;
+        }
+        let Ok(entries) = self.platform.list(&format!("chunk/{job}/")) else {
+            return;
+        };
+        let chunks: Vec<ChunkRecord> = entries
+            .iter()
+            .filter_map(|e| serde_json::from_str(&e.value).ok())
+            .collect();
+        let Some(ended) = record.finish(&chunks, clock::unix_ms(), util::nonce()) else {
+            return;
+        };
+        let text = serde_json::to_string(&ended).unwrap_or_default();
+        let until = clock::now() + PATIENCE;
+        // A loss is as good: another VM ended it with the same chunks, or it was cancelled and the
+        // next look ends it.
+        if let Settled::Won(_) = self
+            .platform
+            .commit(&job_key(job), entry.revision, &text, until)
+        {
+            let state: &'static str = ended.state.into();
+            info!(job = job, state = state; "job ended");
+        }
+    }
+}
+
+/// Cuts content at line ends into pieces that fit inline, where it has to go there.
+fn pieces(content: Bytes, inline: bool) -> Vec<(Bytes, u32)> {
+    let most = if inline {
+        crate::segments::INLINE_BYTES
+    } else {
+        usize::MAX
+    };
+    let mut out = Vec::new();
+    let mut from = 0;
+    let (mut at, mut count) = (0, 0);
+    for line in content.split_inclusive(|byte| *byte == b'\n') {
+        if at + line.len() - from > most && count > 0 {
+            out.push((content.slice(from..at), count));
+            (from, count) = (at, 0);
+        }
+        at += line.len();
+        count += 1;
+    }
+    if count > 0 {
+        out.push((content.slice(from..at), count));
+    }
+    out
+}
--- /dev/null
+++ b/src/bench.rs
@@ -0,0 +1,44 @@
+//! The demo and the benchmarks, one file each. Speeds are compared within one run.
+
+pub mod demo;
+pub mod load;
+pub mod overhead;
+pub mod yielding;
+
+use std::error::Error;
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+/// What a benchmark returns.
+pub type Outcome = Result<(), Box<dyn Error>>;
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("bramley-bench")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Shows the system at work, and measures it, on loopback")
+        .subcommand_required(true)
+        .subcommand(demo::usage())
+        .subcommand(overhead::usage())
+        .subcommand(yielding::usage())
+}
+
+/// Runs the command line.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let Some((name, matches)) = matches.subcommand() else {
+        return ExitCode::FAILURE;
+    };
+    let outcome = match name {
+        "demo" => demo::run(matches),
+        "overhead" => overhead::run(matches),
+        _ => yielding::run(matches),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bramley-bench {name}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/bench/load.rs
@@ -0,0 +1,162 @@
+//! Sends online requests at set times, whatever the answers take, and notes what comes back.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde_json::json;
+
+use crate::clock;
+use crate::util::lock;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+const STACK_BYTES: usize = 256 * 1024;
+/// Longest time that is told apart, in microseconds.
+const MOST_US: u64 = 60_000_000;
+
+/// One request to send.
+#[derive(Debug, Clone)]
+pub struct Shot {
+    /// Since the start of the run.
+    pub at: Duration,
+    pub target: SocketAddr,
+    pub key: String,
+    pub body: String,
+    pub stream: bool,
+    pub attempt: String,
+}
+
+/// What came back.
+#[derive(Debug, Clone)]
+pub struct Sample {
+    pub at: Duration,
+    /// How much later than planned it was sent.
+    pub late: Duration,
+    pub first_token: Duration,
+    pub total: Duration,
+    /// 0 when there was no answer.
+    pub status: u16,
+    /// Whether the end marker came.
+    pub whole: bool,
+    pub key: String,
+}
+
+/// Times of a run, in microseconds.
+pub struct Times(Histogram<u64>);
+
+impl Times {
+    /// Collects times.
+    pub fn of(times: impl Iterator<Item = Duration>) -> Times {
+        let mut histogram = Histogram::new_with_bounds(1, MOST_US, 3).expect("valid bounds");
+        for time in times {
+            histogram.saturating_record((time.as_micros() as u64).max(1));
+        }
+        Times(histogram)
+    }
+
+    /// A quantile in milliseconds.
+    pub fn ms(&self, quantile: f64) -> f64 {
+        self.0.value_at_quantile(quantile) as f64 / 1000.0
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> u64 {
+        self.0.len()
+    }
+}
+
+/// The body of a chat request.
+pub fn chat(prompt: &str, tokens: u64, stream: bool) -> String {
+    json!({
+        "model": "permit-7b",
+        "max_tokens": tokens,
+        "stream": stream,
+        "messages": [{ "role": "user", "content": prompt }],
+    })
+    .to_string()
+}
+
+/// Sends all shots, in the order of their times, from a number of threads.
+pub fn run(mut shots: Vec<Shot>, threads: usize) -> Vec<Sample> {
+    shots.sort_by_key(|shot| shot.at);
+    let shots = Arc::new(shots);
+    let next = Arc::new(AtomicUsize::new(0));
+    let samples = Arc::new(Mutex::new(Vec::new()));
+    let start = clock::now();
+    let workers: Vec<_> = (0..threads)
+        .filter_map(|_| {
+            let (shots, next, samples) = (shots.clone(), next.clone(), samples.clone());
+            let work = move || {
+                let agent = ureq::AgentBuilder::new().redirects(0).build();
+                while let Some(shot) = shots.get(next.fetch_add(1, Ordering::SeqCst)) {
+                    clock::sleep((start + shot.at).saturating_sub(clock::now()));
+                    let sample = send(&agent, shot, start);
+                    lock(&samples).push(sample);
+                }
+            };
+            thread::Builder::new()
+                .stack_size(STACK_BYTES)
+                .spawn(work)
+                .ok()
+        })
+        .collect();
+    for worker in workers {
+        let _ = worker.join();
+    }
+    let mut samples = std::mem::take(&mut *lock(&samples));
+    samples.sort_by_key(|sample| sample.at);
+    samples
+}
+
+fn send(agent: &ureq::Agent, shot: &Shot, start: Duration) -> Sample {
+    let sent = clock::now();
+    let mut sample = Sample {
+        at: shot.at,
+        late: sent.saturating_sub(start + shot.at),
+        first_token: Duration::ZERO,
+        total: Duration::ZERO,
+        status: 0,
+        whole: false,
+        key: shot.key.clone(),
+    };
+    let url = format!("http://{}/v1/chat/completions", shot.target);
+    let request = agent
+        .post(&url)
+        .timeout(TIMEOUT)
+        .set("Authorization", &format!("Bearer {}", shot.key))
+        .set("X-Attempt-Id", &shot.attempt);
+    match request.send_string(&shot.body) {
+        Ok(response) | Err(ureq::Error::Status(_, response)) => {
+            sample.status = response.status();
+            read(response, shot.stream, sent, &mut sample);
+        }
+        Err(ureq::Error::Transport(_)) => {}
+    }
+    sample.total = clock::now().saturating_sub(sent);
+    sample
+}
+
+fn read(response: ureq::Response, stream: bool, sent: Duration, sample: &mut Sample) {
+    let mut reader = response.into_reader();
+    if !stream || sample.status != 200 {
+        let mut body = Vec::new();
+        sample.whole = reader.read_to_end(&mut body).is_ok();
+        sample.first_token = clock::now().saturating_sub(sent);
+        return;
+    }
+    let mut lines = BufReader::new(reader);
+    let mut line = String::new();
+    let mut first = true;
+    while matches!(lines.read_line(&mut line), Ok(count) if count > 0) {
+        if first && line.starts_with("data: ") {
+            sample.first_token = clock::now().saturating_sub(sent);
+            first = false;
+        }
+        sample.whole |= line.starts_with("data: [DONE]");
+        line.clear();
+    }
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,31 @@
+//! The only place that reads the machine's clocks or sleeps.
+//!
+//! Functions that decide take the present time as an argument; the shells around them get it here.
+#![allow(clippy::disallowed_methods)]
+
+use std::sync::OnceLock;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+static ORIGIN: OnceLock<Instant> = OnceLock::new();
+
+/// Monotonic time since this process first asked.
+pub fn now() -> Duration {
+    ORIGIN.get_or_init(Instant::now).elapsed()
+}
+
+/// Wall-clock time since the Unix epoch; for records that outlive the process.
+pub fn unix() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+/// Wall-clock milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    unix().as_millis() as u64
+}
+
+/// Blocks the calling thread.
+pub fn sleep(pause: Duration) {
+    std::thread::sleep(pause);
+}
--- /dev/null
+++ b/src/config/store.rs
@@ -0,0 +1,221 @@
+//! The configuration in the platform's key-value service: one head, bodies by digest.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::value::RawValue;
+use snafu::{ResultExt, Snafu};
+use strum::IntoEnumIterator;
+
+use super::{Ancestor, Bodies, Head, Kind, State, Versioned};
+use crate::clock;
+use crate::id::{self, ConfigVersion, Revision};
+use crate::platform::{self, Platform, Settled};
+use crate::util;
+
+/// Key of the head; it lies under the watched prefix.
+pub const HEAD_KEY: &str = "live/config";
+/// Prefix that the watchers watch: the head and the job records.
+pub const LIVE_PREFIX: &str = "live/";
+/// Bytes of one body; below the service's limit for a value.
+pub const BODY_BYTES: usize = 900 * 1024;
+/// Earlier versions named in the head.
+pub const ANCESTORS: usize = 64;
+
+/// Why a configuration could not be read or written.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("{source}"))]
+    Platform { source: platform::Error },
+    #[snafu(display("body {digest} is missing or broken"))]
+    Body { digest: String },
+    #[snafu(display("the head is broken: {source}"))]
+    Head { source: serde_json::Error },
+    #[snafu(display("one {kind} is larger than {BODY_BYTES} bytes"))]
+    TooLarge { kind: &'static str },
+    /// Nothing took effect.
+    #[snafu(display("the platform is away; nothing was applied"))]
+    Away,
+    /// It could not be told in time whether it took effect.
+    #[snafu(display("the platform's answer was lost; run `status` to see what is in force"))]
+    Unknown,
+}
+
+/// How an apply ended.
+#[derive(Debug)]
+pub enum Applied {
+    Won(Head),
+    /// Another operator's version stands.
+    Lost(Option<Head>),
+}
+
+/// Cuts a state into bodies below the size limit.
+pub fn bodies(state: &State) -> Result<(Vec<Bodies>, BTreeMap<String, String>), Error> {
+    let mut list = Vec::new();
+    let mut contents = BTreeMap::new();
+    let whole = serde_json::to_value(state).context(HeadSnafu)?;
+    for kind in Kind::iter() {
+        let name: &'static str = kind.into();
+        let rows = whole
+            .get(name)
+            .and_then(|rows| rows.as_array())
+            .cloned()
+            .unwrap_or_default();
+        let mut digests = Vec::new();
+        let mut parts: Vec<String> = vec![String::new()];
+        for row in rows {
+            let text = row.to_string();
+            if text.len() > BODY_BYTES {
+                return TooLargeSnafu { kind: name }.fail();
+            }
+            let at = parts.len() - 1;
+            if parts[at].len() + text.len() + 3 > BODY_BYTES {
+                parts.push(text);
+            } else {
+                if !parts[at].is_empty() {
+                    parts[at].push(',');
+                }
+                parts[at].push_str(&text);
+            }
+        }
+        for part in parts {
+            let body = format!("[{part}]");
+            let digest = id::digest(body.as_bytes());
+            digests.push(digest.clone());
+            contents.insert(digest, body);
+        }
+        list.push(Bodies { kind, digests });
+    }
+    Ok((list, contents))
+}
+
+/// Puts bodies together again, checking each against its digest.
+pub fn assemble(
+    head: &Head,
+    mut body: impl FnMut(&str) -> Result<String, Error>,
+) -> Result<State, Error> {
+    let mut kinds: BTreeMap<&'static str, Vec<Box<RawValue>>> = BTreeMap::new();
+    for bodies in &head.bodies {
+        let rows = kinds.entry(bodies.kind.into()).or_default();
+        for digest in &bodies.digests {
+            let content = body(digest)?;
+            if id::digest(content.as_bytes()) != *digest {
+                return BodySnafu { digest }.fail();
+            }
+            let part: Vec<Box<RawValue>> =
+                serde_json::from_str(&content).map_err(|_| Error::Body {
+                    digest: digest.clone(),
+                })?;
+            rows.extend(part);
+        }
+    }
+    let text = serde_json::to_string(&kinds).context(HeadSnafu)?;
+    serde_json::from_str(&text).context(HeadSnafu)
+}
+
+fn body_key(digest: &str) -> String {
+    format!("config/body/{digest}")
+}
+
+/// Reads a head from its text.
+pub fn parse_head(text: &str) -> Result<Head, Error> {
+    serde_json::from_str(text).context(HeadSnafu)
+}
+
+/// Reads the head.
+pub fn read_head(platform: &Platform) -> Result<Option<(Revision, Head)>, Error> {
+    let Some(entry) = platform.get(HEAD_KEY).context(PlatformSnafu)? else {
+        return Ok(None);
+    };
+    Ok(Some((entry.revision, parse_head(&entry.value)?)))
+}
+
+/// Reads the bodies of a head.
+pub fn read_state(platform: &Platform, head: &Head) -> Result<State, Error> {
+    assemble(head, |digest| {
+        let entry = platform.get(&body_key(digest)).context(PlatformSnafu)?;
+        entry.map(|entry| entry.value).ok_or(Error::Body {
+            digest: digest.into(),
+        })
+    })
+}
+
+/// Reads the whole configuration in force.
+pub fn read(platform: &Platform) -> Result<Option<(Revision, Versioned)>, Error> {
+    let Some((revision, head)) = read_head(platform)? else {
+        return Ok(None);
+    };
+    let state = read_state(platform, &head)?;
+    Ok(Some((revision, Versioned { head, state })))
+}
+
+/// Writes a state in place of the head that it is based on, by one compare-and-swap.
+pub fn apply(
+    platform: &Platform,
+    base: Option<(Revision, Head)>,
+    state: &State,
+    by: &str,
+    patience: Duration,
+) -> Result<Applied, Error> {
+    let until = clock::now() + patience;
+    let (bodies, contents) = bodies(state)?;
+    let old: Vec<String> = base
+        .iter()
+        .flat_map(|(_, head)| head.bodies.iter().flat_map(|bodies| bodies.digests.clone()))
+        .collect();
+    for (digest, content) in contents.iter().filter(|(digest, _)| !old.contains(digest)) {
+        // Under its digest it is the same whoever writes it, so a loss is as good as a win.
+        match platform.commit(&body_key(digest), 0, content, until) {
+            Settled::Won(_) | Settled::Lost(_) => {}
+            Settled::Away => return Err(Error::Away),
+            // The head was not touched yet.
+            Settled::Unknown => return Err(Error::Away),
+        }
+    }
+    let (expect, version, ancestors) = match base {
+        None => (0, 1, Vec::new()),
+        Some((revision, head)) => {
+            let mut ancestors = vec![Ancestor {
+                version: head.version,
+                nonce: head.nonce,
+                by: head.by,
+                at_ms: head.at_ms,
+            }];
+            ancestors.extend(head.ancestors);
+            ancestors.truncate(ANCESTORS);
+            (revision, head.version + 1, ancestors)
+        }
+    };
+    let head = Head {
+        version,
+        nonce: util::nonce(),
+        by: by.to_owned(),
+        at_ms: clock::unix_ms(),
+        bodies,
+        ancestors,
+    };
+    let text = serde_json::to_string(&head).context(HeadSnafu)?;
+    match platform.commit(HEAD_KEY, expect, &text, until) {
+        Settled::Won(_) => Ok(Applied::Won(head)),
+        Settled::Lost(entry) => {
+            let standing = entry.and_then(|entry| parse_head(&entry.value).ok());
+            // The answer was lost, and another operator has applied on top of ours since.
+            if standing
+                .as_ref()
+                .is_some_and(|s| is_ancestor(s, head.version, head.nonce))
+            {
+                return Ok(Applied::Won(head));
+            }
+            Ok(Applied::Lost(standing))
+        }
+        Settled::Away => Err(Error::Away),
+        Settled::Unknown => Err(Error::Unknown),
+    }
+}
+
+/// Whether a version with this nonce came before `head`.
+pub fn is_ancestor(head: &Head, version: ConfigVersion, nonce: u64) -> bool {
+    head.ancestors
+        .iter()
+        .any(|old| (old.version, old.nonce) == (version, nonce))
+}
--- /dev/null
+++ b/src/ctl/config.rs
@@ -0,0 +1,135 @@
+//! Turns arguments into what the commands read from and write to.
+
+use std::io::Read;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use serde::Serialize;
+use serde_json::Value;
+
+use super::{code, Failure};
+use crate::config::{load, State};
+use crate::platform::{ListedVm, Platform};
+
+const TIMEOUT: Duration = Duration::from_secs(3);
+const PAGE_BYTES: u64 = 64 * 1024 * 1024;
+
+/// The arguments of one command.
+pub struct Config<'a> {
+    matches: &'a ArgMatches,
+}
+
+impl<'a> Config<'a> {
+    /// Wraps the arguments.
+    pub fn new(matches: &'a ArgMatches) -> Config<'a> {
+        Config { matches }
+    }
+
+    /// Whether to print JSON.
+    pub fn json(&self) -> bool {
+        self.matches.get_flag("json")
+    }
+
+    /// A flag of the command.
+    pub fn flag(&self, name: &str) -> bool {
+        self.matches.get_flag(name)
+    }
+
+    /// A text argument of the command.
+    pub fn text(&self, name: &str) -> Option<&'a str> {
+        self.matches.get_one::<String>(name).map(String::as_str)
+    }
+
+    /// A number of seconds.
+    pub fn seconds(&self, name: &str) -> Duration {
+        Duration::from_secs(
+            self.matches
+                .get_one::<u64>(name)
+                .copied()
+                .unwrap_or_default(),
+        )
+    }
+
+    /// The platform to speak with.
+    pub fn platform(&self) -> Result<Platform, Failure> {
+        let address = self.text("platform").ok_or_else(|| {
+            Failure::new(
+                code::USAGE,
+                "--platform ADDRESS or BRAMLEY_PLATFORM is needed",
+            )
+        })?;
+        Ok(Platform::new(
+            address.trim_start_matches("http://"),
+            TIMEOUT,
+        ))
+    }
+
+    /// The state in the folder that was named; its faults are printed.
+    pub fn state(&self) -> Result<State, Failure> {
+        let folder = PathBuf::from(self.text("folder").unwrap_or_default());
+        load::folder(&folder).map_err(|faults| {
+            if self.json() {
+                print(&faults);
+            } else {
+                faults.iter().for_each(|fault| eprintln!("{fault}"));
+            }
+            Failure::new(
+                code::USAGE,
+                format!("{} faults; nothing was applied", faults.len()),
+            )
+        })
+    }
+
+    /// The operators' addresses that were named.
+    pub fn entries(&self) -> Vec<String> {
+        let named = self
+            .matches
+            .get_many::<String>("entry")
+            .into_iter()
+            .flatten();
+        named
+            .map(|address| address.trim_start_matches("http://").to_owned())
+            .collect()
+    }
+
+    /// Like [`Config::entries`]; at least one is needed.
+    pub fn some_entries(&self) -> Result<Vec<String>, Failure> {
+        let entries = self.entries();
+        match entries.is_empty() {
+            true => Err(Failure::new(code::USAGE, "--entry ADDRESS is needed")),
+            false => Ok(entries),
+        }
+    }
+}
+
+/// The VMs that the platform lists.
+pub fn listed(platform: &Platform) -> Result<Vec<ListedVm>, Failure> {
+    platform
+        .vms()
+        .map_err(|error| Failure::new(code::AWAY, error))
+}
+
+/// Reads a page of a process.
+pub fn page(address: &str, path: &str) -> Result<Value, Failure> {
+    let away = |error: String| Failure::new(code::AWAY, format!("{address}: {error}"));
+    let response = ureq::get(&format!("http://{address}{path}"))
+        .timeout(TIMEOUT)
+        .call()
+        .map_err(|error| away(error.to_string()))?;
+    let mut text = String::new();
+    let read = response
+        .into_reader()
+        .take(PAGE_BYTES)
+        .read_to_string(&mut text);
+    read.map_err(|error| away(error.to_string()))?;
+    serde_json::from_str(&text).map_err(|error| away(error.to_string()))
+}
+
+/// Prints a value as JSON.
+pub fn print(value: &impl Serialize) {
+    println!(
+        "{}",
+        serde_json::to_string_pretty(value).unwrap_or_default()
+    );
+}
--- /dev/null
+++ b/src/ctl/dump.rs
@@ -0,0 +1,21 @@
+//! `dump`: the tables of a process.
+
+use clap::Command;
+
+use super::config::{page, print, Config};
+use super::{code, Outcome};
+
+/// The arguments.
+pub fn usage() -> Command {
+    Command::new("dump")
+        .about("Prints the state of each process as JSON")
+        .after_help("Exit codes: 0 printed, 4 a process can't be reached.")
+}
+
+/// Runs the command.
+pub fn run(config: &Config<'_>) -> Outcome {
+    for address in config.some_entries()? {
+        print(&page(&address, "/dump")?);
+    }
+    Ok(code::OK)
+}
--- /dev/null
+++ b/src/ctl/key.rs
@@ -0,0 +1,27 @@
+//! `key`: the digest of a workspace's key, for `workspaces.json`.
+
+use clap::{Arg, Command};
+
+use super::config::Config;
+use super::{code, Outcome};
+use crate::id;
+
+/// The arguments.
+pub fn usage() -> Command {
+    Command::new("key")
+        .about("Prints the digest of a key, as it goes into workspaces.json")
+        .arg(
+            Arg::new("key")
+                .required(true)
+                .help("The key that callers send"),
+        )
+}
+
+/// Runs the command.
+pub fn run(config: &Config<'_>) -> Outcome {
+    println!(
+        "{}",
+        id::digest(config.text("key").unwrap_or_default().as_bytes())
+    );
+    Ok(code::OK)
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,18 @@
+//! The decisions, pure: no socket, thread, file or clock.
+//!
+//! Each part is a table with functions over it. A host feeds events and the present time, and reads
+//! the actions that come back; randomness comes from a generator that the host passes in.
+
+pub mod batch;
+pub mod commit;
+pub mod endpoints;
+pub mod fleet;
+pub mod intents;
+pub mod jobs;
+pub mod limit;
+pub mod members;
+pub mod online;
+pub mod refusal;
+pub mod retry;
+pub mod routing;
+pub mod window;
--- /dev/null
+++ b/src/decide/endpoints.rs
@@ -0,0 +1,265 @@
+//! The table of endpoints: what the configuration says, what was reported, what was observed.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::limit::Limit;
+use crate::id::{DomainId, EndpointId, Incarnation, Name, ServiceId};
+
+/// Failures in a row that eject an endpoint.
+pub const EJECT_FAILURES: u32 = 3;
+/// The first ejection; each further one in a row doubles it.
+pub const EJECT_MIN: Duration = Duration::from_secs(2);
+/// The longest ejection.
+pub const EJECT_MAX: Duration = Duration::from_secs(30);
+/// After an ejection the limit grows back over this time.
+pub const RETURN_RAMP: Duration = Duration::from_secs(5);
+/// An endpoint this many times slower than the median of its service is ejected as slow.
+pub const SLOW_FACTOR: f64 = 4.0;
+/// Times below this never count as slow, in milliseconds.
+pub const SLOW_FLOOR_MS: f64 = 50.0;
+
+/// What an endpoint says of itself; it lags.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub incarnation: Incarnation,
+    pub running: u32,
+    pub waiting: u32,
+    pub leaving: bool,
+    /// `model` or `model@version`, as loaded now.
+    #[serde(default)]
+    pub models: Vec<Name>,
+}
+
+/// What the configuration says of one endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Declared {
+    pub name: Name,
+    pub domain: DomainId,
+    pub service: ServiceId,
+    pub address: Name,
+    /// Concurrency assumed until it is learned.
+    pub initial_limit: f64,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    pub id: EndpointId,
+    pub declared: Declared,
+    pub limit: Limit,
+    /// Online requests of this VM at the endpoint.
+    pub online_here: u32,
+    /// Online requests of other VMs at the endpoint, as they last said.
+    pub online_elsewhere: u32,
+    /// Batch items at the endpoint, as its home last said.
+    pub batch: u32,
+    pub report: Option<Report>,
+    /// When the last report came, from whichever VM.
+    pub reported_at: Duration,
+    /// Sticky for an incarnation: once seen it stays until a higher incarnation reports.
+    pub leaving: Option<Incarnation>,
+    pub failures: u32,
+    pub ejections: u32,
+    pub ejected_until: Duration,
+    /// Since when it is back after an ejection.
+    pub returned_at: Option<Duration>,
+    /// Moving average of the time to first token, in milliseconds; 0 while unknown.
+    pub first_token_ms: f64,
+}
+
+impl Endpoint {
+    fn new(id: EndpointId, declared: Declared) -> Endpoint {
+        Endpoint {
+            id,
+            limit: Limit::new(declared.initial_limit),
+            declared,
+            online_here: 0,
+            online_elsewhere: 0,
+            batch: 0,
+            report: None,
+            reported_at: Duration::ZERO,
+            leaving: None,
+            failures: 0,
+            ejections: 0,
+            ejected_until: Duration::ZERO,
+            returned_at: None,
+            first_token_ms: 0.0,
+        }
+    }
+
+    /// Whether new work may go there.
+    pub fn usable(&self, now: Duration) -> bool {
+        self.leaving.is_none() && now >= self.ejected_until
+    }
+
+    /// Online requests there, of all VMs.
+    pub fn online(&self) -> u32 {
+        self.online_here + self.online_elsewhere
+    }
+
+    /// Slots in use and slots there are, with the slow return after an ejection.
+    pub fn slots(&self, now: Duration) -> f64 {
+        let full = self.limit.slots();
+        match self.returned_at {
+            Some(since) if now < since + RETURN_RAMP => {
+                let share = (now.saturating_sub(since)).as_secs_f64() / RETURN_RAMP.as_secs_f64();
+                (full * share).max(1.0)
+            }
+            _ => full,
+        }
+    }
+
+    /// Whether one more online request fits. Batch work does not count: it yields.
+    pub fn has_room(&self, now: Duration) -> bool {
+        f64::from(self.online()) + 1.0 <= self.slots(now)
+    }
+
+    /// Use as a share of the limit.
+    pub fn load(&self, now: Duration) -> f64 {
+        f64::from(self.online()) / self.slots(now)
+    }
+
+    /// A request went well; `first_token` when it was seen.
+    pub fn succeeded(&mut self, first_token: Option<Duration>) {
+        self.failures = 0;
+        self.ejections = 0;
+        if let Some(time) = first_token {
+            let ms = time.as_secs_f64() * 1000.0;
+            let old = if self.first_token_ms == 0.0 {
+                ms
+            } else {
+                self.first_token_ms
+            };
+            self.first_token_ms = old * 0.8 + ms * 0.2;
+        }
+    }
+
+    /// A request failed by the endpoint's fault.
+    pub fn failed(&mut self, now: Duration) {
+        self.failures += 1;
+        if self.failures >= EJECT_FAILURES {
+            self.eject(now);
+        }
+    }
+
+    /// Takes it out for a while.
+    pub fn eject(&mut self, now: Duration) {
+        let pause = EJECT_MIN * 2u32.saturating_pow(self.ejections.min(8));
+        self.ejected_until = now + pause.min(EJECT_MAX);
+        self.returned_at = Some(self.ejected_until);
+        self.ejections += 1;
+        self.failures = EJECT_FAILURES - 1;
+        self.first_token_ms = 0.0;
+    }
+
+    /// Takes a report, from the endpoint itself or by way of another VM.
+    pub fn reported(&mut self, now: Duration, report: Report) {
+        let newest = self.report.as_ref().map_or(0, |r| r.incarnation);
+        if report.incarnation < newest {
+            return;
+        }
+        if self.leaving.is_some_and(|left| report.incarnation > left) {
+            self.leaving = None;
+        }
+        if report.leaving {
+            self.leaving = Some(report.incarnation);
+        }
+        self.report = Some(report);
+        self.reported_at = now;
+    }
+}
+
+/// All endpoints, in a fixed order between changes of configuration.
+#[derive(Debug, Default, Clone)]
+pub struct Endpoints {
+    pub rows: Vec<Endpoint>,
+    index: HashMap<EndpointId, usize>,
+    by_service: HashMap<ServiceId, Vec<usize>>,
+}
+
+impl Endpoints {
+    /// Takes a new configuration; rows that stay keep what was observed of them.
+    pub fn declare(&mut self, declared: impl IntoIterator<Item = (EndpointId, Declared)>) {
+        let mut old: HashMap<EndpointId, Endpoint> =
+            self.rows.drain(..).map(|row| (row.id, row)).collect();
+        for (id, declared) in declared {
+            let row = match old.remove(&id) {
+                Some(mut row) if row.declared.address == declared.address => {
+                    row.declared = declared;
+                    row
+                }
+                _ => Endpoint::new(id, declared),
+            };
+            self.rows.push(row);
+        }
+        self.reindex();
+    }
+
+    fn reindex(&mut self) {
+        self.index = self
+            .rows
+            .iter()
+            .enumerate()
+            .map(|(at, row)| (row.id, at))
+            .collect();
+        self.by_service.clear();
+        for (at, row) in self.rows.iter().enumerate() {
+            self.by_service
+                .entry(row.declared.service)
+                .or_default()
+                .push(at);
+        }
+    }
+
+    /// The row of an endpoint.
+    pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
+        self.index.get(&id).map(|at| &self.rows[*at])
+    }
+
+    /// The row of an endpoint, to change.
+    pub fn get_mut(&mut self, id: EndpointId) -> Option<&mut Endpoint> {
+        self.index.get(&id).map(|at| &mut self.rows[*at])
+    }
+
+    /// The rows that serve a service, as positions in `rows`.
+    pub fn of_service(&self, service: ServiceId) -> &[usize] {
+        self.by_service.get(&service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Ejects endpoints that answer, but far slower than the others of their service.
+    ///
+    /// The failure: a sick accelerator answers every request, late; nothing fails, so nothing
+    /// counts against it, and its callers wait. Comparing with the median needs no setting, and at
+    /// most one endpoint in three of a service is taken out this way, so that a load that slows
+    /// all of them ejects none.
+    pub fn eject_slow(&mut self, now: Duration) {
+        let services: Vec<ServiceId> = self.by_service.keys().copied().collect();
+        for service in services {
+            let rows = &self.by_service[&service];
+            let mut times: Vec<f64> = rows
+                .iter()
+                .map(|at| self.rows[*at].first_token_ms)
+                .filter(|ms| *ms > 0.0)
+                .collect();
+            if times.len() < 3 {
+                continue;
+            }
+            times.sort_by(f64::total_cmp);
+            let bound = (times[(times.len() - 1) / 2] * SLOW_FACTOR).max(SLOW_FLOOR_MS);
+            let out = rows
+                .iter()
+                .filter(|at| !self.rows[**at].usable(now))
+                .count();
+            let slow = rows
+                .iter()
+                .copied()
+                .find(|at| self.rows[*at].first_token_ms > bound && self.rows[*at].usable(now));
+            if let Some(at) = slow.filter(|_| (out + 1) * 3 <= rows.len()) {
+                self.rows[at].eject(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/fleet.rs
@@ -0,0 +1,390 @@
+//! What one VM tells the others, and what it does with what it hears.
+//!
+//! Heartbeats go to each VM of the own failure domain. Two delegates a domain, by rendezvous, also
+//! send to the other domains. Heartbeats carry versions; who is behind fetches from the sender.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::endpoints::{Endpoints, Report};
+use super::members::{Card, Heard, Members, HEARTBEAT};
+use crate::id::{ranked, ConfigVersion, DomainId, EndpointId, Incarnation, VmId};
+
+/// VMs of a domain that watch the platform, and that speak with other domains.
+pub const DELEGATES: usize = 2;
+/// VMs that poll one endpoint.
+pub const POLLERS: usize = 2;
+/// Time between two polls of an endpoint by one VM.
+pub const POLL: Duration = Duration::from_millis(500);
+/// Time between two heartbeats to another domain.
+pub const FAR_HEARTBEAT: Duration = Duration::from_millis(1000);
+/// Rows in one heartbeat; keeps the datagram within one packet.
+pub const ROWS_MAX: usize = 24;
+/// Unchanged rows that are told again with each heartbeat, in turn, so that a row that was lost
+/// comes again.
+pub const REFRESH_ROWS: usize = 3;
+/// No second fetch of the same thing before the first can have come.
+pub const FETCH_PAUSE: Duration = Duration::from_millis(300);
+/// What another VM said of its use of an endpoint counts no longer than this.
+pub const LOAD_LIFE: Duration = Duration::from_secs(5);
+
+const KEY_DELEGATE: u64 = 0x64656c;
+
+/// One VM's use of one endpoint, and what it was told by it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub endpoint: EndpointId,
+    /// Online requests of the sender there.
+    pub online: u32,
+    /// Batch items of the sender there.
+    pub batch: u32,
+    /// What the endpoint last said to a poller.
+    pub report: Option<Told>,
+}
+
+/// A report on its way between VMs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    pub incarnation: Incarnation,
+    pub running: u32,
+    pub waiting: u32,
+    pub leaving: bool,
+}
+
+/// The message between VMs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    pub card: Card,
+    pub sequence: u64,
+    /// The VM that it was meant for, with the incarnation last heard, 0 for none.
+    pub rows: Vec<Row>,
+}
+
+/// What a VM does next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    Send {
+        to: std::net::SocketAddr,
+        heartbeat: Heartbeat,
+    },
+    /// Ask this VM for its configuration.
+    FetchConfig {
+        from: std::net::SocketAddr,
+        version: ConfigVersion,
+    },
+    /// Ask this VM for job records after the own revision.
+    FetchJobs { from: std::net::SocketAddr },
+    /// Ask an endpoint for its report.
+    Poll { endpoint: EndpointId },
+    /// A later process has this VM's id.
+    Stop,
+}
+
+/// The view of one VM.
+#[derive(Debug)]
+pub struct Fleet {
+    pub card: Card,
+    pub members: Members,
+    sequence: u64,
+    next_heartbeat: Duration,
+    next_far: Duration,
+    polled_at: HashMap<EndpointId, Duration>,
+    fetched_config_at: Option<Duration>,
+    fetched_jobs_at: Option<Duration>,
+    /// Rows that changed since they were last told.
+    dirty: VecDeque<EndpointId>,
+    refresh_at: usize,
+    told: HashMap<EndpointId, Row>,
+    /// Use by other VMs: what each said, and when.
+    uses: HashMap<(VmId, EndpointId), (u32, u32, Duration)>,
+}
+
+impl Fleet {
+    /// A VM that has heard of no other.
+    pub fn new(card: Card) -> Fleet {
+        Fleet {
+            card,
+            members: Members::default(),
+            sequence: 0,
+            next_heartbeat: Duration::ZERO,
+            next_far: Duration::ZERO,
+            polled_at: HashMap::new(),
+            fetched_config_at: None,
+            fetched_jobs_at: None,
+            dirty: VecDeque::new(),
+            refresh_at: 0,
+            told: HashMap::new(),
+            uses: HashMap::new(),
+        }
+    }
+
+    /// Takes a heartbeat.
+    pub fn heard(
+        &mut self,
+        now: Duration,
+        heartbeat: Heartbeat,
+        endpoints: &mut Endpoints,
+        out: &mut Vec<Action>,
+    ) {
+        let (vm, domain) = (heartbeat.card.vm, heartbeat.card.domain);
+        let (config, jobs) = (heartbeat.card.config, heartbeat.card.jobs);
+        let from = heartbeat.card.peer_address;
+        let heard = self
+            .members
+            .heard(now, &self.card, heartbeat.card, heartbeat.sequence);
+        match heard {
+            Heard::Stale => return,
+            Heard::Superseded => {
+                out.push(Action::Stop);
+                return;
+            }
+            Heard::Taken => {}
+        }
+        for row in heartbeat.rows {
+            self.take_row(now, vm, domain, row, endpoints);
+        }
+        if config > self.card.config && due(self.fetched_config_at, now) {
+            self.fetched_config_at = Some(now);
+            out.push(Action::FetchConfig {
+                from,
+                version: config,
+            });
+        }
+        if jobs > self.card.jobs && due(self.fetched_jobs_at, now) {
+            self.fetched_jobs_at = Some(now);
+            out.push(Action::FetchJobs { from });
+        }
+    }
+
+    fn take_row(
+        &mut self,
+        now: Duration,
+        vm: VmId,
+        domain: DomainId,
+        row: Row,
+        endpoints: &mut Endpoints,
+    ) {
+        let id = row.endpoint;
+        self.uses.insert((vm, id), (row.online, row.batch, now));
+        let Some(endpoint) = endpoints.get_mut(id) else {
+            return;
+        };
+        let Some(told) = row.report else { return };
+        let news = endpoint.leaving.is_some() != told.leaving;
+        let models = endpoint
+            .report
+            .as_ref()
+            .map(|r| r.models.clone())
+            .unwrap_or_default();
+        endpoint.reported(
+            now,
+            Report {
+                incarnation: told.incarnation,
+                running: told.running,
+                waiting: told.waiting,
+                leaving: told.leaving,
+                models,
+            },
+        );
+        // News of another domain goes on to the own one; news of the own domain came from it.
+        if news && domain != self.card.domain {
+            self.mark(id);
+        }
+    }
+
+    /// Takes an endpoint's own report.
+    pub fn polled(
+        &mut self,
+        now: Duration,
+        id: EndpointId,
+        report: Report,
+        endpoints: &mut Endpoints,
+    ) {
+        let Some(endpoint) = endpoints.get_mut(id) else {
+            return;
+        };
+        endpoint.reported(now, report);
+        self.mark(id);
+    }
+
+    /// Has a row told with the next heartbeat.
+    pub fn mark(&mut self, id: EndpointId) {
+        if !self.dirty.contains(&id) {
+            self.dirty.push_back(id);
+        }
+    }
+
+    /// Sends, polls and forgets what is due.
+    pub fn tick(&mut self, now: Duration, endpoints: &mut Endpoints, out: &mut Vec<Action>) {
+        self.members.tick(now);
+        self.sum_uses(now, endpoints);
+        if now >= self.next_heartbeat {
+            self.next_heartbeat = now + HEARTBEAT;
+            let far = now >= self.next_far && self.is_delegate(now);
+            if far {
+                self.next_far = now + FAR_HEARTBEAT;
+            }
+            self.send(now, endpoints, far, out);
+        }
+        self.poll(now, endpoints, out);
+    }
+
+    /// Tells everybody at once, as when leaving.
+    pub fn tell_now(&mut self) {
+        self.next_heartbeat = Duration::ZERO;
+        self.next_far = Duration::ZERO;
+    }
+
+    fn sum_uses(&mut self, now: Duration, endpoints: &mut Endpoints) {
+        let members = &self.members;
+        self.uses.retain(|(vm, _), (_, _, at)| {
+            now < *at + LOAD_LIFE && members.rows.get(vm).is_some_and(|row| row.alive(now))
+        });
+        for endpoint in &mut endpoints.rows {
+            endpoint.online_elsewhere = 0;
+            endpoint.batch = 0;
+        }
+        for ((_, id), (online, batch, _)) in &self.uses {
+            if let Some(endpoint) = endpoints.get_mut(*id) {
+                endpoint.online_elsewhere += online;
+                endpoint.batch += batch;
+            }
+        }
+    }
+
+    fn send(&mut self, now: Duration, endpoints: &Endpoints, far: bool, out: &mut Vec<Action>) {
+        let rows = self.rows_to_tell(endpoints);
+        self.sequence += 1;
+        let heartbeat = Heartbeat {
+            card: self.card.clone(),
+            sequence: self.sequence,
+            rows,
+        };
+        for row in self.members.rows.values() {
+            let near = row.card.domain == self.card.domain;
+            if near || (far && self.far_target(now, row.card.vm, row.card.domain)) {
+                let to = row.card.gossip_address;
+                out.push(Action::Send {
+                    to,
+                    heartbeat: heartbeat.clone(),
+                });
+            }
+        }
+    }
+
+    /// The two VMs of another domain to speak with: those heard lately, else any that are known.
+    fn far_target(&self, now: Duration, vm: VmId, domain: DomainId) -> bool {
+        let of_domain = || {
+            self.members
+                .rows
+                .values()
+                .filter(|r| r.card.domain == domain)
+        };
+        let alive = of_domain().filter(|r| r.alive(now)).map(|r| r.card.vm);
+        let mut targets = ranked(KEY_DELEGATE, alive);
+        targets.truncate(DELEGATES);
+        if targets.len() < DELEGATES {
+            // Which of the silent ones lives is not known: try them in turn.
+            let mut silent: Vec<VmId> = of_domain()
+                .filter(|r| !r.alive(now))
+                .map(|r| r.card.vm)
+                .collect();
+            silent.sort_unstable();
+            if !silent.is_empty() {
+                targets.push(silent[self.sequence as usize % silent.len()]);
+            }
+        }
+        targets.contains(&vm)
+    }
+
+    fn rows_to_tell(&mut self, endpoints: &Endpoints) -> Vec<Row> {
+        for endpoint in &endpoints.rows {
+            let told = self.told.get(&endpoint.id);
+            let changed = told.map_or(endpoint.online_here > 0, |row| {
+                row.online != endpoint.online_here
+                    || row.report.as_ref().map(|r| r.leaving)
+                        != endpoint.report.as_ref().map(|r| r.leaving)
+            });
+            if changed && !self.dirty.contains(&endpoint.id) {
+                self.dirty.push_back(endpoint.id);
+            }
+        }
+        let mut rows = Vec::new();
+        while rows.len() < ROWS_MAX - REFRESH_ROWS {
+            let Some(id) = self.dirty.pop_front() else {
+                break;
+            };
+            rows.extend(endpoints.get(id).map(|endpoint| self.row(endpoint)));
+        }
+        for _ in 0..REFRESH_ROWS.min(endpoints.rows.len()) {
+            self.refresh_at = (self.refresh_at + 1) % endpoints.rows.len();
+            let endpoint = &endpoints.rows[self.refresh_at];
+            if endpoint.report.is_some() && rows.iter().all(|row| row.endpoint != endpoint.id) {
+                rows.push(self.row(endpoint));
+            }
+        }
+        for row in &rows {
+            self.told.insert(row.endpoint, row.clone());
+        }
+        rows
+    }
+
+    fn row(&self, endpoint: &super::endpoints::Endpoint) -> Row {
+        let report = endpoint.report.as_ref().map(|report| Told {
+            incarnation: report.incarnation,
+            running: report.running,
+            waiting: report.waiting,
+            leaving: endpoint.leaving.is_some(),
+        });
+        Row {
+            endpoint: endpoint.id,
+            online: endpoint.online_here,
+            batch: 0,
+            report,
+        }
+    }
+
+    fn poll(&mut self, now: Duration, endpoints: &Endpoints, out: &mut Vec<Action>) {
+        for endpoint in &endpoints.rows {
+            if endpoint.declared.domain != self.card.domain {
+                continue;
+            }
+            let last = self.polled_at.get(&endpoint.id);
+            if last.is_some_and(|at| now < *at + POLL) {
+                continue;
+            }
+            if self.among_first(now, endpoint.id, POLLERS) {
+                self.polled_at.insert(endpoint.id, now);
+                out.push(Action::Poll {
+                    endpoint: endpoint.id,
+                });
+            }
+        }
+    }
+
+    fn among_first(&self, now: Duration, key: u64, count: usize) -> bool {
+        let ranked = self
+            .members
+            .ranked_for(now, &self.card, self.card.domain, key);
+        ranked.iter().take(count).any(|vm| *vm == self.card.vm)
+    }
+
+    /// Whether this VM watches the platform and speaks with other domains.
+    pub fn is_delegate(&self, now: Duration) -> bool {
+        self.among_first(now, KEY_DELEGATE, DELEGATES)
+    }
+
+    /// The VM whose batch process may use an endpoint of the own domain.
+    pub fn home(&self, now: Duration, endpoint: EndpointId) -> Option<VmId> {
+        self.members
+            .batch_ranked(now, &self.card, endpoint)
+            .first()
+            .copied()
+    }
+}
+
+fn due(last: Option<Duration>, now: Duration) -> bool {
+    last.is_none_or(|at| now >= at + FETCH_PAUSE)
+}
--- /dev/null
+++ b/src/decide/intents.rs
@@ -0,0 +1,485 @@
+//! At most once: what was started under which key, and how it ended.
+//!
+//! Keys fall into ranges. Each range is a log of pages in the key-value service, one key a page,
+//! created only: whoever creates page `n` has read all pages before it, so of two writers that begin
+//! the same key the one whose page comes second sees the first one's page and does not begin.
+//! One write holds all that came in since the last one.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::commit::{Answer, Commit, Step};
+use crate::id::{self, Nonce, Revision};
+
+/// Number of ranges; part of the stored format.
+pub const RANGES: u64 = 4;
+/// Least time between two writes of one range.
+pub const GATHER: Duration = Duration::from_millis(50);
+/// Entries in one page.
+pub const PAGE_ENTRIES: usize = 256;
+/// Bytes of recorded answers in one page.
+pub const PAGE_BYTES: usize = 512 * 1024;
+/// An answer larger than this is not kept; its key is.
+pub const ANSWER_BYTES: usize = 64 * 1024;
+/// Time after which a page's write is given up for those who wait on it.
+pub const WRITE_PATIENCE: Duration = Duration::from_millis(1500);
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// Digest of workspace, service and the caller's key.
+pub type IntentKey = String;
+/// Somebody who waits for a verdict.
+pub type Ticket = u64;
+
+/// How a started request ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answered {
+    pub status: u16,
+    pub content_type: String,
+    /// `None` when it was too large to keep.
+    pub body: Option<String>,
+}
+
+/// One step in the life of a key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mark {
+    /// Written before the first byte goes out.
+    Begun {
+        content: String,
+    },
+    Answered(Answered),
+    /// It was begun, but no byte went out.
+    Released,
+}
+
+/// One page of the log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Page {
+    pub nonce: Nonce,
+    pub at_ms: u64,
+    pub entries: Vec<(IntentKey, Mark)>,
+}
+
+/// What a caller of this module asks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// May the request under this key go out? `content` is a digest of the request.
+    Begin { content: String },
+    /// Record how it ended.
+    End(Mark),
+}
+
+/// The answer to an [`Ask`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It is recorded: go.
+    Go,
+    /// It ran before, with this answer.
+    Replay(Answered),
+    /// It was begun before, and no end is recorded.
+    Begun,
+    /// The key was used for another request.
+    Mismatch,
+    /// The platform is away; nothing may go out.
+    Away,
+}
+
+/// What the host is to do for a range.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Read all pages from this one on.
+    List {
+        from: u64,
+    },
+    Write {
+        slot: u64,
+        page: Page,
+    },
+    Read {
+        slot: u64,
+    },
+    Tell {
+        ticket: Ticket,
+        verdict: Verdict,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    ticket: Ticket,
+    key: IntentKey,
+    ask: Ask,
+    since: Duration,
+    /// The asker was told that the platform is away.
+    abandoned: bool,
+}
+
+#[derive(Debug)]
+struct Writing {
+    page: Page,
+    asks: Vec<Waiting>,
+    commit: Commit,
+    asked: bool,
+    not_before: Duration,
+}
+
+/// One range, as one VM sees it.
+#[derive(Debug)]
+pub struct Range {
+    /// Invariant: all pages below `next_slot` are in `index`.
+    next_slot: u64,
+    loaded: bool,
+    listing: bool,
+    list_at: Duration,
+    index: HashMap<IntentKey, Mark>,
+    waiting: Vec<Waiting>,
+    writing: Option<Writing>,
+    wrote_at: Option<Duration>,
+    nonce: Nonce,
+}
+
+/// The range that a key falls into.
+pub fn range_of(key: &str) -> u64 {
+    id::of(key) % RANGES
+}
+
+/// Prefix of the pages of a range.
+pub fn range_prefix(range: u64) -> String {
+    format!("intent/{range}/")
+}
+
+/// Key of a page; sorts by slot.
+pub fn page_key(range: u64, slot: u64) -> String {
+    format!("intent/{range}/{slot:012}")
+}
+
+impl Range {
+    /// A range of which nothing is known; `nonce` must be random.
+    pub fn new(nonce: Nonce) -> Range {
+        Range {
+            next_slot: 0,
+            loaded: false,
+            listing: false,
+            list_at: Duration::ZERO,
+            index: HashMap::new(),
+            waiting: Vec::new(),
+            writing: None,
+            wrote_at: None,
+            nonce,
+        }
+    }
+
+    /// Keys that are known.
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Whether no key is known.
+    pub fn is_empty(&self) -> bool {
+        self.index.is_empty()
+    }
+
+    /// Takes a question.
+    pub fn ask(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        key: IntentKey,
+        ask: Ask,
+        out: &mut Vec<Action>,
+    ) {
+        self.waiting.push(Waiting {
+            ticket,
+            key,
+            ask,
+            since: now,
+            abandoned: false,
+        });
+        self.tick(now, out);
+    }
+
+    /// Takes the pages from a list; `None` when it failed.
+    pub fn listed(
+        &mut self,
+        now: Duration,
+        pages: Option<Vec<(u64, Page)>>,
+        out: &mut Vec<Action>,
+    ) {
+        self.listing = false;
+        match pages {
+            Some(mut pages) => {
+                pages.sort_by_key(|(slot, _)| *slot);
+                for (slot, page) in pages {
+                    self.apply(slot, &page);
+                }
+                self.loaded = true;
+            }
+            None => {
+                self.list_at = now + PAUSE * 5;
+                self.tell_away(out);
+            }
+        }
+        self.tick(now, out);
+    }
+
+    /// Takes the answer to a write.
+    pub fn written(&mut self, now: Duration, answer: Answer, out: &mut Vec<Action>) {
+        if let Some(writing) = &mut self.writing {
+            writing.asked = false;
+            writing.commit.written(answer);
+        }
+        self.settle(now, None, out);
+        self.tick(now, out);
+    }
+
+    /// Takes a read of the slot being written; `None` when it failed.
+    pub fn read(
+        &mut self,
+        now: Duration,
+        found: Option<Option<(Revision, Page)>>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(writing) = &mut self.writing else {
+            return;
+        };
+        let nonce = writing.page.nonce;
+        let seen = found.as_ref().map(|page| {
+            page.as_ref()
+                .map(|(revision, page)| (*revision, page.nonce == nonce))
+        });
+        writing.asked = false;
+        writing.commit.read(seen);
+        let standing = found.flatten().map(|(_, page)| page);
+        self.settle(now, standing, out);
+        self.tick(now, out);
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if !self.loaded {
+            if !self.listing && now >= self.list_at && !self.waiting.is_empty() {
+                self.listing = true;
+                out.push(Action::List {
+                    from: self.next_slot,
+                });
+            }
+            return;
+        }
+        self.abandon_late(now, out);
+        self.answer_known(out);
+        if self.writing.is_none() && !self.waiting.is_empty() {
+            let due = self.wrote_at.is_none_or(|at| now >= at + GATHER);
+            if due {
+                self.start_write(now);
+            }
+        }
+        self.step_write(now, out);
+    }
+
+    fn apply(&mut self, slot: u64, page: &Page) {
+        if slot < self.next_slot {
+            return;
+        }
+        self.next_slot = slot + 1;
+        for (key, mark) in &page.entries {
+            match mark {
+                Mark::Released => {
+                    self.index.remove(key);
+                }
+                mark => {
+                    self.index.insert(key.clone(), mark.clone());
+                }
+            }
+        }
+    }
+
+    /// Answers what the log already tells.
+    fn answer_known(&mut self, out: &mut Vec<Action>) {
+        let index = &self.index;
+        self.waiting.retain(|waiting| {
+            let Ask::Begin { content } = &waiting.ask else {
+                return true;
+            };
+            let verdict = match index.get(&waiting.key) {
+                None | Some(Mark::Released) => return true,
+                Some(Mark::Answered(answered)) => Verdict::Replay(answered.clone()),
+                Some(Mark::Begun { content: first }) if first != content => Verdict::Mismatch,
+                Some(Mark::Begun { .. }) => Verdict::Begun,
+            };
+            if !waiting.abandoned {
+                out.push(Action::Tell {
+                    ticket: waiting.ticket,
+                    verdict,
+                });
+            }
+            false
+        });
+    }
+
+    fn start_write(&mut self, now: Duration) {
+        let mut entries: Vec<(IntentKey, Mark)> = Vec::new();
+        let mut asks = Vec::new();
+        let mut later = Vec::new();
+        let mut bytes = 0;
+        for waiting in std::mem::take(&mut self.waiting) {
+            let mark = match &waiting.ask {
+                Ask::Begin { content } => Mark::Begun {
+                    content: content.clone(),
+                },
+                Ask::End(mark) => mark.clone(),
+            };
+            bytes += mark_bytes(&mark);
+            let taken = entries.iter().any(|(key, _)| *key == waiting.key);
+            // The second of one key waits for the next page, where the first is known.
+            if taken || entries.len() >= PAGE_ENTRIES || (bytes > PAGE_BYTES && !asks.is_empty()) {
+                later.push(waiting);
+                continue;
+            }
+            entries.push((waiting.key.clone(), mark));
+            asks.push(waiting);
+        }
+        self.waiting = later;
+        self.nonce = self.nonce.wrapping_add(1);
+        let page = Page {
+            nonce: self.nonce,
+            at_ms: 0,
+            entries,
+        };
+        let commit = Commit::new(0);
+        self.writing = Some(Writing {
+            page,
+            asks,
+            commit,
+            asked: false,
+            not_before: now,
+        });
+    }
+
+    fn step_write(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let slot = self.next_slot;
+        let Some(writing) = &mut self.writing else {
+            return;
+        };
+        if writing.asked || now < writing.not_before {
+            return;
+        }
+        match writing.commit.step() {
+            Step::Write => out.push(Action::Write {
+                slot,
+                page: writing.page.clone(),
+            }),
+            Step::Read => out.push(Action::Read { slot }),
+            _ => return,
+        }
+        writing.asked = true;
+    }
+
+    fn settle(&mut self, now: Duration, standing: Option<Page>, out: &mut Vec<Action>) {
+        let Some(mut writing) = self.writing.take() else {
+            return;
+        };
+        match writing.commit.step() {
+            Step::Write | Step::Read => {
+                writing.not_before = now + writing.commit.pause(PAUSE);
+                self.writing = Some(writing);
+            }
+            Step::Won(_) => {
+                self.wrote_at = Some(now);
+                self.apply(self.next_slot, &writing.page);
+                for waiting in writing.asks {
+                    self.tell_written(now, waiting, out);
+                }
+            }
+            Step::Lost => {
+                // Another VM's page has this slot: learn it, and try the next slot.
+                if let Some(page) = standing {
+                    self.apply(self.next_slot, &page);
+                }
+                self.take_back(writing.asks);
+                self.wrote_at = None;
+            }
+            Step::Away => {
+                self.take_back(writing.asks);
+                self.wrote_at = Some(now + PAUSE * 5);
+                self.tell_away(out);
+            }
+        }
+    }
+
+    /// Puts the asks of a page that did not take effect before the others again.
+    fn take_back(&mut self, mut asks: Vec<Waiting>) {
+        asks.retain(|waiting| !waiting.abandoned);
+        asks.append(&mut self.waiting);
+        self.waiting = asks;
+    }
+
+    fn tell_written(&mut self, now: Duration, waiting: Waiting, out: &mut Vec<Action>) {
+        if !waiting.abandoned {
+            out.push(Action::Tell {
+                ticket: waiting.ticket,
+                verdict: Verdict::Go,
+            });
+        } else if matches!(waiting.ask, Ask::Begin { .. }) {
+            // The asker was told "not run" while the write was in doubt, and it took effect after
+            // all. Without this the key would say for ever that it may have run.
+            self.waiting.push(Waiting {
+                ask: Ask::End(Mark::Released),
+                since: now,
+                ..waiting
+            });
+        }
+    }
+
+    /// Tells all who want to begin that nothing can be begun.
+    fn tell_away(&mut self, out: &mut Vec<Action>) {
+        self.waiting.retain(|waiting| {
+            let begin = matches!(waiting.ask, Ask::Begin { .. });
+            if begin && !waiting.abandoned {
+                out.push(Action::Tell {
+                    ticket: waiting.ticket,
+                    verdict: Verdict::Away,
+                });
+            }
+            !begin
+        });
+    }
+
+    /// Lets nobody wait long on a write in doubt: no byte went out, so "not run" is true.
+    fn abandon_late(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let late = |since: Duration| now >= since + WRITE_PATIENCE;
+        if let Some(writing) = &mut self.writing {
+            for waiting in &mut writing.asks {
+                let begin = matches!(waiting.ask, Ask::Begin { .. });
+                if begin && !waiting.abandoned && late(waiting.since) {
+                    waiting.abandoned = true;
+                    out.push(Action::Tell {
+                        ticket: waiting.ticket,
+                        verdict: Verdict::Away,
+                    });
+                }
+            }
+        }
+        self.waiting.retain(|waiting| {
+            let begin = matches!(waiting.ask, Ask::Begin { .. });
+            if begin && late(waiting.since) {
+                if !waiting.abandoned {
+                    out.push(Action::Tell {
+                        ticket: waiting.ticket,
+                        verdict: Verdict::Away,
+                    });
+                }
+                return false;
+            }
+            true
+        });
+    }
+}
+
+fn mark_bytes(mark: &Mark) -> usize {
+    match mark {
+        Mark::Answered(answered) => answered.body.as_ref().map_or(0, String::len) + 64,
+        _ => 128,
+    }
+}
--- /dev/null
+++ b/src/decide/members.rs
@@ -0,0 +1,156 @@
+//! Which VMs of the own failure domain are alive, from their heartbeats.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{ranked, ConfigVersion, DomainId, Incarnation, Name, Revision, VmId};
+
+/// Time between two heartbeats to the same VM.
+pub const HEARTBEAT: Duration = Duration::from_millis(400);
+/// A VM silent for so long is out of use: six heartbeats, so that at 5% loss a false removal
+/// needs six losses in a row.
+pub const DEAD_AFTER: Duration = Duration::from_millis(2600);
+/// A VM silent for so long and not listed by the platform is forgotten.
+pub const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// What a VM says of itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Card {
+    pub vm: VmId,
+    pub name: Name,
+    pub domain: DomainId,
+    pub gossip_address: SocketAddr,
+    pub peer_address: SocketAddr,
+    pub incarnation: Incarnation,
+    pub leaving: bool,
+    /// Whether its batch process is up.
+    pub batch_ready: bool,
+    /// Configuration in force there.
+    pub config: ConfigVersion,
+    /// Newest revision of the job records known there.
+    pub jobs: Revision,
+}
+
+/// One other VM.
+#[derive(Debug, Clone)]
+pub struct Member {
+    pub card: Card,
+    /// Highest sequence number of this incarnation; late datagrams carry lower ones.
+    pub sequence: u64,
+    pub heard_at: Option<Duration>,
+    /// Whether the platform's list has it; only a hint.
+    pub listed: bool,
+}
+
+impl Member {
+    /// Whether it was heard lately.
+    pub fn alive(&self, now: Duration) -> bool {
+        self.heard_at.is_some_and(|at| now < at + DEAD_AFTER)
+    }
+
+    /// Whether it takes on work.
+    pub fn working(&self, now: Duration) -> bool {
+        self.alive(now) && !self.card.leaving
+    }
+}
+
+/// Effect of a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    Taken,
+    /// Late, doubled, or from an incarnation that has ended.
+    Stale,
+    /// A later process has this VM's id: this one must stop.
+    Superseded,
+}
+
+/// The other VMs, of all failure domains that are known.
+#[derive(Debug, Default)]
+pub struct Members {
+    pub rows: HashMap<VmId, Member>,
+}
+
+impl Members {
+    /// Takes a heartbeat.
+    pub fn heard(&mut self, now: Duration, own: &Card, card: Card, sequence: u64) -> Heard {
+        if card.vm == own.vm {
+            let later = card.incarnation > own.incarnation;
+            return if later {
+                Heard::Superseded
+            } else {
+                Heard::Stale
+            };
+        }
+        if let Some(row) = self.rows.get_mut(&card.vm) {
+            let known = (row.card.incarnation, row.sequence);
+            if row.heard_at.is_some() && (card.incarnation, sequence) <= known {
+                return Heard::Stale;
+            }
+            row.card = card;
+            row.sequence = sequence;
+            row.heard_at = Some(now);
+            return Heard::Taken;
+        }
+        let row = Member {
+            sequence,
+            heard_at: Some(now),
+            listed: false,
+            card,
+        };
+        self.rows.insert(row.card.vm, row);
+        Heard::Taken
+    }
+
+    /// Takes the platform's list: adds VMs to send to, and removes none that is heard.
+    pub fn listed(&mut self, own: &Card, cards: impl IntoIterator<Item = Card>) {
+        self.rows.values_mut().for_each(|row| row.listed = false);
+        for card in cards {
+            if card.vm == own.vm {
+                continue;
+            }
+            let fresh = || Member {
+                card: card.clone(),
+                sequence: 0,
+                heard_at: None,
+                listed: true,
+            };
+            let row = self.rows.entry(card.vm).or_insert_with(fresh);
+            row.listed = true;
+            if row.heard_at.is_none() {
+                row.card = card;
+            }
+        }
+    }
+
+    /// Drops VMs that are neither heard nor listed.
+    pub fn tick(&mut self, now: Duration) {
+        self.rows
+            .retain(|_, row| row.listed || row.heard_at.is_some_and(|at| now < at + FORGET_AFTER));
+    }
+
+    /// VMs of a domain that take on work, `own` included when it does, best first for `key`.
+    pub fn ranked_for(&self, now: Duration, own: &Card, domain: DomainId, key: u64) -> Vec<VmId> {
+        let others = self
+            .rows
+            .values()
+            .filter(|row| row.card.domain == domain && row.working(now))
+            .map(|row| row.card.vm);
+        let own_id = (own.domain == domain && !own.leaving).then_some(own.vm);
+        ranked(key, others.chain(own_id))
+    }
+
+    /// Like [`Members::ranked_for`], for VMs whose batch process is up.
+    pub fn batch_ranked(&self, now: Duration, own: &Card, key: u64) -> Vec<VmId> {
+        let others = self
+            .rows
+            .values()
+            .filter(|row| row.card.domain == own.domain)
+            .filter(|row| row.working(now) && row.card.batch_ready)
+            .map(|row| row.card.vm);
+        let own_id = (own.batch_ready && !own.leaving).then_some(own.vm);
+        ranked(key, others.chain(own_id))
+    }
+}
--- /dev/null
+++ b/src/decide/online.rs
@@ -0,0 +1,535 @@
+//! Online requests: admission, queueing, routing, retries.
+//!
+//! One table of requests. Each event and each tick may bring actions for any of them.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::Rng;
+
+use super::endpoints::Endpoints;
+use super::refusal::Kind;
+use super::retry::{self, Budget, Reach};
+use super::routing::{self, Ask, None_, Policy};
+use crate::id::{DomainId, EndpointId, RequestId, ServiceId, WorkspaceId};
+
+/// Share of a workspace that no share is declared for.
+pub const SHARE_DEFAULT: f64 = 0.05;
+/// Shortest time after which a refused caller is told to come back.
+pub const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
+/// Weight of the newest service time in the moving average.
+const AVERAGE_NEW: f64 = 0.1;
+
+/// What the configuration says of one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    pub first_token_goal: Duration,
+    /// Requests that may wait; shared out like the slots.
+    pub queue_limit: usize,
+    /// Requests in flight of this VM.
+    pub max_in_flight: usize,
+    pub learn: bool,
+    pub shares: HashMap<WorkspaceId, f64>,
+}
+
+/// A request as it arrives.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub request: RequestId,
+    pub workspace: WorkspaceId,
+    pub service: ServiceId,
+    pub prefix: u64,
+    /// Monotonic.
+    pub deadline: Duration,
+    pub idempotent: bool,
+}
+
+/// How a try ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    Done,
+    Failed {
+        reach: Reach,
+        /// The endpoint is to blame; a refusal of the request itself is not its fault.
+        blame: bool,
+    },
+    /// The caller went away.
+    Abandoned,
+}
+
+/// What happens to requests.
+#[derive(Debug, Clone)]
+pub enum Event {
+    Arrived(Arrival),
+    /// The first byte of the answer came.
+    FirstToken {
+        request: RequestId,
+    },
+    Ended {
+        request: RequestId,
+        outcome: Outcome,
+    },
+}
+
+/// What the host is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send the request; `attempt` starts at 1.
+    Send {
+        request: RequestId,
+        endpoint: EndpointId,
+        attempt: u32,
+    },
+    /// Give the final answer now.
+    Refuse {
+        request: RequestId,
+        kind: Kind,
+        not_run: bool,
+        retry_after: Option<Duration>,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct Row {
+    arrival: Arrival,
+    arrived_at: Duration,
+    sent_at: Duration,
+    endpoint: Option<EndpointId>,
+    attempts: u32,
+    /// The farthest that any try came.
+    reach: Reach,
+}
+
+#[derive(Debug, Default, Clone)]
+struct Lane {
+    in_flight: usize,
+    by_workspace: HashMap<WorkspaceId, usize>,
+    queues: HashMap<WorkspaceId, VecDeque<RequestId>>,
+    queued: usize,
+    /// Moving average of the time that a request holds a slot, in seconds.
+    hold_s: f64,
+}
+
+/// What waits and why, for the operators.
+#[derive(Debug, Clone, PartialEq, serde::Serialize)]
+pub struct Waiting {
+    pub service: ServiceId,
+    pub in_flight: usize,
+    pub queued: usize,
+    pub expected_wait_ms: u64,
+}
+
+/// The state of online work at one VM.
+#[derive(Debug)]
+pub struct Online {
+    pub endpoints: Endpoints,
+    pub services: HashMap<ServiceId, Service>,
+    pub policy: Policy,
+    home: DomainId,
+    rows: HashMap<RequestId, Row>,
+    lanes: HashMap<ServiceId, Lane>,
+    budget: Budget,
+    rng: SmallRng,
+}
+
+impl Online {
+    /// An empty state for a VM of the failure domain `home`.
+    pub fn new(home: DomainId, rng: SmallRng) -> Online {
+        Online {
+            endpoints: Endpoints::default(),
+            services: HashMap::new(),
+            policy: Policy::Affinity,
+            home,
+            rows: HashMap::new(),
+            lanes: HashMap::new(),
+            budget: Budget::default(),
+            rng,
+        }
+    }
+
+    /// Takes one event.
+    pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrived(arrival) => self.arrived(now, arrival, out),
+            Event::FirstToken { request } => self.first_token(now, request),
+            Event::Ended { request, outcome } => self.ended(now, request, outcome, out),
+        }
+    }
+
+    /// Sends what has room by now and gives up what cannot come in time.
+    pub fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.endpoints.eject_slow(now);
+        let services: Vec<ServiceId> = self.lanes.keys().copied().collect();
+        for service in services {
+            self.expire(now, service, out);
+            self.drain(now, service, out);
+        }
+    }
+
+    /// Requests in hand.
+    pub fn in_hand(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// The state of each service's queue.
+    pub fn waiting(&self, now: Duration) -> Vec<Waiting> {
+        let of = |(service, lane): (&ServiceId, &Lane)| Waiting {
+            service: *service,
+            in_flight: lane.in_flight,
+            queued: lane.queued,
+            expected_wait_ms: self.expected_wait(now, *service, lane.queued).as_millis() as u64,
+        };
+        self.lanes.iter().map(of).collect()
+    }
+
+    fn arrived(&mut self, now: Duration, arrival: Arrival, out: &mut Vec<Action>) {
+        let request = arrival.request;
+        let row = Row {
+            arrived_at: now,
+            sent_at: now,
+            endpoint: None,
+            attempts: 0,
+            reach: Reach::NotSent,
+            arrival,
+        };
+        let Some(service) = self.services.get(&row.arrival.service) else {
+            out.push(refusal(request, Kind::NotFound, true, None));
+            return;
+        };
+        let (queue_limit, max_in_flight) = (service.queue_limit, service.max_in_flight);
+        let lane = self.lanes.entry(row.arrival.service).or_default();
+        let free = lane.queued == 0 && lane.in_flight < max_in_flight;
+        if now >= row.arrival.deadline {
+            out.push(refusal(request, Kind::DeadlinePassed, true, None));
+            return;
+        }
+        self.budget.earn();
+        let found = if free {
+            self.route(now, &row)
+        } else {
+            Err(None_::Full)
+        };
+        match found {
+            Ok(endpoint) => self.send(now, row, endpoint, out),
+            Err(None_::Away) => {
+                let after = self.spread(RETRY_AFTER_MIN * 2);
+                out.push(refusal(request, Kind::NoEndpoint, true, Some(after)));
+            }
+            Err(None_::Full) => self.enqueue(now, row, queue_limit, out),
+        }
+    }
+
+    fn route(&mut self, now: Duration, row: &Row) -> Result<EndpointId, None_> {
+        let ask = Ask {
+            service: row.arrival.service,
+            prefix: row.arrival.prefix,
+            avoid: row.endpoint,
+        };
+        routing::choose(
+            &self.endpoints,
+            self.home,
+            ask,
+            self.policy,
+            now,
+            &mut self.rng,
+        )
+    }
+
+    fn send(&mut self, now: Duration, mut row: Row, to: EndpointId, out: &mut Vec<Action>) {
+        let request = row.arrival.request;
+        row.endpoint = Some(to);
+        row.attempts += 1;
+        row.sent_at = now;
+        if let Some(endpoint) = self.endpoints.get_mut(to) {
+            endpoint.online_here += 1;
+        }
+        let lane = self.lanes.entry(row.arrival.service).or_default();
+        lane.in_flight += 1;
+        *lane.by_workspace.entry(row.arrival.workspace).or_default() += 1;
+        out.push(Action::Send {
+            request,
+            endpoint: to,
+            attempt: row.attempts,
+        });
+        self.rows.insert(request, row);
+    }
+
+    /// Gives back what [`Online::send`] took.
+    fn release(&mut self, row: &Row) {
+        if let Some(endpoint) = row.endpoint.and_then(|id| self.endpoints.get_mut(id)) {
+            endpoint.online_here = endpoint.online_here.saturating_sub(1);
+        }
+        let lane = self.lanes.entry(row.arrival.service).or_default();
+        lane.in_flight = lane.in_flight.saturating_sub(1);
+        if let Some(count) = lane.by_workspace.get_mut(&row.arrival.workspace) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    fn enqueue(&mut self, now: Duration, row: Row, queue_limit: usize, out: &mut Vec<Action>) {
+        let request = row.arrival.request;
+        let (service, workspace) = (row.arrival.service, row.arrival.workspace);
+        let lane = self.lanes.entry(service).or_default();
+        let (all, own) = (
+            lane.queued,
+            lane.queues.get(&workspace).map_or(0, VecDeque::len),
+        );
+        let share = self.share(service, workspace);
+        let quota = ((queue_limit as f64 * share).ceil() as usize).max(1);
+        let wait = self.expected_wait(now, service, own_position(own, share, all));
+        let kind = if own >= quota {
+            Some(Kind::ShareUsed)
+        } else if all >= queue_limit {
+            Some(Kind::ServiceFull)
+        } else if now + wait >= row.arrival.deadline || wait > self.patience(service) {
+            Some(Kind::DeadlineUnreachable)
+        } else {
+            None
+        };
+        if let Some(kind) = kind {
+            let after = self.spread(wait.max(RETRY_AFTER_MIN));
+            out.push(refusal(
+                request,
+                kind,
+                row.reach == Reach::NotSent,
+                Some(after),
+            ));
+            return;
+        }
+        let lane = self.lanes.entry(service).or_default();
+        lane.queues.entry(workspace).or_default().push_back(request);
+        lane.queued += 1;
+        self.rows.insert(request, row);
+    }
+
+    /// The longest that a request may wait and still see its first token near the goal.
+    fn patience(&self, service: ServiceId) -> Duration {
+        self.services
+            .get(&service)
+            .map_or(Duration::ZERO, |s| s.first_token_goal)
+    }
+
+    fn share(&self, service: ServiceId, workspace: WorkspaceId) -> f64 {
+        let shares = self.services.get(&service).map(|s| &s.shares);
+        shares
+            .and_then(|s| s.get(&workspace))
+            .copied()
+            .unwrap_or(SHARE_DEFAULT)
+    }
+
+    /// Expected wait of a request with `ahead` others before it.
+    fn expected_wait(&self, now: Duration, service: ServiceId, ahead: usize) -> Duration {
+        let Some(lane) = self.lanes.get(&service) else {
+            return Duration::ZERO;
+        };
+        let rows = self.endpoints.of_service(service);
+        let slots: f64 = rows
+            .iter()
+            .map(|at| &self.endpoints.rows[*at])
+            .filter(|row| row.usable(now))
+            .map(|row| row.slots(now))
+            .sum();
+        let cap = self
+            .services
+            .get(&service)
+            .map_or(0.0, |s| s.max_in_flight as f64);
+        // The slots that this VM's requests hold are those it can expect to get back.
+        let turn = (lane.in_flight as f64)
+            .max(1.0)
+            .min(slots.max(1.0))
+            .min(cap.max(1.0));
+        Duration::from_secs_f64((ahead as f64 + 1.0) * lane.hold_s / turn)
+    }
+
+    /// Spreads callers that were refused together over half to one and a half of the time.
+    fn spread(&mut self, about: Duration) -> Duration {
+        about
+            .mul_f64(self.rng.random_range(0.5..1.5))
+            .max(RETRY_AFTER_MIN)
+    }
+
+    fn first_token(&mut self, now: Duration, request: RequestId) {
+        let Some(row) = self.rows.get(&request) else {
+            return;
+        };
+        let Some(service) = self.services.get(&row.arrival.service) else {
+            return;
+        };
+        let (time, goal) = (now.saturating_sub(row.sent_at), service.first_token_goal);
+        let learn = service.learn;
+        let Some(endpoint) = row.endpoint.and_then(|id| self.endpoints.get_mut(id)) else {
+            return;
+        };
+        endpoint.succeeded(Some(time));
+        if learn {
+            let in_flight = endpoint.online();
+            endpoint.limit.observe(now, time, goal, in_flight);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now: Duration,
+        request: RequestId,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(mut row) = self.rows.remove(&request) else {
+            return;
+        };
+        if row.attempts == 0 {
+            self.unqueue(&row);
+            return;
+        }
+        self.release(&row);
+        let service = row.arrival.service;
+        let endpoint = row.endpoint.and_then(|id| self.endpoints.get_mut(id));
+        match outcome {
+            Outcome::Done => {
+                if let Some(endpoint) = endpoint {
+                    endpoint.succeeded(None);
+                }
+                let held_s = now.saturating_sub(row.sent_at).as_secs_f64();
+                let lane = self.lanes.entry(service).or_default();
+                let old_s = if lane.hold_s == 0.0 {
+                    held_s
+                } else {
+                    lane.hold_s
+                };
+                lane.hold_s = old_s * (1.0 - AVERAGE_NEW) + held_s * AVERAGE_NEW;
+            }
+            Outcome::Abandoned => {}
+            Outcome::Failed { reach, blame } => {
+                if let Some(endpoint) = endpoint.filter(|_| blame) {
+                    endpoint.failed(now);
+                }
+                row.reach = row.reach.max(reach);
+                self.retry(now, row, reach, out);
+            }
+        }
+        self.drain(now, service, out);
+    }
+
+    fn retry(&mut self, now: Duration, row: Row, reach: Reach, out: &mut Vec<Action>) {
+        let request = row.arrival.request;
+        let may = retry::allowed(reach, row.arrival.idempotent, row.attempts);
+        if may && now < row.arrival.deadline && self.budget.spend() {
+            if let Ok(endpoint) = self.route(now, &row) {
+                self.send(now, row, endpoint, out);
+                return;
+            }
+        }
+        let not_run = matches!(row.reach, Reach::NotSent);
+        let kind = match (row.reach, row.arrival.idempotent) {
+            (Reach::NotSent, _) => Kind::NoEndpoint,
+            (Reach::MaybeSent | Reach::Answering, false) => Kind::OutcomeUnknown,
+            _ => Kind::EndpointFailed,
+        };
+        let after = self.spread(RETRY_AFTER_MIN * 2);
+        out.push(refusal(request, kind, not_run, Some(after)));
+    }
+
+    fn unqueue(&mut self, row: &Row) {
+        let request = row.arrival.request;
+        let Some(lane) = self.lanes.get_mut(&row.arrival.service) else {
+            return;
+        };
+        let Some(queue) = lane.queues.get_mut(&row.arrival.workspace) else {
+            return;
+        };
+        let before = queue.len();
+        queue.retain(|queued| *queued != request);
+        lane.queued -= before - queue.len();
+    }
+
+    /// Gives up what waited too long, at once, so that callers can go elsewhere.
+    fn expire(&mut self, now: Duration, service: ServiceId, out: &mut Vec<Action>) {
+        let patience = self.patience(service);
+        let Some(lane) = self.lanes.get(&service) else {
+            return;
+        };
+        let late: Vec<RequestId> = lane
+            .queues
+            .values()
+            .flatten()
+            .copied()
+            .filter(|request| {
+                let row = &self.rows[request];
+                now >= row.arrival.deadline || now >= row.arrived_at + patience
+            })
+            .collect();
+        for request in late {
+            let Some(row) = self.rows.remove(&request) else {
+                continue;
+            };
+            self.unqueue(&row);
+            let kind = if now >= row.arrival.deadline {
+                Kind::DeadlinePassed
+            } else {
+                Kind::DeadlineUnreachable
+            };
+            let after = self.spread(RETRY_AFTER_MIN * 2);
+            out.push(refusal(
+                request,
+                kind,
+                row.reach == Reach::NotSent,
+                Some(after),
+            ));
+        }
+    }
+
+    /// Sends waiting requests while there is room, the workspace furthest below its share first.
+    fn drain(&mut self, now: Duration, service: ServiceId, out: &mut Vec<Action>) {
+        let cap = self.services.get(&service).map_or(0, |s| s.max_in_flight);
+        loop {
+            let Some(lane) = self.lanes.get(&service) else {
+                return;
+            };
+            if lane.queued == 0 || lane.in_flight >= cap {
+                return;
+            }
+            let Some(workspace) = self.neediest(service, lane) else {
+                return;
+            };
+            let Some(request) = lane.queues[&workspace].front().copied() else {
+                return;
+            };
+            let Some(row) = self.rows.get(&request).cloned() else {
+                return;
+            };
+            let Ok(endpoint) = self.route(now, &row) else {
+                return;
+            };
+            self.rows.remove(&request);
+            self.unqueue(&row);
+            self.send(now, row, endpoint, out);
+        }
+    }
+
+    fn neediest(&self, service: ServiceId, lane: &Lane) -> Option<WorkspaceId> {
+        let use_of = |workspace: &WorkspaceId| {
+            let in_flight = lane.by_workspace.get(workspace).copied().unwrap_or(0);
+            (in_flight as f64 + 1.0) / self.share(service, *workspace).max(f64::EPSILON)
+        };
+        let waiting = lane.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        waiting
+            .map(|(workspace, _)| *workspace)
+            .min_by(|a, b| use_of(a).total_cmp(&use_of(b)).then(a.cmp(b)))
+    }
+}
+
+/// Requests expected to be served before one with `own` of its workspace ahead of it: with a share
+/// of the slots, its own queue moves at that share of the pace, but never slower than all of it.
+fn own_position(own: usize, share: f64, all: usize) -> usize {
+    ((own as f64 / share.max(f64::EPSILON)) as usize).min(all)
+}
+
+fn refusal(request: RequestId, kind: Kind, not_run: bool, retry_after: Option<Duration>) -> Action {
+    Action::Refuse {
+        request,
+        kind,
+        not_run,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/src/decide/refusal.rs
@@ -0,0 +1,66 @@
+//! The reasons for refusing a request.
+
+use serde::Serialize;
+use strum::{EnumMessage, IntoStaticStr};
+
+/// Why a request got no answer of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, IntoStaticStr, EnumMessage, Serialize)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    #[strum(message = "the request could not be read")]
+    BadRequest,
+    #[strum(message = "the key names no workspace")]
+    Unauthorized,
+    #[strum(message = "there is no such thing")]
+    NotFound,
+    #[strum(message = "the state does not allow this")]
+    Conflict,
+    #[strum(message = "the request is too large")]
+    TooLarge,
+    #[strum(message = "the head of the request is too large")]
+    HeadTooLarge,
+    #[strum(message = "the request took too long to arrive")]
+    SlowRequest,
+    #[strum(message = "the workspace has used its share")]
+    ShareUsed,
+    #[strum(message = "the service is full")]
+    ServiceFull,
+    #[strum(message = "the answer could not come before the deadline")]
+    DeadlineUnreachable,
+    #[strum(message = "the deadline passed")]
+    DeadlinePassed,
+    #[strum(message = "no endpoint can be reached")]
+    NoEndpoint,
+    #[strum(message = "the endpoint failed")]
+    EndpointFailed,
+    #[strum(message = "the outcome of an earlier try is unknown")]
+    OutcomeUnknown,
+    #[strum(message = "the platform is away")]
+    PlatformAway,
+    #[strum(message = "this VM is not ready")]
+    NotReady,
+}
+
+impl Kind {
+    /// The HTTP status it is sent with.
+    pub fn status(self) -> u16 {
+        match self {
+            Kind::BadRequest => 400,
+            Kind::Unauthorized => 401,
+            Kind::NotFound => 404,
+            Kind::SlowRequest => 408,
+            Kind::Conflict | Kind::OutcomeUnknown => 409,
+            Kind::TooLarge => 413,
+            Kind::ShareUsed => 429,
+            Kind::HeadTooLarge => 431,
+            Kind::EndpointFailed => 502,
+            Kind::DeadlinePassed => 504,
+            Kind::ServiceFull
+            | Kind::DeadlineUnreachable
+            | Kind::NoEndpoint
+            | Kind::PlatformAway
+            | Kind::NotReady => 503,
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/retry.rs
@@ -0,0 +1,66 @@
+//! Whether a failed try may be made again.
+
+use strum::IntoStaticStr;
+
+/// Retries earned by one first try; keeps tries at 1.1 a request whatever fails.
+pub const EARNED: f64 = 0.1;
+/// Retries that may be saved up.
+pub const SAVED_MAX: f64 = 10.0;
+/// Tries of one request, the first included.
+pub const TRIES_MAX: u32 = 3;
+
+/// How far a failed try came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
+pub enum Reach {
+    /// No byte can have reached the endpoint.
+    NotSent,
+    /// The endpoint may have got it.
+    MaybeSent,
+    /// The endpoint said that it did not take it.
+    Refused,
+    /// Some of the answer went out to the caller.
+    Answering,
+}
+
+/// A token bucket that only first tries fill.
+///
+/// The failure: half of the endpoints fail, each caller's request is tried three times, and the
+/// load on the healthy half triples just then. A share of traffic bounds that whatever happens.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    saved: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget { saved: 1.0 }
+    }
+}
+
+impl Budget {
+    /// Counts a first try.
+    pub fn earn(&mut self) {
+        self.saved = (self.saved + EARNED).min(SAVED_MAX);
+    }
+
+    /// Takes one retry if there is one.
+    pub fn spend(&mut self) -> bool {
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// Whether one more try can do no harm; the budget is asked after that.
+pub fn allowed(reach: Reach, idempotent: bool, tries: u32) -> bool {
+    if tries >= TRIES_MAX {
+        return false;
+    }
+    match reach {
+        Reach::Answering => false,
+        Reach::NotSent | Reach::Refused => true,
+        Reach::MaybeSent => idempotent,
+    }
+}
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,338 @@
+//! Client of endpoints: model engines and plain services.
+
+use std::io::{BufRead, BufReader, Read};
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+
+use crate::decide::endpoints::Report;
+use crate::decide::retry::Reach;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// A stream that brings nothing for so long is broken.
+const STREAM_IDLE: Duration = Duration::from_secs(5);
+const CALL_READ: Duration = Duration::from_secs(600);
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_PER_HOST: usize = 64;
+const IDLE_ALL: usize = 512;
+const EVENT_BYTES: usize = 1024 * 1024;
+const ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Header with the id of a try; engines echo it.
+pub const ATTEMPT_HEADER: &str = "X-Attempt-Id";
+
+/// Why a try failed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fault {
+    pub reach: Reach,
+    /// The endpoint is to blame.
+    pub blame: bool,
+    /// The connection broke after the request was sent.
+    pub died: bool,
+    pub detail: String,
+}
+
+impl Fault {
+    fn new(reach: Reach, died: bool, detail: impl Into<String>) -> Fault {
+        Fault {
+            reach,
+            blame: true,
+            died,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub content_type: String,
+    pub body: Bytes,
+}
+
+/// One request to an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Call<'a> {
+    pub address: &'a str,
+    pub method: &'a str,
+    pub path: &'a str,
+    pub content_type: &'a str,
+    pub attempt: &'a str,
+    /// The caller's key, passed on to plain services.
+    pub key: Option<&'a str>,
+    pub body: &'a [u8],
+    pub timeout: Duration,
+}
+
+/// Connections to endpoints.
+#[derive(Clone)]
+pub struct Engines {
+    streams: ureq::Agent,
+    calls: ureq::Agent,
+    /// Never uses a connection twice. A pooled connection that the endpoint has closed shows only
+    /// when the request fails on it; the library then sends some requests once more by itself,
+    /// which for a request that may run at most once is one time too many.
+    single: ureq::Agent,
+    control: ureq::Agent,
+}
+
+impl Default for Engines {
+    fn default() -> Engines {
+        Engines::new()
+    }
+}
+
+fn agent(read: Duration, idle_per_host: usize) -> ureq::Agent {
+    ureq::AgentBuilder::new()
+        .timeout_connect(CONNECT_TIMEOUT)
+        .timeout_read(read)
+        .timeout_write(STREAM_IDLE)
+        .redirects(0)
+        .max_idle_connections(if idle_per_host == 0 { 0 } else { IDLE_ALL })
+        .max_idle_connections_per_host(idle_per_host)
+        .build()
+}
+
+impl Engines {
+    /// Opens no connection yet.
+    pub fn new() -> Engines {
+        Engines {
+            streams: agent(STREAM_IDLE, IDLE_PER_HOST),
+            calls: agent(CALL_READ, IDLE_PER_HOST),
+            single: agent(CALL_READ, 0),
+            control: agent(CONTROL_TIMEOUT, IDLE_PER_HOST),
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub fn call(&self, call: Call<'_>, idempotent: bool) -> Result<Answer, Fault> {
+        let agent = if idempotent {
+            &self.calls
+        } else {
+            &self.single
+        };
+        let response = send(agent, call)?;
+        let status = response.status();
+        let echoed = response.header(ATTEMPT_HEADER).map(str::to_owned);
+        if echoed.is_some_and(|echoed| echoed != call.attempt) {
+            return Err(Fault::new(
+                Reach::MaybeSent,
+                false,
+                "the answer is another request's",
+            ));
+        }
+        let content_type = response.content_type().to_owned();
+        let length = response
+            .header("Content-Length")
+            .and_then(|l| l.parse::<usize>().ok());
+        let mut body = Vec::new();
+        let read = response
+            .into_reader()
+            .take(ANSWER_BYTES as u64)
+            .read_to_end(&mut body);
+        read.map_err(|error| Fault::new(Reach::MaybeSent, true, error.to_string()))?;
+        if length.is_some_and(|length| length != body.len()) || body.len() == ANSWER_BYTES {
+            return Err(Fault::new(
+                Reach::MaybeSent,
+                true,
+                "the answer is cut short",
+            ));
+        }
+        if content_type == "application/json"
+            && serde_json::from_slice::<serde::de::IgnoredAny>(&body).is_err()
+        {
+            return Err(Fault::new(
+                Reach::MaybeSent,
+                false,
+                "the answer is not whole JSON",
+            ));
+        }
+        Ok(Answer {
+            status,
+            content_type,
+            body: body.into(),
+        })
+    }
+
+    /// Sends a request whose answer comes as events.
+    pub fn stream(&self, call: Call<'_>) -> Result<Started, Fault> {
+        let response = send(&self.streams, call)?;
+        started(response, call.attempt)
+    }
+
+    /// Goes on with a stream after `offset` events.
+    pub fn resume(
+        &self,
+        address: &str,
+        attempt: &str,
+        offset: u64,
+        timeout: Duration,
+    ) -> Result<Started, Fault> {
+        let url = format!("http://{address}/attempts/{attempt}/stream?offset={offset}");
+        let sent = self.streams.get(&url).timeout(timeout).call();
+        let response =
+            sent.map_err(|error| Fault::new(Reach::MaybeSent, true, error.to_string()))?;
+        started(response, attempt)
+    }
+
+    /// Ends a try at its endpoint.
+    pub fn cancel(&self, address: &str, attempt: &str) {
+        let url = format!("http://{address}/attempts/{attempt}/cancel");
+        let _ = self.control.post(&url).call();
+    }
+
+    /// Asks an endpoint for its report.
+    pub fn load(&self, address: &str) -> Result<Report, Fault> {
+        let url = format!("http://{address}/load");
+        let failed = |detail: String| Fault::new(Reach::MaybeSent, false, detail);
+        let response = self
+            .control
+            .get(&url)
+            .call()
+            .map_err(|e| failed(e.to_string()))?;
+        let mut body = Vec::new();
+        let read = response
+            .into_reader()
+            .take(EVENT_BYTES as u64)
+            .read_to_end(&mut body);
+        read.map_err(|e| failed(e.to_string()))?;
+        serde_json::from_slice(&body).map_err(|e| failed(e.to_string()))
+    }
+
+    /// Gives an order; the answer's status.
+    pub fn order(&self, address: &str, order: &impl Serialize) -> Result<u16, Fault> {
+        let url = format!("http://{address}/orders");
+        let body = serde_json::to_vec(order).unwrap_or_default();
+        match self.control.post(&url).send_bytes(&body) {
+            Ok(response) => Ok(response.status()),
+            Err(ureq::Error::Status(status, _)) => Ok(status),
+            Err(error) => Err(Fault::new(Reach::MaybeSent, true, error.to_string())),
+        }
+    }
+}
+
+fn send(agent: &ureq::Agent, call: Call<'_>) -> Result<ureq::Response, Fault> {
+    let url = format!("http://{}{}", call.address, call.path);
+    let mut request = agent
+        .request(call.method, &url)
+        .timeout(call.timeout)
+        .set("Content-Type", call.content_type)
+        .set(ATTEMPT_HEADER, call.attempt);
+    if let Some(key) = call.key {
+        request = request.set("Idempotency-Key", key);
+    }
+    match request.send_bytes(call.body) {
+        Ok(response) => Ok(response),
+        Err(ureq::Error::Status(503, _)) => Err(Fault::new(
+            Reach::Refused,
+            false,
+            "the endpoint takes nothing now",
+        )),
+        Err(ureq::Error::Status(status, _)) if status >= 500 => Err(Fault::new(
+            Reach::MaybeSent,
+            false,
+            format!("the endpoint answered {status}"),
+        )),
+        Err(ureq::Error::Status(_, response)) => Ok(response),
+        Err(ureq::Error::Transport(transport)) => {
+            let reach = match transport.kind() {
+                ureq::ErrorKind::ConnectionFailed | ureq::ErrorKind::Dns => Reach::NotSent,
+                _ => Reach::MaybeSent,
+            };
+            Err(Fault::new(
+                reach,
+                reach == Reach::MaybeSent,
+                transport.to_string(),
+            ))
+        }
+    }
+}
+
+/// A stream that has begun, or an answer that is no stream.
+pub enum Started {
+    Stream(Events),
+    Whole(Answer),
+}
+
+fn started(response: ureq::Response, attempt: &str) -> Result<Started, Fault> {
+    if response
+        .header(ATTEMPT_HEADER)
+        .is_some_and(|echoed| echoed != attempt)
+    {
+        return Err(Fault::new(
+            Reach::MaybeSent,
+            false,
+            "the answer is another request's",
+        ));
+    }
+    let (status, content_type) = (response.status(), response.content_type().to_owned());
+    if status == 200 && content_type == "text/event-stream" {
+        let input = BufReader::new(response.into_reader());
+        return Ok(Started::Stream(Events {
+            input: Box::new(input),
+            seen: 0,
+        }));
+    }
+    let mut body = Vec::new();
+    let read = response
+        .into_reader()
+        .take(EVENT_BYTES as u64)
+        .read_to_end(&mut body);
+    read.map_err(|error| Fault::new(Reach::MaybeSent, true, error.to_string()))?;
+    Ok(Started::Whole(Answer {
+        status,
+        content_type,
+        body: body.into(),
+    }))
+}
+
+/// One event of a stream.
+#[derive(Debug, PartialEq)]
+pub enum Event {
+    /// The event as it goes on to the caller, its empty line included.
+    Data(Bytes),
+    /// The end marker: the answer is whole.
+    Done,
+}
+
+/// The events of a stream.
+pub struct Events {
+    input: Box<dyn BufRead + Send>,
+    /// Events so far, in this connection.
+    pub seen: u64,
+}
+
+impl Events {
+    /// Reads the next event; a stream that ends without its marker is an error.
+    pub fn read(&mut self) -> Result<Event, Fault> {
+        let broken = |detail: String| Fault::new(Reach::MaybeSent, true, detail);
+        let mut event = Vec::new();
+        loop {
+            let before = event.len();
+            let read = (&mut self.input)
+                .take(EVENT_BYTES as u64)
+                .read_until(b'\n', &mut event);
+            let count = read.map_err(|error| broken(error.to_string()))?;
+            if count == 0 || event.len() > EVENT_BYTES {
+                return Err(broken("the stream ended without its marker".into()));
+            }
+            let line = &event[before..];
+            if line == b"\n" || line == b"\r\n" {
+                break;
+            }
+        }
+        if event.starts_with(b"data: [DONE]") {
+            return Ok(Event::Done);
+        }
+        if event.starts_with(b"data: {\"error\"") {
+            let detail = String::from_utf8_lossy(&event).trim().to_owned();
+            return Err(Fault {
+                died: false,
+                ..broken(detail)
+            });
+        }
+        self.seen += 1;
+        Ok(Event::Data(event.into()))
+    }
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,173 @@
+//! `bramley-entry`: callers' requests, membership, configuration, the table of endpoints.
+
+pub mod files;
+pub mod gossip;
+pub mod intent;
+pub mod jobs;
+pub mod local;
+pub mod node;
+pub mod online;
+pub mod operators;
+pub mod plain;
+pub mod plan;
+pub mod watch;
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use snafu::{ResultExt, Snafu};
+
+use self::node::Node;
+use crate::clock;
+use crate::http::problem::{Kind, Problem};
+use crate::http::server::{Limits, Responder, Server};
+use crate::http::Request;
+use crate::logging;
+use crate::pages;
+use crate::settings::{self, ms};
+use crate::util::lock;
+
+const STOP_LOOK: Duration = Duration::from_millis(20);
+const RETRY_SOON: Duration = Duration::from_secs(1);
+
+/// Why the process could not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("{what}: {source}"))]
+    Listen {
+        what: &'static str,
+        source: io::Error,
+    },
+}
+
+/// Runs until a signal ends it; the exit code says whether anything was cut.
+pub fn run(settings: settings::Entry) -> Result<i32, Error> {
+    logging::start(&settings.log, &settings.name, &settings.failure_domain);
+    let signals = Signals::new([SIGTERM, SIGINT]).context(ListenSnafu { what: "signals" })?;
+    let node = Node::new(settings);
+    let address = node.settings.gossip_address;
+    node.open_gossip().context(ListenSnafu {
+        what: "gossip_address",
+    })?;
+    let address_of = |address| pages::listen(address);
+    let peers = address_of(node.settings.peer_address).context(ListenSnafu {
+        what: "peer_address",
+    })?;
+    let local = address_of(node.settings.local_address).context(ListenSnafu {
+        what: "local_address",
+    })?;
+    let operators = address_of(node.settings.operators_address).context(ListenSnafu {
+        what: "operators_address",
+    })?;
+    let callers = address_of(node.settings.caller_address).context(ListenSnafu {
+        what: "caller_address",
+    })?;
+    gossip::start(&node).context(ListenSnafu { what: "threads" })?;
+    watch::start(&node).context(ListenSnafu { what: "threads" })?;
+    intent::start(&node).context(ListenSnafu { what: "threads" })?;
+    gossip::serve_peers(&node, peers).context(ListenSnafu {
+        what: "peer_address",
+    })?;
+    local::serve(&node, local).context(ListenSnafu {
+        what: "local_address",
+    })?;
+    operators::serve(&node, operators).context(ListenSnafu {
+        what: "operators_address",
+    })?;
+    let limits = Limits {
+        max_connections: node.settings.max_connections,
+        head_timeout: ms(node.settings.head_timeout_ms),
+        ..Limits::default()
+    };
+    let handling = node.clone();
+    let server = Server::start(callers, limits, move |request, out| {
+        handle(&handling, request, out)
+    })
+    .context(ListenSnafu {
+        what: "caller_address",
+    })?;
+    info!(gossip = address.to_string(), callers = server.address.to_string(); "started");
+    Ok(stop(&node, &server, signals))
+}
+
+/// Waits for a signal, then leaves in order: no new work, what is in hand ends, peers are told.
+fn stop(node: &Arc<Node>, server: &Server, mut signals: Signals) -> i32 {
+    while !node.superseded() && signals.pending().next().is_none() {
+        clock::sleep(STOP_LOOK);
+    }
+    info!("leaving");
+    node.leave();
+    server.drain();
+    let limit = clock::now() + ms(node.settings.stop_limit_ms);
+    let accept_until = clock::now() + ms(node.settings.drain_ms);
+    let mut hurry = false;
+    while clock::now() < accept_until && !hurry {
+        hurry = signals.pending().next().is_some();
+        clock::sleep(STOP_LOOK);
+    }
+    server.close();
+    while (server.busy() > 0 || lock(&node.links).batch_ready) && !hurry && clock::now() < limit {
+        hurry = signals.pending().next().is_some();
+        clock::sleep(STOP_LOOK);
+    }
+    match server.busy() {
+        0 => {
+            info!("stopped; nothing was cut");
+            0
+        }
+        cut => {
+            warn!(cut; "stopped; requests were cut");
+            3
+        }
+    }
+}
+
+fn handle(node: &Arc<Node>, request: &Request, out: &mut Responder) -> io::Result<()> {
+    match request.path() {
+        "/healthz" => return out.json(200, &serde_json::json!({ "alive": true })),
+        "/readyz" => return ready(node, out),
+        _ => {}
+    }
+    let plan = match node.plan() {
+        Some(plan) => plan,
+        None => {
+            let detail = "no configuration is in force here yet";
+            return out.problem(&Problem::not_run(Kind::NotReady, detail).after(RETRY_SOON));
+        }
+    };
+    let Some(workspace) = plan.workspace_of(request) else {
+        return out.problem(&Problem::not_run(
+            Kind::Unauthorized,
+            "Authorization: Bearer KEY",
+        ));
+    };
+    let asker = node::Asker {
+        plan: plan.clone(),
+        workspace,
+    };
+    let path = request.path();
+    match (request.method.as_str(), path) {
+        ("POST", "/v1/chat/completions" | "/v1/completions") => {
+            online::handle(node, &asker, request, out)
+        }
+        ("GET", "/v1/models") => online::models(&asker, out),
+        (_, _) if path.starts_with("/svc/") => plain::handle(node, &asker, request, out),
+        (_, _) if path.starts_with("/v1/files") => files::handle(node, &asker, request, out),
+        (_, _) if path.starts_with("/v1/batches") => jobs::handle(node, &asker, request, out),
+        _ => out.problem(&Problem::not_run(
+            Kind::NotFound,
+            format!("{} {path}", request.method),
+        )),
+    }
+}
+
+fn ready(node: &Node, out: &mut Responder) -> io::Result<()> {
+    match node.ready() {
+        Ok(()) => out.json(200, &serde_json::json!({ "ready": true })),
+        Err(why) => out.problem(&Problem::not_run(Kind::NotReady, why).after(RETRY_SOON)),
+    }
+}
--- /dev/null
+++ b/src/entry/files.rs
@@ -0,0 +1,275 @@
+//! Input and output files of batch jobs.
+
+use std::io;
+
+use bytes::Bytes;
+use serde_json::json;
+
+use super::node::{Asker, Node};
+use crate::clock;
+use crate::decide::jobs::{
+    chunk_items, file_key, job_key, ChunkRecord, FileRecord, JobRecord, Segment, CHUNK_BYTES_MAX,
+};
+use crate::http::problem::{Kind, Problem};
+use crate::http::server::{Head, Responder};
+use crate::http::Request;
+use crate::id;
+use crate::platform::Settled;
+use crate::segments::{self, INLINE_BYTES};
+use std::time::Duration;
+
+/// Lines in one file; well above the largest job that is foreseen.
+pub const LINES_MAX: usize = 2_000_000;
+const RETRY_SOON: Duration = Duration::from_secs(2);
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Answers calls under `/v1/files`.
+pub fn handle(
+    node: &Node,
+    asker: &Asker,
+    request: &Request,
+    out: &mut Responder,
+) -> io::Result<()> {
+    let parts: Vec<&str> = request.path().split('/').skip(3).collect();
+    match (request.method.as_str(), parts.as_slice()) {
+        ("POST", []) => upload(node, asker, request, out),
+        ("GET", [file]) => describe(node, asker, file, out),
+        ("GET", [file, "content"]) => content(node, asker, file, out),
+        _ => out.problem(&Problem::not_run(Kind::NotFound, request.path())),
+    }
+}
+
+/// What the platform's absence looks like to a caller.
+pub fn away(detail: &str) -> Problem {
+    Problem::not_run(Kind::PlatformAway, detail).after(RETRY_SOON)
+}
+
+fn upload(node: &Node, asker: &Asker, request: &Request, out: &mut Responder) -> io::Result<()> {
+    let content = match file_part(request) {
+        Some(content) => content,
+        None => {
+            let detail = "a body of JSON Lines, or multipart/form-data with a part named file";
+            return out.problem(&Problem::not_run(Kind::BadRequest, detail));
+        }
+    };
+    match keep(node, asker, &content) {
+        Ok(record) => out.json(200, &shown(&record)),
+        Err(problem) => out.problem(&problem),
+    }
+}
+
+fn shown(record: &FileRecord) -> serde_json::Value {
+    json!({
+        "id": record.id,
+        "object": "file",
+        "bytes": record.bytes,
+        "created_at": record.created_ms / 1000,
+        "purpose": "batch",
+        "lines": record.lines,
+    })
+}
+
+/// The file of an upload: the body itself, or the part named `file` of a form.
+fn file_part(request: &Request) -> Option<Bytes> {
+    let kind = request.header("Content-Type").unwrap_or_default();
+    if !kind.starts_with("multipart/form-data") {
+        return Some(request.body.clone());
+    }
+    let boundary = kind
+        .split("boundary=")
+        .nth(1)?
+        .split(';')
+        .next()?
+        .trim()
+        .trim_matches('"');
+    let marker = format!("--{boundary}");
+    let body = &request.body;
+    let mut at = find(body, marker.as_bytes(), 0)?;
+    loop {
+        let start = at + marker.len();
+        let head_end = find(body, b"\r\n\r\n", start)?;
+        let next = find(body, format!("\r\n{marker}").as_bytes(), head_end)?;
+        let head = String::from_utf8_lossy(&body[start..head_end]).to_ascii_lowercase();
+        if head.contains("name=\"file\"") {
+            return Some(body.slice(head_end + 4..next));
+        }
+        at = next + 2;
+    }
+}
+
+fn find(text: &[u8], what: &[u8], from: usize) -> Option<usize> {
+    let rest = text.get(from..)?;
+    rest.windows(what.len())
+        .position(|window| window == what)
+        .map(|at| from + at)
+}
+
+/// Cuts a file into segments of whole lines, one for each chunk of a job over it.
+pub fn cut(content: &Bytes) -> Vec<(Bytes, u32)> {
+    let lines = content
+        .split(|byte| *byte == b'\n')
+        .filter(|line| !blank(line))
+        .count();
+    let per_chunk = chunk_items(lines);
+    let mut out = Vec::new();
+    let mut buffer: Vec<u8> = Vec::new();
+    let mut count = 0;
+    for line in content
+        .split(|byte| *byte == b'\n')
+        .filter(|line| !blank(line))
+    {
+        let full = count as usize == per_chunk || buffer.len() + line.len() > CHUNK_BYTES_MAX;
+        if full && count > 0 {
+            out.push((Bytes::from(std::mem::take(&mut buffer)), count));
+            count = 0;
+        }
+        buffer.extend_from_slice(line);
+        buffer.push(b'\n');
+        count += 1;
+    }
+    if count > 0 {
+        out.push((Bytes::from(buffer), count));
+    }
+    out
+}
+
+fn blank(line: &[u8]) -> bool {
+    line.iter().all(u8::is_ascii_whitespace)
+}
+
+fn keep(node: &Node, asker: &Asker, content: &Bytes) -> Result<FileRecord, Problem> {
+    if std::str::from_utf8(content).is_err() {
+        return Err(Problem::not_run(Kind::BadRequest, "the file is not UTF-8"));
+    }
+    let pieces = cut(content);
+    let lines: u32 = pieces.iter().map(|(_, lines)| lines).sum();
+    if lines == 0 || lines as usize > LINES_MAX {
+        let detail = format!("{lines} lines; 1 to {LINES_MAX} are allowed");
+        return Err(Problem::not_run(Kind::BadRequest, detail));
+    }
+    let scope = format!("{}\n{}", asker.workspace, id::digest(content));
+    let file_id = format!("file-{}", &id::digest(scope.as_bytes())[..32]);
+    let inline = content.len() <= INLINE_BYTES;
+    let segments: Result<Vec<Segment>, segments::Error> = pieces
+        .iter()
+        .map(|(piece, lines)| node.segments.store(piece, *lines, inline))
+        .collect();
+    let segments = segments.map_err(|error| match error {
+        segments::Error::TooLarge { .. } => Problem::not_run(Kind::TooLarge, error.to_string()),
+        _ => away(&error.to_string()),
+    })?;
+    let record = FileRecord {
+        id: file_id,
+        workspace: asker.workspace.clone(),
+        created_ms: clock::unix_ms(),
+        bytes: content.len() as u64,
+        lines,
+        segments,
+    };
+    let text = serde_json::to_string(&record).unwrap_or_default();
+    let until = clock::now() + PATIENCE;
+    match node.platform.commit(&file_key(&record.id), 0, &text, until) {
+        Settled::Won(_) => Ok(record),
+        // The same content was sent before; the first record stands.
+        Settled::Lost(Some(entry)) => Ok(serde_json::from_str(&entry.value).unwrap_or(record)),
+        Settled::Lost(None) | Settled::Away => Err(away("the file was not taken")),
+        // Sending it again is harmless: its id is made from its content.
+        Settled::Unknown => Err(Problem {
+            not_run: false,
+            ..away("it is not known whether it was taken")
+        }),
+    }
+}
+
+/// Reads the record of an input file of the asking workspace.
+pub fn read_file(node: &Node, asker: &Asker, file: &str) -> Result<FileRecord, Problem> {
+    let entry = node
+        .platform
+        .get(&file_key(file))
+        .map_err(|error| away(&error.to_string()))?;
+    let record = entry.and_then(|e| serde_json::from_str::<FileRecord>(&e.value).ok());
+    record
+        .filter(|record| record.workspace == asker.workspace)
+        .ok_or_else(|| Problem::not_run(Kind::NotFound, format!("file {file:?}")))
+}
+
+/// Reads a job's record.
+pub fn read_job(node: &Node, asker: &Asker, job: &str) -> Result<(u64, JobRecord), Problem> {
+    let entry = node
+        .platform
+        .get(&job_key(job))
+        .map_err(|error| away(&error.to_string()))?;
+    let found = entry.and_then(|entry| {
+        let record = serde_json::from_str::<JobRecord>(&entry.value).ok()?;
+        Some((entry.revision, record))
+    });
+    found
+        .filter(|(_, record)| record.workspace == asker.workspace)
+        .ok_or_else(|| Problem::not_run(Kind::NotFound, format!("batch {job:?}")))
+}
+
+/// Reads the records of a job's chunks that there are.
+pub fn read_chunks(node: &Node, job: &str) -> Result<Vec<ChunkRecord>, Problem> {
+    let entries = node
+        .platform
+        .list(&format!("chunk/{job}/"))
+        .map_err(|error| away(&error.to_string()))?;
+    Ok(entries
+        .iter()
+        .filter_map(|entry| serde_json::from_str(&entry.value).ok())
+        .collect())
+}
+
+fn describe(node: &Node, asker: &Asker, file: &str, out: &mut Responder) -> io::Result<()> {
+    match segments_of(node, asker, file) {
+        Ok(segments) => {
+            let bytes: u64 = segments.iter().map(|segment| segment.bytes).sum();
+            out.json(
+                200,
+                &json!({ "id": file, "object": "file", "bytes": bytes, "purpose": "batch" }),
+            )
+        }
+        Err(problem) => out.problem(&problem),
+    }
+}
+
+/// The content of a file: an input file, or the output or error file of a job.
+fn segments_of(node: &Node, asker: &Asker, file: &str) -> Result<Vec<Segment>, Problem> {
+    let (job, errors) = match (file.strip_prefix("out-"), file.strip_prefix("err-")) {
+        (Some(job), _) => (job, false),
+        (_, Some(job)) => (job, true),
+        _ => return Ok(read_file(node, asker, file)?.segments),
+    };
+    read_job(node, asker, job)?;
+    let chunks = read_chunks(node, job)?;
+    let results = chunks.into_iter().flat_map(|chunk| chunk.segments);
+    Ok(results
+        .filter(|r| r.errors == errors)
+        .map(|result| result.segment)
+        .collect())
+}
+
+/// Sends a file piece by piece: no more than one segment is held.
+fn content(node: &Node, asker: &Asker, file: &str, out: &mut Responder) -> io::Result<()> {
+    let segments = match segments_of(node, asker, file) {
+        Ok(segments) => segments,
+        Err(problem) => return out.problem(&problem),
+    };
+    let mut segments = segments.iter();
+    let first = segments
+        .next()
+        .map(|segment| node.segments.load(segment))
+        .transpose();
+    let first = match first {
+        Ok(first) => first.unwrap_or_default(),
+        Err(error) => return out.problem(&away(&error.to_string())),
+    };
+    out.start(&Head::new(200, "application/jsonl"))?;
+    out.chunk(&first)?;
+    for segment in segments {
+        // A piece that can't be read leaves the answer without its end: the caller sees that.
+        let piece = node.segments.load(segment).map_err(io::Error::other)?;
+        out.chunk(&piece)?;
+    }
+    out.end()
+}
--- /dev/null
+++ b/src/entry/intent.rs
@@ -0,0 +1,188 @@
+//! At most once: carries out what the ranges of intents ask for.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use super::node::Node;
+use crate::clock;
+use crate::decide::intents::{
+    page_key, range_of, range_prefix, Action, Ask, IntentKey, Page, Range, Ticket, Verdict, RANGES,
+};
+use crate::id::VmId;
+use crate::peer;
+use crate::platform::Entry;
+use crate::util::{self, lock};
+use crate::wire::{PeerAsk, PeerReply};
+
+const TICK: Duration = Duration::from_millis(10);
+const PATIENCE: Duration = Duration::from_secs(4);
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A question to the thread of a range.
+pub struct Event {
+    key: IntentKey,
+    ask: Ask,
+    answer: Sender<Verdict>,
+}
+
+/// Starts a thread a range.
+pub fn start(node: &Arc<Node>) -> io::Result<()> {
+    let mut senders = Vec::new();
+    for range in 0..RANGES {
+        let (sender, receiver) = mpsc::channel();
+        senders.push(sender);
+        let node = node.clone();
+        thread::Builder::new()
+            .name("intents".into())
+            .spawn(move || run(&node, range, &receiver))?;
+    }
+    let _ = node.ranges.set(senders);
+    Ok(())
+}
+
+/// Asks the owner of the key's range, or decides here when it can't be reached: which VM writes
+/// costs only time, since the log's slots decide.
+pub fn ask(node: &Node, key: IntentKey, ask: Ask) -> Verdict {
+    let owner = owner(node, range_of(&key));
+    if let Some(address) = owner {
+        let question = PeerAsk::Intent {
+            key: key.clone(),
+            ask: ask.clone(),
+        };
+        let reply = peer::call(address, &node.key, &question, PEER_TIMEOUT);
+        if let Ok(PeerReply::Intent(verdict)) = reply {
+            return verdict;
+        }
+        // The owner may have written "begun" for us before its answer was lost. Deciding here
+        // reads that page and says "begun", which is the truth as far as it can be told.
+    }
+    ask_here(node, key, ask)
+}
+
+fn owner(node: &Node, range: u64) -> Option<std::net::SocketAddr> {
+    let core = lock(&node.core);
+    let card = &core.fleet.card;
+    let ranked: Vec<VmId> = core
+        .fleet
+        .members
+        .ranked_for(clock::now(), card, card.domain, range);
+    let first = ranked.first()?;
+    core.fleet
+        .members
+        .rows
+        .get(first)
+        .map(|row| row.card.peer_address)
+}
+
+/// Decides here.
+pub fn ask_here(node: &Node, key: IntentKey, ask: Ask) -> Verdict {
+    let (answer, verdict) = mpsc::channel();
+    let Some(ranges) = node.ranges.get() else {
+        return Verdict::Away;
+    };
+    let range = &ranges[range_of(&key) as usize];
+    if range.send(Event { key, ask, answer }).is_err() {
+        return Verdict::Away;
+    }
+    verdict.recv_timeout(PATIENCE).unwrap_or(Verdict::Away)
+}
+
+struct Host<'a> {
+    node: &'a Node,
+    number: u64,
+    range: Range,
+    askers: HashMap<Ticket, Sender<Verdict>>,
+    next_ticket: Ticket,
+}
+
+fn run(node: &Node, number: u64, events: &Receiver<Event>) {
+    let range = Range::new(util::nonce());
+    let mut host = Host {
+        node,
+        number,
+        range,
+        askers: HashMap::new(),
+        next_ticket: 0,
+    };
+    loop {
+        let mut out = Vec::new();
+        match events.recv_timeout(TICK) {
+            Ok(event) => host.take(event, &mut out),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        // All that has come in meanwhile goes into the next page together.
+        while let Ok(event) = events.try_recv() {
+            host.take(event, &mut out);
+        }
+        host.range.tick(clock::now(), &mut out);
+        host.carry_out(out);
+    }
+}
+
+impl Host<'_> {
+    fn take(&mut self, event: Event, out: &mut Vec<Action>) {
+        self.next_ticket += 1;
+        self.askers.insert(self.next_ticket, event.answer);
+        self.range
+            .ask(clock::now(), self.next_ticket, event.key, event.ask, out);
+    }
+
+    fn carry_out(&mut self, mut actions: Vec<Action>) {
+        while let Some(action) = actions.pop() {
+            let mut out = Vec::new();
+            match action {
+                Action::Tell { ticket, verdict } => {
+                    if let Some(asker) = self.askers.remove(&ticket) {
+                        let _ = asker.send(verdict);
+                    }
+                }
+                Action::List { from } => {
+                    let pages = self.list(from);
+                    self.range.listed(clock::now(), pages, &mut out);
+                }
+                Action::Write { slot, mut page } => {
+                    page.at_ms = clock::unix_ms();
+                    let text = serde_json::to_string(&page).unwrap_or_default();
+                    let answer = self
+                        .node
+                        .platform
+                        .put(&page_key(self.number, slot), 0, &text);
+                    self.node.counters.intent_writes.inc();
+                    self.range.written(clock::now(), answer, &mut out);
+                }
+                Action::Read { slot } => {
+                    let read = self.node.platform.get(&page_key(self.number, slot));
+                    let found = read.ok().map(|entry| entry.and_then(|entry| parse(&entry)));
+                    let found = found.map(|page| page.map(|(revision, _, page)| (revision, page)));
+                    self.range.read(clock::now(), found, &mut out);
+                }
+            }
+            actions.extend(out);
+        }
+    }
+
+    fn list(&self, from: u64) -> Option<Vec<(u64, Page)>> {
+        let entries = self.node.platform.list(&range_prefix(self.number)).ok()?;
+        let pages = entries.iter().filter_map(parse);
+        Some(
+            pages
+                .filter(|(_, slot, _)| *slot >= from)
+                .map(|(_, s, page)| (s, page))
+                .collect(),
+        )
+    }
+}
+
+fn parse(entry: &Entry) -> Option<(u64, u64, Page)> {
+    let slot = entry.key.rsplit('/').next()?.parse().ok()?;
+    Some((
+        entry.revision,
+        slot,
+        serde_json::from_str(&entry.value).ok()?,
+    ))
+}
--- /dev/null
+++ b/src/entry/jobs.rs
@@ -0,0 +1,244 @@
+//! Batch jobs: created, listed, shown, cancelled. A job is accepted once its record stands.
+
+use std::io;
+use std::time::Duration;
+
+use log::info;
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use super::files::{away, read_chunks, read_file, read_job};
+use super::node::{Asker, Node};
+use crate::clock;
+use crate::decide::jobs::{job_key, Counts, JobRecord, JobState};
+use crate::http::problem::{Kind, Problem};
+use crate::http::server::{Head, Responder};
+use crate::http::Request;
+use crate::id;
+use crate::platform::Settled;
+use crate::util::{self, lock};
+
+const PATIENCE: Duration = Duration::from_secs(3);
+const WINDOW_DEFAULT_H: u64 = 24;
+const WINDOW_MAX_H: u64 = 24 * 14;
+const CANCEL_TRIES: u32 = 5;
+
+/// The body of a request for a job.
+#[derive(Deserialize)]
+struct Asked {
+    input_file_id: String,
+    endpoint: String,
+    /// `24h`, or with `m` or `s`.
+    #[serde(default)]
+    completion_window: Option<String>,
+    #[serde(default)]
+    #[allow(dead_code)]
+    metadata: Option<Value>,
+}
+
+/// Answers calls under `/v1/batches`.
+pub fn handle(
+    node: &Node,
+    asker: &Asker,
+    request: &Request,
+    out: &mut Responder,
+) -> io::Result<()> {
+    let parts: Vec<&str> = request.path().split('/').skip(3).collect();
+    let answer = match (request.method.as_str(), parts.as_slice()) {
+        ("POST", []) => create(node, asker, request),
+        ("GET", []) => list(node, asker),
+        ("GET", [job]) => show(node, asker, job),
+        ("POST", [job, "cancel"]) => cancel(node, asker, job),
+        _ => Err(Problem::not_run(Kind::NotFound, request.path())),
+    };
+    match answer {
+        Ok((value, replayed)) => {
+            let mut head = Head::new(200, "application/json");
+            if replayed {
+                head = head.with("Idempotent-Replayed", "true");
+            }
+            out.full(&head, &serde_json::to_vec(&value)?)
+        }
+        Err(problem) => out.problem(&problem),
+    }
+}
+
+type Answer = Result<(Value, bool), Problem>;
+
+fn window(text: Option<&str>) -> Result<Duration, Problem> {
+    let Some(text) = text else {
+        return Ok(Duration::from_secs(WINDOW_DEFAULT_H * 3600));
+    };
+    let parsed = humantime::parse_duration(text).ok();
+    parsed
+        .filter(|w| !w.is_zero() && w.as_secs() <= WINDOW_MAX_H * 3600)
+        .ok_or_else(|| {
+            let detail = format!("completion_window {text:?}; 1s to {WINDOW_MAX_H}h are allowed");
+            Problem::not_run(Kind::BadRequest, detail)
+        })
+}
+
+fn create(node: &Node, asker: &Asker, request: &Request) -> Answer {
+    let asked: Asked = serde_json::from_slice(&request.body)
+        .map_err(|error| Problem::not_run(Kind::BadRequest, format!("body: {error}")))?;
+    let window = window(asked.completion_window.as_deref())?;
+    let known = asked.endpoint.starts_with("/svc/")
+        || ["/v1/chat/completions", "/v1/completions"].contains(&asked.endpoint.as_str());
+    if !known {
+        let detail = format!(
+            "endpoint {:?}; /v1/chat/completions, /v1/completions and /svc/... are allowed",
+            asked.endpoint
+        );
+        return Err(Problem::not_run(Kind::BadRequest, detail));
+    }
+    let file = read_file(node, asker, &asked.input_file_id)?;
+    // Without a key, the same content sent again is the same job.
+    let identity = match request.header("Idempotency-Key") {
+        Some(key) => format!("{}\nkey\n{key}", asker.workspace),
+        None => format!(
+            "{}\ncontent\n{}\n{}",
+            asker.workspace, file.id, asked.endpoint
+        ),
+    };
+    let now_ms = clock::unix_ms();
+    let record = JobRecord {
+        id: format!("batch_{}", &id::digest(identity.as_bytes())[..32]).into(),
+        workspace: asker.workspace.clone(),
+        endpoint: asked.endpoint,
+        file: file.id,
+        chunks: file.segments.len() as u32,
+        state: JobState::InProgress,
+        created_ms: now_ms,
+        deadline_ms: now_ms + window.as_millis() as u64,
+        ended_ms: None,
+        counts: Counts {
+            total: file.lines,
+            ..Counts::default()
+        },
+        nonce: util::nonce(),
+    };
+    let text = serde_json::to_string(&record).unwrap_or_default();
+    let settled = node
+        .platform
+        .commit(&job_key(&record.id), 0, &text, clock::now() + PATIENCE);
+    match settled {
+        Settled::Won(revision) => {
+            info!(job = &*record.id, workspace = &*record.workspace; "job accepted");
+            learn(node, revision, &record);
+            Ok((shown(&record), false))
+        }
+        Settled::Lost(Some(entry)) => {
+            let first: JobRecord = serde_json::from_str(&entry.value)
+                .map_err(|error| away(&format!("the first job's record: {error}")))?;
+            if first.file != record.file || first.endpoint != record.endpoint {
+                let detail = "this Idempotency-Key was used for another job";
+                return Err(Problem::not_run(Kind::Conflict, detail));
+            }
+            Ok((shown(&first), true))
+        }
+        Settled::Lost(None) | Settled::Away => Err(away("the job was not accepted")),
+        Settled::Unknown => {
+            let detail = "it is not known whether the job was accepted; send it again";
+            Err(Problem {
+                not_run: false,
+                ..away(detail)
+            })
+        }
+    }
+}
+
+/// Has the batch process of this VM know at once; the others learn by the watch.
+fn learn(node: &Node, revision: u64, record: &JobRecord) {
+    let mut core = lock(&node.core);
+    core.jobs.take(revision, record.clone());
+    node.push_jobs(&core);
+}
+
+/// A job as the batch interface shows it.
+pub fn shown(record: &JobRecord) -> Value {
+    let state: &'static str = record.state.into();
+    let ended_s = record.ended_ms.map(|at| at / 1000);
+    let at = |wanted: JobState| ended_s.filter(|_| record.state == wanted);
+    json!({
+        "id": record.id,
+        "object": "batch",
+        "endpoint": record.endpoint,
+        "input_file_id": record.file,
+        "status": state,
+        "created_at": record.created_ms / 1000,
+        "expires_at": record.deadline_ms / 1000,
+        "completed_at": at(JobState::Completed),
+        "cancelled_at": at(JobState::Cancelled),
+        "expired_at": at(JobState::Expired),
+        "request_counts": record.counts,
+        "output_file_id": record.state.ended().then(|| format!("out-{}", record.id)),
+        "error_file_id": record.state.ended().then(|| format!("err-{}", record.id)),
+    })
+}
+
+fn list(node: &Node, asker: &Asker) -> Answer {
+    let entries = node
+        .platform
+        .list("live/job/")
+        .map_err(|error| away(&error.to_string()))?;
+    let records = entries
+        .iter()
+        .filter_map(|entry| serde_json::from_str::<JobRecord>(&entry.value).ok());
+    let own = records.filter(|record| record.workspace == asker.workspace);
+    let rows: Vec<Value> = own.map(|record| shown(&record)).collect();
+    Ok((
+        json!({ "object": "list", "data": rows, "has_more": false }),
+        false,
+    ))
+}
+
+fn show(node: &Node, asker: &Asker, job: &str) -> Answer {
+    let (_, mut record) = read_job(node, asker, job)?;
+    if !record.state.ended() {
+        // What has been committed so far.
+        for chunk in read_chunks(node, job)? {
+            record.counts.completed += chunk.counts.completed;
+            record.counts.failed += chunk.counts.failed;
+        }
+    }
+    Ok((shown(&record), false))
+}
+
+fn cancel(node: &Node, asker: &Asker, job: &str) -> Answer {
+    let until = clock::now() + PATIENCE;
+    for _ in 0..CANCEL_TRIES {
+        let (revision, record) = read_job(node, asker, job)?;
+        let Some(cancelled) = record.cancel(util::nonce()) else {
+            if record.state == JobState::Cancelling || record.state == JobState::Cancelled {
+                return Ok((shown(&record), true));
+            }
+            let detail = "the job has ended";
+            return Err(Problem {
+                not_run: false,
+                ..Problem::not_run(Kind::Conflict, detail)
+            });
+        };
+        let text = serde_json::to_string(&cancelled).unwrap_or_default();
+        match node.platform.commit(&job_key(job), revision, &text, until) {
+            Settled::Won(revision) => {
+                info!(job = job, workspace = &*asker.workspace; "job cancelled");
+                learn(node, revision, &cancelled);
+                return Ok((shown(&cancelled), false));
+            }
+            // Somebody ended or cancelled it meanwhile: look again.
+            Settled::Lost(_) => {}
+            Settled::Away => return Err(away("the job was not cancelled")),
+            Settled::Unknown => {
+                let detail = "it is not known whether the job was cancelled; ask again";
+                return Err(Problem {
+                    not_run: false,
+                    ..away(detail)
+                });
+            }
+        }
+    }
+    Err(Problem {
+        not_run: false,
+        ..away("the job changes too fast; ask again")
+    })
+}
--- /dev/null
+++ b/src/entry/node.rs
@@ -0,0 +1,586 @@
+//! The state of an entry process, and what its threads share.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+use log::{info, warn};
+
+use super::plan::Plan;
+use crate::clock;
+use crate::config::Versioned;
+use crate::decide::batch::place::Crew;
+use crate::decide::fleet::{self, Fleet};
+use crate::decide::jobs::{JobRecord, JobState};
+use crate::decide::members::Card;
+use crate::decide::online::{Action, Event, Online};
+use crate::decide::window::{self, Seen};
+use crate::engine::Engines;
+use crate::id::{self, ConfigVersion, EndpointId, JobId, Name, RequestId, Revision, ServiceId};
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+use crate::segments::Segments;
+use crate::settings::{ms, Entry};
+use crate::util::{self, lock};
+use crate::wire::{Datagram, Key, ToBatch, DATAGRAM_BYTES};
+
+/// A job that is due within this time may use more of busy endpoints.
+const URGENT: Duration = Duration::from_secs(60);
+/// Ended jobs are remembered for so long.
+const ENDED_KEPT: Duration = Duration::from_secs(600);
+
+/// Who asks, and under which configuration.
+#[derive(Clone)]
+pub struct Asker {
+    pub plan: Arc<Plan>,
+    pub workspace: Name,
+}
+
+/// Job records as far as they are known here.
+#[derive(Debug, Default)]
+pub struct Jobs {
+    pub rows: BTreeMap<JobId, (Revision, JobRecord)>,
+    /// Invariant: all changes up to here are in `rows`.
+    pub revision: Revision,
+}
+
+impl Jobs {
+    /// Takes a record; an older one than is known changes nothing.
+    pub fn take(&mut self, revision: Revision, record: JobRecord) {
+        let known = self
+            .rows
+            .get(&record.id)
+            .map_or(0, |(revision, _)| *revision);
+        if revision > known {
+            self.rows.insert(record.id.clone(), (revision, record));
+        }
+    }
+
+    /// Records that have not ended.
+    pub fn active(&self) -> Vec<JobRecord> {
+        let rows = self
+            .rows
+            .values()
+            .filter(|(_, record)| !record.state.ended());
+        rows.map(|(_, record)| record.clone()).collect()
+    }
+
+    fn forget_ended(&mut self, now_ms: u64) {
+        let kept_ms = ENDED_KEPT.as_millis() as u64;
+        self.rows
+            .retain(|_, (_, record)| record.ended_ms.is_none_or(|at| now_ms < at + kept_ms));
+    }
+}
+
+/// What the deciding functions work on; one lock.
+pub struct Core {
+    pub online: Online,
+    pub fleet: Fleet,
+    pub plan: Option<Arc<Plan>>,
+    pub jobs: Jobs,
+    /// When an online request was last at an endpoint.
+    pub online_at: HashMap<EndpointId, Duration>,
+    /// Batch items of the own batch process at each endpoint.
+    pub batch_here: HashMap<EndpointId, u32>,
+    callers: HashMap<RequestId, Sender<Action>>,
+}
+
+/// The link to the batch process of this VM.
+#[derive(Default)]
+pub struct Links {
+    pub to_batch: Option<Sender<ToBatch>>,
+    pub batch_ready: bool,
+    windows: Vec<(EndpointId, ServiceId, u32)>,
+    crew: Crew,
+}
+
+/// Metrics of an entry process.
+pub struct Counters {
+    pub registry: Metrics,
+    pub requests: prometheus::IntCounterVec,
+    pub refusals: prometheus::IntCounterVec,
+    pub attempts: prometheus::IntCounter,
+    pub tokens: prometheus::IntCounter,
+    pub first_token: prometheus::Histogram,
+    pub intent_writes: prometheus::IntCounter,
+    pub datagram_bytes: prometheus::IntCounterVec,
+    pub datagrams_refused: prometheus::IntCounter,
+    pub platform_errors: prometheus::IntCounter,
+}
+
+impl Counters {
+    fn new() -> Counters {
+        let registry = Metrics::default();
+        let counters = |name, help, labels: &[&str]| registry.counters(name, help, labels);
+        Counters {
+            requests: counters("bramley_requests_total", "Requests by end.", &["end"]),
+            refusals: counters("bramley_refusals_total", "Refusals by reason.", &["reason"]),
+            attempts: registry.counter("bramley_attempts_total", "Tries at endpoints."),
+            tokens: registry.counter("bramley_stream_events_total", "Events sent to callers."),
+            first_token: registry.times(
+                "bramley_first_token_seconds",
+                "Time to the first token of streams.",
+            ),
+            intent_writes: registry.counter(
+                "bramley_intent_writes_total",
+                "Writes of intents to the platform.",
+            ),
+            datagram_bytes: counters(
+                "bramley_datagram_bytes_total",
+                "Bytes of datagrams, headers left out.",
+                &["direction"],
+            ),
+            datagrams_refused: registry.counter(
+                "bramley_datagrams_refused_total",
+                "Datagrams that were not taken.",
+            ),
+            platform_errors: registry
+                .counter("bramley_platform_errors_total", "Failed calls of watchers."),
+            registry,
+        }
+    }
+}
+
+/// Work for the background threads.
+#[derive(Debug)]
+pub enum Errand {
+    FetchConfig { from: SocketAddr },
+    FetchJobs { from: SocketAddr },
+    Poll { endpoint: EndpointId, address: Name },
+    Cancel { address: Name, attempt: String },
+}
+
+/// One entry process.
+pub struct Node {
+    pub settings: Entry,
+    pub key: Key,
+    pub platform: Platform,
+    pub engines: Engines,
+    pub segments: Segments,
+    pub core: Mutex<Core>,
+    pub links: Mutex<Links>,
+    pub counters: Counters,
+    pub errands: Sender<Errand>,
+    errands_out: Mutex<Option<Receiver<Errand>>>,
+    pub ranges: OnceLock<Vec<Sender<super::intent::Event>>>,
+    gossip: OnceLock<UdpSocket>,
+    next_request: AtomicU64,
+    leaving: AtomicBool,
+    superseded: AtomicBool,
+    /// The platform or the peers were asked for the newest configuration.
+    pub caught_up: AtomicBool,
+}
+
+impl Node {
+    /// A process that has not opened anything yet.
+    pub fn new(settings: Entry) -> Arc<Node> {
+        let card = Card {
+            vm: id::of(&settings.name),
+            name: settings.name.clone(),
+            domain: id::of(&settings.failure_domain),
+            gossip_address: settings.gossip_address,
+            peer_address: settings.peer_address,
+            incarnation: clock::unix_ms(),
+            leaving: false,
+            batch_ready: false,
+            config: 0,
+            jobs: 0,
+        };
+        let platform = Platform::new(
+            &settings.platform_address.to_string(),
+            ms(settings.platform_timeout_ms),
+        );
+        let key = Key::new(&settings.cluster_key);
+        let (errands, errands_out) = mpsc::channel();
+        let core = Core {
+            online: Online::new(card.domain, util::rng()),
+            fleet: Fleet::new(card),
+            plan: None,
+            jobs: Jobs::default(),
+            online_at: HashMap::new(),
+            batch_here: HashMap::new(),
+            callers: HashMap::new(),
+        };
+        Arc::new(Node {
+            segments: Segments {
+                platform: platform.clone(),
+                key: key.clone(),
+                bulk: settings.bulk.clone(),
+                copies: settings.bulk_copies,
+            },
+            key,
+            platform,
+            engines: Engines::new(),
+            core: Mutex::new(core),
+            links: Mutex::new(Links::default()),
+            counters: Counters::new(),
+            errands,
+            errands_out: Mutex::new(Some(errands_out)),
+            ranges: OnceLock::new(),
+            gossip: OnceLock::new(),
+            next_request: AtomicU64::new(1),
+            leaving: AtomicBool::new(false),
+            superseded: AtomicBool::new(false),
+            caught_up: AtomicBool::new(false),
+            settings,
+        })
+    }
+
+    /// Opens the socket for heartbeats.
+    pub fn open_gossip(&self) -> io::Result<()> {
+        let socket = UdpSocket::bind(self.settings.gossip_address)?;
+        let _ = self.gossip.set(socket);
+        Ok(())
+    }
+
+    /// The socket for heartbeats.
+    pub fn gossip(&self) -> Option<&UdpSocket> {
+        self.gossip.get()
+    }
+
+    /// The other end of `errands`, once.
+    pub fn take_errands(&self) -> Option<Receiver<Errand>> {
+        lock(&self.errands_out).take()
+    }
+
+    /// The configuration in force.
+    pub fn plan(&self) -> Option<Arc<Plan>> {
+        lock(&self.core).plan.clone()
+    }
+
+    /// Whether this VM should get requests, or why not.
+    pub fn ready(&self) -> Result<(), &'static str> {
+        self.ready_with(&lock(&self.core))
+    }
+
+    /// Like [`Node::ready`], for a holder of the lock.
+    pub fn ready_with(&self, core: &Core) -> Result<(), &'static str> {
+        if self.leaving.load(Ordering::SeqCst) {
+            return Err("leaving");
+        }
+        if core.plan.is_none() {
+            return Err("no configuration yet");
+        }
+        if !self.caught_up.load(Ordering::SeqCst) {
+            return Err("asking for the newest configuration");
+        }
+        Ok(())
+    }
+
+    /// Whether a later process has this VM's id.
+    pub fn superseded(&self) -> bool {
+        self.superseded.load(Ordering::SeqCst)
+    }
+
+    /// Tells everybody that this VM takes nothing new.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+        let mut core = lock(&self.core);
+        core.fleet.card.leaving = true;
+        core.fleet.tell_now();
+        lock(&self.links).send(ToBatch::Leave);
+        drop(core);
+        self.tick();
+    }
+
+    /// Registers a request; its actions come on the receiver.
+    pub fn register(&self) -> (RequestId, Receiver<Action>) {
+        let request = self.next_request.fetch_add(1, Ordering::SeqCst);
+        let (sender, receiver) = mpsc::channel();
+        lock(&self.core).callers.insert(request, sender);
+        (request, receiver)
+    }
+
+    /// Forgets a request that has its final answer.
+    pub fn unregister(&self, request: RequestId) {
+        lock(&self.core).callers.remove(&request);
+    }
+
+    /// Takes an event of an online request and passes on what it brings about.
+    pub fn online(&self, event: Event) {
+        let now = clock::now();
+        let mut core = lock(&self.core);
+        let mut out = Vec::new();
+        core.online.handle(now, event, &mut out);
+        self.pass_on(now, &mut core, out);
+    }
+
+    fn pass_on(&self, now: Duration, core: &mut Core, actions: Vec<Action>) {
+        for action in actions {
+            let request = match &action {
+                Action::Send {
+                    request, endpoint, ..
+                } => {
+                    self.note_online(now, core, *endpoint);
+                    *request
+                }
+                Action::Refuse { request, .. } => *request,
+            };
+            if let Some(caller) = core.callers.get(&request) {
+                let _ = caller.send(action);
+            }
+        }
+    }
+
+    /// An online request goes to an endpoint: batch work there has to yield now.
+    fn note_online(&self, now: Duration, core: &mut Core, endpoint: EndpointId) {
+        core.online_at.insert(endpoint, now);
+        self.counters.attempts.inc();
+        let online = core
+            .online
+            .endpoints
+            .get(endpoint)
+            .map_or(0, |row| row.online_here);
+        let domain = core
+            .online
+            .endpoints
+            .get(endpoint)
+            .map(|row| row.declared.domain);
+        if domain != Some(core.fleet.card.domain) {
+            return;
+        }
+        match core.fleet.home(now, endpoint) {
+            Some(home) if home == core.fleet.card.vm => self.push_windows(now, core),
+            // Only the first one is told: while it is there, heartbeats tell of it.
+            Some(home) if online == 1 => {
+                let to = core
+                    .fleet
+                    .members
+                    .rows
+                    .get(&home)
+                    .map(|row| row.card.gossip_address);
+                if let Some(to) = to {
+                    self.send(to, &Datagram::Pressure { endpoint, online });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Another VM has sent online requests to an endpoint of which this one is home.
+    pub fn pressed(&self, endpoint: EndpointId) {
+        let now = clock::now();
+        let mut core = lock(&self.core);
+        core.online_at.insert(endpoint, now);
+        self.push_windows(now, &mut core);
+    }
+
+    /// Sends a datagram.
+    pub fn send(&self, to: SocketAddr, message: &Datagram) {
+        let Ok(sealed) = self.key.seal(message) else {
+            return;
+        };
+        if sealed.len() > DATAGRAM_BYTES {
+            warn!(bytes = sealed.len(); "a datagram is too large");
+            return;
+        }
+        if let Some(socket) = self.gossip() {
+            self.counters
+                .datagram_bytes
+                .with_label_values(&["out"])
+                .inc_by(sealed.len() as u64);
+            let _ = socket.send_to(&sealed, to);
+        }
+    }
+
+    /// Does what has become due by the time alone.
+    pub fn tick(&self) {
+        let now = clock::now();
+        let mut core = lock(&self.core);
+        let core = &mut *core;
+        let mut actions = Vec::new();
+        core.online.tick(now, &mut actions);
+        self.pass_on(now, core, actions);
+        core.fleet.card.batch_ready = lock(&self.links).batch_ready;
+        core.fleet.card.jobs = core.jobs.revision;
+        let mut actions = Vec::new();
+        core.fleet
+            .tick(now, &mut core.online.endpoints, &mut actions);
+        self.run_fleet(core, actions);
+        for row in &core.online.endpoints.rows {
+            if row.online() > 0 {
+                core.online_at.insert(row.id, now);
+            }
+        }
+        core.jobs.forget_ended(clock::unix_ms());
+        self.push_windows(now, core);
+        self.push_crew(now, core);
+    }
+
+    /// Carries out what the fleet's table asks for.
+    pub fn run_fleet(&self, core: &mut Core, actions: Vec<fleet::Action>) {
+        for action in actions {
+            match action {
+                fleet::Action::Send { to, heartbeat } => {
+                    self.send(to, &Datagram::Heartbeat(heartbeat));
+                }
+                fleet::Action::FetchConfig { from, .. } => {
+                    let _ = self.errands.send(Errand::FetchConfig { from });
+                }
+                fleet::Action::FetchJobs { from } => {
+                    let _ = self.errands.send(Errand::FetchJobs { from });
+                }
+                fleet::Action::Poll { endpoint } => {
+                    let row = core.online.endpoints.get(endpoint);
+                    if let Some(address) = row.map(|row| row.declared.address.clone()) {
+                        let _ = self.errands.send(Errand::Poll { endpoint, address });
+                    }
+                }
+                fleet::Action::Stop => {
+                    warn!("another process has this VM's id; stopping");
+                    self.superseded.store(true, Ordering::SeqCst);
+                }
+            }
+        }
+    }
+
+    fn push_windows(&self, now: Duration, core: &mut Core) {
+        let Some(plan) = core.plan.clone() else {
+            return;
+        };
+        let now_ms = clock::unix_ms();
+        let urgent_ms = now_ms + URGENT.as_millis() as u64;
+        let urgent = core.jobs.rows.values().any(|(_, record)| {
+            record.state == JobState::InProgress && record.deadline_ms < urgent_ms
+        });
+        let mut windows = Vec::new();
+        for row in &core.online.endpoints.rows {
+            if row.declared.domain != core.fleet.card.domain || !row.usable(now) {
+                continue;
+            }
+            if core.fleet.home(now, row.id) != Some(core.fleet.card.vm) {
+                continue;
+            }
+            let seen = Seen {
+                slots: row.slots(now),
+                online: row.online(),
+                online_at: core.online_at.get(&row.id).copied(),
+                urgent,
+            };
+            let count = window::allowed(seen, plan.knob(row.declared.service), now);
+            windows.push((row.id, row.declared.service, count));
+        }
+        let mut links = lock(&self.links);
+        if links.windows != windows {
+            links.windows = windows.clone();
+            links.send(ToBatch::Windows(windows));
+        }
+    }
+
+    fn push_crew(&self, now: Duration, core: &Core) {
+        let card = &core.fleet.card;
+        let mut vms = core.fleet.members.batch_ranked(now, card, 0);
+        vms.sort_unstable();
+        let endpoints = core.online.endpoints.rows.iter();
+        let mut domains: Vec<u64> = endpoints.map(|row| row.declared.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let crew = Crew {
+            own: card.vm,
+            own_domain: card.domain,
+            vms,
+            domains,
+        };
+        let mut links = lock(&self.links);
+        if links.crew != crew {
+            links.crew = crew.clone();
+            links.send(ToBatch::Crew(crew));
+        }
+    }
+
+    /// Tells the batch process of all jobs that have not ended.
+    pub fn push_jobs(&self, core: &Core) {
+        lock(&self.links).send(ToBatch::Jobs(core.jobs.active()));
+    }
+
+    /// Takes a new link to the batch process and tells it everything.
+    pub fn attach(&self, sender: Sender<ToBatch>) {
+        let core = lock(&self.core);
+        let mut links = lock(&self.links);
+        links.to_batch = Some(sender);
+        if let Some(plan) = &core.plan {
+            links.send(ToBatch::Config(Box::new((*plan.versioned).clone())));
+        }
+        links.send(ToBatch::Jobs(core.jobs.active()));
+        let (crew, windows) = (links.crew.clone(), links.windows.clone());
+        links.send(ToBatch::Crew(crew));
+        links.send(ToBatch::Windows(windows));
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    pub fn version(&self) -> ConfigVersion {
+        lock(&self.core).fleet.card.config
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is.
+    pub fn adopt(&self, versioned: Versioned) -> bool {
+        let version = versioned.head.version;
+        let mut core = lock(&self.core);
+        // Never an older one: whoever was told "in force here" may count on it, whatever late
+        // answer of a peer or of the platform comes after.
+        if version <= core.fleet.card.config {
+            return false;
+        }
+        let plan = Arc::new(Plan::new(Arc::new(versioned)));
+        core.online.endpoints.declare(plan.endpoints());
+        core.online.services = plan.services();
+        core.fleet.card.config = version;
+        core.fleet.tell_now();
+        core.plan = Some(plan.clone());
+        let config = ToBatch::Config(Box::new((*plan.versioned).clone()));
+        lock(&self.links).send(config);
+        drop(core);
+        info!(version; "configuration in force");
+        self.keep(&plan.versioned);
+        true
+    }
+
+    /// Keeps the configuration over a restart.
+    fn keep(&self, versioned: &Versioned) {
+        let Some(folder) = &self.settings.data_dir else {
+            return;
+        };
+        let written = serde_json::to_vec(versioned)
+            .map_err(io::Error::other)
+            .and_then(|text| {
+                std::fs::create_dir_all(folder)?;
+                let new = folder.join("configuration.new");
+                std::fs::write(&new, text)?;
+                std::fs::rename(new, folder.join("configuration.json"))
+            });
+        if let Err(error) = written {
+            warn!("the configuration could not be kept: {error}");
+        }
+    }
+
+    /// Takes up the configuration kept before a restart.
+    pub fn take_kept(&self) {
+        let Some(folder) = &self.settings.data_dir else {
+            return;
+        };
+        let Ok(text) = std::fs::read(folder.join("configuration.json")) else {
+            return;
+        };
+        match serde_json::from_slice(&text) {
+            Ok(versioned) => {
+                self.adopt(versioned);
+            }
+            Err(error) => warn!("the kept configuration can't be read: {error}"),
+        }
+    }
+}
+
+impl Links {
+    fn send(&mut self, message: ToBatch) {
+        if let Some(sender) = &self.to_batch {
+            if sender.send(message).is_err() {
+                self.to_batch = None;
+                self.batch_ready = false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/operators.rs
@@ -0,0 +1,144 @@
+//! Pages for operators: health, metrics, the tables, and what waits and why.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use serde_json::{json, Value};
+
+use super::node::{Core, Node};
+use crate::clock;
+use crate::metrics;
+use crate::pages::{self, Page};
+use crate::util::lock;
+
+const THREADS: usize = 2;
+
+/// Serves the pages.
+pub fn serve(node: &Arc<Node>, listener: TcpListener) -> io::Result<()> {
+    let node = node.clone();
+    pages::serve(listener, THREADS, move |request| {
+        let page = match request.url().split('?').next().unwrap_or_default() {
+            "/metrics" => node.counters.registry.page(),
+            "/dump" => Page::json(200, &dump(&node)),
+            "/why" => Page::json(200, &why(&node)),
+            "/healthz" => Page::text(200, "alive\n"),
+            "/readyz" => match node.ready() {
+                Ok(()) => Page::text(200, "ready\n"),
+                Err(why) => Page::text(503, format!("{why}\n")),
+            },
+            _ => Page::text(404, "/metrics /dump /why /healthz /readyz\n"),
+        };
+        page.send(request);
+    })
+}
+
+fn dump(node: &Node) -> Value {
+    let now = clock::now();
+    let core = lock(&node.core);
+    let card = &core.fleet.card;
+    json!({
+        "vm": card,
+        "ready": node.ready_with(&core),
+        "delegate": core.fleet.is_delegate(now),
+        "configuration": core.plan.as_ref().map(|plan| &plan.versioned.head),
+        "members": members(&core),
+        "endpoints": endpoints(&core),
+        "services": core.online.waiting(now),
+        "jobs": core.jobs.rows.values().map(|(_, record)| record).collect::<Vec<_>>(),
+        "jobs_revision": core.jobs.revision,
+        "resident_bytes": metrics::resident_bytes(std::process::id()),
+        "processor_ms": metrics::processor_time().as_millis() as u64,
+        "uptime_ms": now.as_millis() as u64,
+    })
+}
+
+fn members(core: &Core) -> Vec<Value> {
+    let now = clock::now();
+    let rows = core.fleet.members.rows.values();
+    rows.map(|row| {
+        json!({
+            "card": row.card,
+            "alive": row.alive(now),
+            "heard_ms_ago": row.heard_at.map(|at| now.saturating_sub(at).as_millis() as u64),
+            "listed": row.listed,
+        })
+    })
+    .collect()
+}
+
+fn endpoints(core: &Core) -> Vec<Value> {
+    let now = clock::now();
+    let rows = core.online.endpoints.rows.iter();
+    rows.map(|row| {
+        json!({
+            "name": row.declared.name,
+            "usable": row.usable(now),
+            "leaving": row.leaving.is_some(),
+            "limit": row.limit.slots(),
+            "online_here": row.online_here,
+            "online_elsewhere": row.online_elsewhere,
+            "batch_here": core.batch_here.get(&row.id).copied().unwrap_or(0),
+            "home": core.fleet.home(now, row.id) == Some(core.fleet.card.vm),
+            "first_token_ms": row.first_token_ms,
+            "ejected_ms": row.ejected_until.saturating_sub(now).as_millis() as u64,
+            "report": row.report,
+        })
+    })
+    .collect()
+}
+
+/// What waits at this VM, and for what.
+fn why(node: &Node) -> Value {
+    let now = clock::now();
+    let core = lock(&node.core);
+    let mut reasons = Vec::new();
+    if let Err(why) = node.ready_with(&core) {
+        reasons.push(json!({ "what": "this VM", "waits_for": why }));
+    }
+    for row in core.online.waiting(now).iter().filter(|row| row.queued > 0) {
+        let usable = core.online.endpoints.of_service(row.service).iter();
+        let usable = usable
+            .filter(|at| core.online.endpoints.rows[**at].usable(now))
+            .count();
+        reasons.push(json!({
+            "what": format!("{} online requests", row.queued),
+            "waits_for": format!("a free slot at one of {usable} usable endpoints"),
+            "expected_wait_ms": row.expected_wait_ms,
+        }));
+    }
+    for (_, record) in core
+        .jobs
+        .rows
+        .values()
+        .filter(|(_, record)| !record.state.ended())
+    {
+        reasons.push(
+            json!({ "what": format!("job {}", record.id), "waits_for": job_waits(&core, node) }),
+        );
+    }
+    json!({ "vm": node.settings.name, "waiting": reasons })
+}
+
+fn job_waits(core: &Core, node: &Node) -> String {
+    let now = clock::now();
+    if !lock(&node.links).batch_ready {
+        return "the batch process of this VM, which is not linked".into();
+    }
+    let homes: Vec<_> = core
+        .online
+        .endpoints
+        .rows
+        .iter()
+        .filter(|row| core.fleet.home(now, row.id) == Some(core.fleet.card.vm))
+        .collect();
+    if homes.is_empty() {
+        return "other VMs: this one is home of no endpoint".into();
+    }
+    let busy = homes.iter().filter(|row| row.online() > 0).count();
+    let away = homes.iter().filter(|row| !row.usable(now)).count();
+    format!(
+        "its items at this VM's {} endpoints: {busy} busy with online requests, {away} not usable",
+        homes.len()
+    )
+}
--- /dev/null
+++ b/src/entry/plain.rs
@@ -0,0 +1,229 @@
+//! Plain services: `ANY /svc/{service}/{path}`.
+
+use std::io;
+
+use super::intent;
+use super::node::{Asker, Node};
+use super::online::{Next, Ticket};
+use crate::config::{Service, ServiceKind};
+use crate::decide::intents::{Answered, Ask, Mark, Verdict, ANSWER_BYTES};
+use crate::decide::online::Outcome;
+use crate::decide::retry::Reach;
+use crate::engine::{Answer, Call, Fault};
+use crate::http::problem::{Kind, Problem};
+use crate::http::server::{Head, Responder};
+use crate::http::Request;
+use crate::id;
+use std::time::Duration;
+
+const RETRY_SOON: Duration = Duration::from_secs(1);
+const KEY_BYTES: usize = 256;
+
+/// Answers a call of a plain service.
+pub fn handle(
+    node: &Node,
+    asker: &Asker,
+    request: &Request,
+    out: &mut Responder,
+) -> io::Result<()> {
+    let rest = request.target.strip_prefix("/svc/").unwrap_or_default();
+    let name = rest.split(['/', '?']).next().unwrap_or_default();
+    let service = asker
+        .plan
+        .state()
+        .service(name)
+        .filter(|s| s.kind == ServiceKind::Plain);
+    let Some(service) = service else {
+        let detail = format!("plain service {name:?}");
+        return out.problem(&Problem::not_run(Kind::NotFound, detail));
+    };
+    let path = match &rest[name.len()..] {
+        "" => "/",
+        path => path,
+    };
+    let key = request.header("Idempotency-Key");
+    if key.is_some_and(|key| key.is_empty() || key.len() > KEY_BYTES) {
+        let detail = format!("Idempotency-Key of 1 to {KEY_BYTES} bytes");
+        return out.problem(&Problem::not_run(Kind::BadRequest, detail));
+    }
+    let call = Forward {
+        node,
+        asker,
+        request,
+        service,
+        path,
+    };
+    match key.filter(|_| !service.idempotent) {
+        Some(key) => call.at_most_once(key, out),
+        None => call.run(None, out),
+    }
+}
+
+struct Forward<'a> {
+    node: &'a Node,
+    asker: &'a Asker,
+    request: &'a Request,
+    service: &'a Service,
+    path: &'a str,
+}
+
+/// How a call under a key ended, for the log of intents.
+enum Ended {
+    Answered(Answer),
+    /// No endpoint got a byte of it.
+    NotRun(Problem),
+    Unknown(Problem),
+}
+
+impl Forward<'_> {
+    /// Runs a call that may not be repeated: begun is recorded before its first byte goes out, so
+    /// that whoever gets it again, on whichever VM, knows that it may have run.
+    fn at_most_once(&self, key: &str, out: &mut Responder) -> io::Result<()> {
+        let scope = format!("{}\n{}\n{key}", self.asker.workspace, self.service.name);
+        let intent = id::digest(scope.as_bytes());
+        let content = self.content_digest();
+        match intent::ask(self.node, intent.clone(), Ask::Begin { content }) {
+            Verdict::Go => {}
+            Verdict::Replay(answered) => return replay(&answered, out),
+            Verdict::Begun => {
+                let detail = "a request with this key was begun; its outcome is not recorded";
+                let problem = Problem::maybe_run(Kind::OutcomeUnknown, detail).after(RETRY_SOON);
+                return self.refuse(&problem, out);
+            }
+            Verdict::Mismatch => {
+                let detail = "this Idempotency-Key was used for another request";
+                return self.refuse(&Problem::not_run(Kind::Conflict, detail), out);
+            }
+            Verdict::Away => {
+                let detail = "it can't be recorded that this request was begun";
+                let problem = Problem::not_run(Kind::PlatformAway, detail).after(RETRY_SOON);
+                return self.refuse(&problem, out);
+            }
+        }
+        let ended = self.try_all(Some(key));
+        let mark = match &ended {
+            Ended::Answered(answer) => Some(Mark::Answered(answered(answer))),
+            Ended::NotRun(_) => Some(Mark::Released),
+            Ended::Unknown(_) => None,
+        };
+        if let Some(mark) = mark {
+            // A refusal that says "not run" is followed by the same key: it must find it released.
+            intent::ask(self.node, intent, Ask::End(mark));
+        }
+        self.send(ended, out)
+    }
+
+    fn run(&self, key: Option<&str>, out: &mut Responder) -> io::Result<()> {
+        let ended = self.try_all(key);
+        self.send(ended, out)
+    }
+
+    fn content_digest(&self) -> String {
+        let head = format!("{}\n{}\n", self.request.method, self.path);
+        id::digest(&[head.as_bytes(), &self.request.body].concat())
+    }
+
+    fn try_all(&self, key: Option<&str>) -> Ended {
+        let idempotent = self.service.idempotent;
+        let ticket = Ticket::open(
+            self.node,
+            self.asker,
+            self.request,
+            self.service,
+            0,
+            idempotent,
+        );
+        loop {
+            let (address, attempt) = match ticket.next() {
+                Next::Refuse(problem) if problem.not_run => return Ended::NotRun(problem),
+                Next::Refuse(problem) => return Ended::Unknown(problem),
+                Next::Send {
+                    address, attempt, ..
+                } => (address, attempt),
+            };
+            let call = Call {
+                address: &address,
+                method: &self.request.method,
+                path: self.path,
+                content_type: self
+                    .request
+                    .header("Content-Type")
+                    .unwrap_or("application/json"),
+                attempt: &attempt,
+                key,
+                body: &self.request.body,
+                timeout: ticket.left(),
+            };
+            match self.node.engines.call(call, idempotent) {
+                Ok(answer) => {
+                    ticket.ended(Outcome::Done);
+                    return Ended::Answered(answer);
+                }
+                Err(fault) => ticket.failed(&self.judge(fault)),
+            }
+        }
+    }
+
+    /// A plain service that answers 503 may have done part of the work: unlike an engine's, its
+    /// refusal is no proof for a call that may not be repeated.
+    fn judge(&self, fault: Fault) -> Fault {
+        match fault.reach {
+            Reach::Refused if !self.service.idempotent => Fault {
+                reach: Reach::MaybeSent,
+                ..fault
+            },
+            _ => fault,
+        }
+    }
+
+    fn send(&self, ended: Ended, out: &mut Responder) -> io::Result<()> {
+        match ended {
+            Ended::Answered(answer) => {
+                self.node
+                    .counters
+                    .requests
+                    .with_label_values(&["answered"])
+                    .inc();
+                out.full(
+                    &Head::new(answer.status, &answer.content_type),
+                    &answer.body,
+                )
+            }
+            Ended::NotRun(problem) | Ended::Unknown(problem) => self.refuse(&problem, out),
+        }
+    }
+
+    fn refuse(&self, problem: &Problem, out: &mut Responder) -> io::Result<()> {
+        let reason: &'static str = problem.kind.into();
+        self.node
+            .counters
+            .refusals
+            .with_label_values(&[reason])
+            .inc();
+        out.problem(problem)
+    }
+}
+
+fn answered(answer: &Answer) -> Answered {
+    let text = std::str::from_utf8(&answer.body)
+        .ok()
+        .filter(|text| text.len() <= ANSWER_BYTES);
+    Answered {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: text.map(str::to_owned),
+    }
+}
+
+fn replay(answered: &Answered, out: &mut Responder) -> io::Result<()> {
+    let Some(body) = &answered.body else {
+        let detail = format!(
+            "it ran, with status {}; its answer was not kept",
+            answered.status
+        );
+        return out.problem(&Problem::maybe_run(Kind::Conflict, detail));
+    };
+    let head =
+        Head::new(answered.status, &answered.content_type).with("Idempotent-Replayed", "true");
+    out.full(&head, body.as_bytes())
+}
--- /dev/null
+++ b/src/entry/plan.rs
@@ -0,0 +1,128 @@
+//! The configuration in force, laid out for lookups.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::config::{Service, ServiceKind, State, Versioned};
+use crate::decide::endpoints::Declared;
+use crate::decide::online;
+use crate::decide::window::Knob;
+use crate::http::Request;
+use crate::id::{self, EndpointId, Name, ServiceId};
+use crate::settings::ms;
+
+/// The configuration in force.
+#[derive(Debug)]
+pub struct Plan {
+    pub versioned: Arc<Versioned>,
+    workspaces: HashMap<String, Name>,
+    addresses: HashMap<EndpointId, Name>,
+    knobs: HashMap<ServiceId, Knob>,
+}
+
+impl Plan {
+    /// Lays out a configuration.
+    pub fn new(versioned: Arc<Versioned>) -> Plan {
+        let state = &versioned.state;
+        let keys = state.workspaces.iter().flat_map(|workspace| {
+            let digests = workspace.key_digests.iter();
+            digests.map(|digest| (digest.to_ascii_lowercase(), workspace.name.clone()))
+        });
+        let endpoints = state.endpoints.iter();
+        let services = state.services.iter();
+        Plan {
+            workspaces: keys.collect(),
+            addresses: endpoints
+                .map(|e| (id::of(&e.name), e.address.clone()))
+                .collect(),
+            knobs: services
+                .map(|s| {
+                    (
+                        id::of(&s.name),
+                        Knob {
+                            online_weight: s.online_weight,
+                        },
+                    )
+                })
+                .collect(),
+            versioned,
+        }
+    }
+
+    /// The state that the operators declared.
+    pub fn state(&self) -> &State {
+        &self.versioned.state
+    }
+
+    /// The workspace whose key the request carries.
+    pub fn workspace_of(&self, request: &Request) -> Option<Name> {
+        let header = request.header("Authorization")?;
+        let key = header
+            .strip_prefix("Bearer ")
+            .or_else(|| header.strip_prefix("bearer "))?;
+        self.workspaces
+            .get(&id::digest(key.trim().as_bytes()))
+            .cloned()
+    }
+
+    /// The address of an endpoint.
+    pub fn address(&self, endpoint: EndpointId) -> Option<&Name> {
+        self.addresses.get(&endpoint)
+    }
+
+    /// The knob of a service.
+    pub fn knob(&self, service: ServiceId) -> Knob {
+        self.knobs
+            .get(&service)
+            .copied()
+            .unwrap_or(Knob { online_weight: 1.0 })
+    }
+
+    /// The endpoints as the table takes them.
+    pub fn endpoints(&self) -> Vec<(EndpointId, Declared)> {
+        let state = self.state();
+        let limits: HashMap<&Name, u32> = state
+            .services
+            .iter()
+            .map(|s| (&s.name, s.initial_limit))
+            .collect();
+        let declared = state.endpoints.iter().map(|endpoint| {
+            let declared = Declared {
+                name: endpoint.name.clone(),
+                domain: id::of(&endpoint.failure_domain),
+                service: id::of(&endpoint.service),
+                address: endpoint.address.clone(),
+                initial_limit: limits.get(&endpoint.service).copied().unwrap_or(1).into(),
+            };
+            (id::of(&endpoint.name), declared)
+        });
+        declared.collect()
+    }
+
+    /// The services as admission takes them.
+    pub fn services(&self) -> HashMap<ServiceId, online::Service> {
+        let state = self.state();
+        state
+            .services
+            .iter()
+            .map(|s| (id::of(&s.name), self.service(s)))
+            .collect()
+    }
+
+    fn service(&self, service: &Service) -> online::Service {
+        let shares = self
+            .state()
+            .shares
+            .iter()
+            .filter(|share| share.service == service.name);
+        online::Service {
+            first_token_goal: ms(service.first_token_ms),
+            queue_limit: service.queue_limit as usize,
+            max_in_flight: service.max_in_flight as usize,
+            learn: service.kind == ServiceKind::Model,
+            shares: shares
+                .map(|s| (id::of(&s.workspace), s.online_share))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,25 @@
+//! A serving system that runs online and batch inference on one fleet.
+//!
+//! The decisions are in [`decide`], pure; the other modules are the shells around them.
+
+pub mod batch;
+pub mod bench;
+pub mod bulk;
+pub mod clock;
+pub mod config;
+pub mod ctl;
+pub mod decide;
+pub mod engine;
+pub mod entry;
+pub mod http;
+pub mod id;
+pub mod logging;
+pub mod metrics;
+pub mod pages;
+pub mod peer;
+pub mod platform;
+pub mod segments;
+pub mod settings;
+pub mod standin;
+pub mod util;
+pub mod wire;
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,258 @@
+//! Client of the platform's key-value service and VM list.
+
+use std::io::Read;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::clock;
+use crate::decide::commit::{Answer, Commit, Step};
+use crate::id::{Name, Revision};
+use crate::util::escape;
+
+/// Largest value that the service holds.
+pub const VALUE_BYTES: usize = 1024 * 1024;
+const REPLY_BYTES: u64 = 64 * 1024 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const SETTLE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a call on the platform brought nothing.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// Nothing took effect.
+    #[snafu(display("the platform is away: {detail}"))]
+    Away { detail: String },
+    /// A write may or may not have taken effect.
+    #[snafu(display("the platform's answer was lost: {detail}"))]
+    Unknown { detail: String },
+    /// The service answered what it should not.
+    #[snafu(display("the platform answered {status}"))]
+    Status { status: u16 },
+}
+
+/// One key as it was read.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Entry {
+    pub key: String,
+    pub revision: Revision,
+    pub value: String,
+}
+
+/// What changed under a prefix.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Changes {
+    /// The revision to watch after next.
+    pub revision: Revision,
+    pub entries: Vec<Entry>,
+}
+
+/// A VM as the platform's lagging list shows it.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ListedVm {
+    pub name: Name,
+    pub failure_domain: Name,
+    pub gossip_address: String,
+    pub peer_address: String,
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+#[derive(Deserialize)]
+struct Written {
+    revision: Revision,
+}
+
+#[derive(Deserialize)]
+struct Granted {
+    lease: u64,
+}
+
+/// How a settled write ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Settled {
+    Won(Revision),
+    /// Somebody else's value stands.
+    Lost(Option<Entry>),
+    /// Nothing took effect.
+    Away,
+    /// It could not be told before the deadline.
+    Unknown,
+}
+
+/// A connection pool to the platform.
+#[derive(Clone)]
+pub struct Platform {
+    agent: ureq::Agent,
+    base: String,
+}
+
+impl Platform {
+    /// `address` is `host:port`; `timeout` bounds each read of an answer.
+    pub fn new(address: &str, timeout: Duration) -> Platform {
+        let agent = ureq::AgentBuilder::new()
+            .timeout_connect(CONNECT_TIMEOUT)
+            .timeout_read(timeout)
+            .timeout_write(timeout)
+            .redirects(0)
+            .build();
+        Platform {
+            agent,
+            base: format!("http://{address}"),
+        }
+    }
+
+    /// Reads one key.
+    pub fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
+        let url = format!("{}/kv/{}", self.base, escape(key));
+        match self.agent.get(&url).call() {
+            Ok(response) => {
+                let revision = response.header("X-Revision").and_then(|r| r.parse().ok());
+                let revision = revision.ok_or(Error::Status { status: 200 })?;
+                Ok(Some(Entry {
+                    key: key.into(),
+                    revision,
+                    value: text(response)?,
+                }))
+            }
+            Err(ureq::Error::Status(404, _)) => Ok(None),
+            Err(error) => Err(read_error(error)),
+        }
+    }
+
+    /// Reads all keys under a prefix.
+    pub fn list(&self, prefix: &str) -> Result<Vec<Entry>, Error> {
+        let url = format!("{}/list?prefix={}", self.base, escape(prefix));
+        parse(self.agent.get(&url).call().map_err(read_error)?)
+    }
+
+    /// Waits at most `wait` for a change under a prefix after a revision.
+    pub fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Changes, Error> {
+        let url = format!(
+            "{}/watch?prefix={}&after={after}&wait_ms={}",
+            self.base,
+            escape(prefix),
+            wait.as_millis()
+        );
+        parse(self.agent.get(&url).call().map_err(read_error)?)
+    }
+
+    /// Writes a key if it stands at `expect`; 0 means that it must not exist.
+    pub fn put(&self, key: &str, expect: Revision, value: &str) -> Answer {
+        self.put_leased(key, expect, value, None)
+    }
+
+    /// Like [`Platform::put`], for a key that goes away with a lease.
+    pub fn put_leased(
+        &self,
+        key: &str,
+        expect: Revision,
+        value: &str,
+        lease: Option<u64>,
+    ) -> Answer {
+        let mut url = format!("{}/kv/{}?expect={expect}", self.base, escape(key));
+        if let Some(lease) = lease {
+            url.push_str(&format!("&lease={lease}"));
+        }
+        match self.agent.put(&url).send_bytes(value.as_bytes()) {
+            Ok(response) => match parse::<Written>(response) {
+                Ok(written) => Answer::Won(written.revision),
+                Err(_) => Answer::Unknown,
+            },
+            Err(ureq::Error::Status(409, _)) => Answer::Lost,
+            Err(ureq::Error::Status(429 | 503, _)) => Answer::Away,
+            Err(ureq::Error::Transport(t)) if t.kind() == ureq::ErrorKind::ConnectionFailed => {
+                Answer::Away
+            }
+            Err(_) => Answer::Unknown,
+        }
+    }
+
+    /// Writes a key and settles a lost answer by reading back, until `until` (monotonic).
+    ///
+    /// `value` must hold a nonce, so that two writers never write the same bytes.
+    pub fn commit(&self, key: &str, expect: Revision, value: &str, until: Duration) -> Settled {
+        let mut commit = Commit::new(expect);
+        let mut found = None;
+        loop {
+            let step = match commit.step() {
+                Step::Write => commit.written(self.put(key, expect, value)),
+                Step::Read => {
+                    let read = self.get(key);
+                    if let Ok(entry) = &read {
+                        found = entry.clone();
+                    }
+                    let seen = read.ok().map(|e| e.map(|e| (e.revision, e.value == value)));
+                    commit.read(seen)
+                }
+                ended => ended,
+            };
+            match step {
+                Step::Won(revision) => return Settled::Won(revision),
+                Step::Lost => return Settled::Lost(found),
+                Step::Away => return Settled::Away,
+                Step::Write | Step::Read if clock::now() >= until => return Settled::Unknown,
+                Step::Write | Step::Read => clock::sleep(commit.pause(SETTLE_PAUSE)),
+            }
+        }
+    }
+
+    /// Asks for a lease.
+    pub fn lease(&self, ttl: Duration) -> Result<u64, Error> {
+        let url = format!("{}/lease?ttl_ms={}", self.base, ttl.as_millis());
+        let granted: Granted = parse(self.agent.post(&url).call().map_err(read_error)?)?;
+        Ok(granted.lease)
+    }
+
+    /// Renews a lease; false when it has lapsed.
+    pub fn renew(&self, lease: u64) -> Result<bool, Error> {
+        let url = format!("{}/lease/{lease}/renew", self.base);
+        match self.agent.post(&url).call() {
+            Ok(_) => Ok(true),
+            Err(ureq::Error::Status(404, _)) => Ok(false),
+            Err(error) => Err(read_error(error)),
+        }
+    }
+
+    /// Reads the lagging list of VMs.
+    pub fn vms(&self) -> Result<Vec<ListedVm>, Error> {
+        parse(
+            self.agent
+                .get(&format!("{}/vms", self.base))
+                .call()
+                .map_err(read_error)?,
+        )
+    }
+}
+
+fn read_error(error: ureq::Error) -> Error {
+    match error {
+        ureq::Error::Status(429 | 503, _) => Error::Away {
+            detail: "refused for now".into(),
+        },
+        ureq::Error::Status(status, _) => Error::Status { status },
+        ureq::Error::Transport(transport) => Error::Away {
+            detail: transport.to_string(),
+        },
+    }
+}
+
+fn text(response: ureq::Response) -> Result<String, Error> {
+    let mut text = String::new();
+    let read = response
+        .into_reader()
+        .take(REPLY_BYTES)
+        .read_to_string(&mut text);
+    read.map_err(|error| Error::Unknown {
+        detail: error.to_string(),
+    })?;
+    Ok(text)
+}
+
+fn parse<T: for<'a> Deserialize<'a>>(response: ureq::Response) -> Result<T, Error> {
+    let text = text(response)?;
+    serde_json::from_str(&text).map_err(|error| Error::Unknown {
+        detail: error.to_string(),
+    })
+}
