--- /dev/null
+++ b/src/segments.rs
@@ -0,0 +1,148 @@
+//! Write-once content: inline in the key-value service, or copies on VMs with disks.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use snafu::Snafu;
+
+use crate::clock;
+use crate::decide::jobs::{segment_key, Place, Segment};
+use crate::id::{self, ranked, Name};
+use crate::peer;
+use crate::platform::{Platform, Settled, VALUE_BYTES};
+use crate::settings::BulkPeer;
+use crate::wire::{Key, PeerAsk, PeerReply};
+
+/// Content up to this size may go inline.
+pub const INLINE_BYTES: usize = VALUE_BYTES / 2;
+const PATIENCE: Duration = Duration::from_secs(3);
+const BULK_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why content could not be kept or read.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("the platform is away"))]
+    Platform,
+    #[snafu(display("only {got} of {wanted} copies could be made in distinct failure domains"))]
+    Copies { got: usize, wanted: usize },
+    #[snafu(display("{bytes} bytes are too large to keep without VMs with disks"))]
+    TooLarge { bytes: usize },
+    #[snafu(display("no copy of {digest} can be read"))]
+    Missing { digest: String },
+}
+
+/// Where content is kept.
+#[derive(Clone)]
+pub struct Segments {
+    pub platform: Platform,
+    pub key: Key,
+    pub bulk: Vec<BulkPeer>,
+    pub copies: usize,
+}
+
+impl Segments {
+    /// Keeps content; it is safe when this returns.
+    pub fn store(&self, content: &Bytes, lines: u32, inline: bool) -> Result<Segment, Error> {
+        let digest = id::digest(content);
+        let place = if inline && content.len() <= INLINE_BYTES {
+            self.store_inline(&digest, content)?
+        } else if self.bulk.is_empty() {
+            return TooLargeSnafu {
+                bytes: content.len(),
+            }
+            .fail();
+        } else {
+            self.store_bulk(&digest, content)?
+        };
+        Ok(Segment {
+            digest,
+            bytes: content.len() as u64,
+            lines,
+            place,
+        })
+    }
+
+    fn store_inline(&self, digest: &str, content: &Bytes) -> Result<Place, Error> {
+        let text = String::from_utf8_lossy(content);
+        let until = clock::now() + PATIENCE;
+        match self.platform.commit(&segment_key(digest), 0, &text, until) {
+            // The same digest is the same content, whoever wrote it.
+            Settled::Won(_) | Settled::Lost(Some(_)) => Ok(Place::Inline),
+            _ => PlatformSnafu.fail(),
+        }
+    }
+
+    fn store_bulk(&self, digest: &str, content: &Bytes) -> Result<Place, Error> {
+        let mut domains: Vec<&Name> = Vec::new();
+        let mut names = Vec::new();
+        let ask = PeerAsk::Put {
+            digest: digest.to_owned(),
+            content: content.clone(),
+        };
+        for peer in self.ranked(digest) {
+            if names.len() == self.copies {
+                break;
+            }
+            if domains.contains(&&peer.failure_domain) {
+                continue;
+            }
+            let kept = peer::call(peer.address, &self.key, &ask, BULK_TIMEOUT);
+            if matches!(kept, Ok(PeerReply::Kept)) {
+                domains.push(&peer.failure_domain);
+                names.push(peer.name.clone());
+            }
+        }
+        if names.len() < self.copies {
+            return CopiesSnafu {
+                got: names.len(),
+                wanted: self.copies,
+            }
+            .fail();
+        }
+        Ok(Place::Bulk(names))
+    }
+
+    /// All VMs with disks, those that should hold this content first.
+    fn ranked(&self, digest: &str) -> Vec<&BulkPeer> {
+        let order = ranked(
+            id::of(digest),
+            self.bulk.iter().map(|peer| id::of(&peer.name)),
+        );
+        let find = |id: &u64| self.bulk.iter().find(|peer| id::of(&peer.name) == *id);
+        order.iter().filter_map(find).collect()
+    }
+
+    /// Reads content, from whichever copy is whole.
+    pub fn load(&self, segment: &Segment) -> Result<Bytes, Error> {
+        let digest = &segment.digest;
+        let names = match &segment.place {
+            Place::Inline => return self.load_inline(digest),
+            Place::Bulk(names) => names,
+        };
+        // Repair may have moved copies since the record was written: ask those named first.
+        let mut peers = self.ranked(digest);
+        peers.sort_by_key(|peer| !names.contains(&peer.name));
+        let ask = PeerAsk::Get {
+            digest: digest.clone(),
+        };
+        for peer in peers {
+            let reply = peer::call(peer.address, &self.key, &ask, BULK_TIMEOUT);
+            if let Ok(PeerReply::Content(Some(content))) = reply {
+                if id::digest(&content) == *digest {
+                    return Ok(content);
+                }
+            }
+        }
+        MissingSnafu { digest }.fail()
+    }
+
+    fn load_inline(&self, digest: &str) -> Result<Bytes, Error> {
+        match self.platform.get(&segment_key(digest)) {
+            Ok(Some(entry)) if id::digest(entry.value.as_bytes()) == *digest => {
+                Ok(entry.value.into())
+            }
+            Ok(_) => MissingSnafu { digest }.fail(),
+            Err(_) => PlatformSnafu.fail(),
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,330 @@
+//! Settings of one process: a small JSON file, checked whole.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+
+use crate::config::check::Fault;
+use crate::config::load;
+use crate::id::Name;
+
+/// How log lines look.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    Text,
+}
+
+/// What is logged, and how.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    pub format: LogFormat,
+    pub level: String,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log {
+            format: LogFormat::Json,
+            level: "info".into(),
+        }
+    }
+}
+
+/// Settings of `bramley-entry`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    pub name: Name,
+    pub failure_domain: Name,
+    pub caller_address: SocketAddr,
+    pub operators_address: SocketAddr,
+    /// UDP, towards other entry VMs.
+    pub gossip_address: SocketAddr,
+    /// TCP, towards other entry VMs.
+    pub peer_address: SocketAddr,
+    /// TCP on loopback, for the batch process of this VM.
+    pub local_address: SocketAddr,
+    pub platform_address: SocketAddr,
+    /// Secret that all VMs share; datagrams and frames are authenticated with it.
+    pub cluster_key: String,
+    /// Gossip addresses to try first, before the platform's list is known.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// Where the last configuration is kept over a restart; nothing is kept without it.
+    #[serde(default)]
+    pub data_dir: Option<PathBuf>,
+    /// Peer addresses of the `bramley-bulk` processes, by VM name.
+    #[serde(default)]
+    pub bulk: Vec<BulkPeer>,
+    /// Copies of each piece of bulk content, each in another failure domain.
+    #[serde(default = "default_copies")]
+    pub bulk_copies: usize,
+    #[serde(default = "default_connections")]
+    pub max_connections: usize,
+    #[serde(default = "default_head_timeout_ms")]
+    pub head_timeout_ms: u64,
+    /// Time between saying "leaving" and accepting nothing more, at a planned stop.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+    /// Time after which a planned stop cuts what is left.
+    #[serde(default = "default_stop_limit_ms")]
+    pub stop_limit_ms: u64,
+    #[serde(default = "default_platform_timeout_ms")]
+    pub platform_timeout_ms: u64,
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// A VM with a disk for bulk content.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BulkPeer {
+    pub name: Name,
+    pub failure_domain: Name,
+    pub address: SocketAddr,
+}
+
+/// Settings of `bramley-batch`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Batch {
+    pub name: Name,
+    pub failure_domain: Name,
+    /// Local address of the entry process of this VM.
+    pub entry_address: SocketAddr,
+    pub operators_address: SocketAddr,
+    pub platform_address: SocketAddr,
+    pub cluster_key: String,
+    #[serde(default)]
+    pub bulk: Vec<BulkPeer>,
+    #[serde(default = "default_copies")]
+    pub bulk_copies: usize,
+    #[serde(default = "default_stop_limit_ms")]
+    pub stop_limit_ms: u64,
+    #[serde(default = "default_platform_timeout_ms")]
+    pub platform_timeout_ms: u64,
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Settings of `bramley-bulk`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bulk {
+    pub name: Name,
+    pub failure_domain: Name,
+    pub peer_address: SocketAddr,
+    pub operators_address: SocketAddr,
+    pub data_dir: PathBuf,
+    pub cluster_key: String,
+    /// The other VMs with disks.
+    #[serde(default)]
+    pub bulk: Vec<BulkPeer>,
+    /// Content older than this is removed.
+    #[serde(default = "default_retention_s")]
+    pub retention_s: u64,
+    /// Content is refused when this much is kept.
+    #[serde(default = "default_max_bytes")]
+    pub max_bytes: u64,
+    /// Copies of each piece, each in another failure domain.
+    #[serde(default = "default_copies")]
+    pub bulk_copies: usize,
+    /// Time between two looks for pieces with too few copies.
+    #[serde(default = "default_repair_ms")]
+    pub repair_ms: u64,
+    #[serde(default)]
+    pub log: Log,
+}
+
+fn default_copies() -> usize {
+    2
+}
+
+fn default_connections() -> usize {
+    2048
+}
+
+fn default_head_timeout_ms() -> u64 {
+    5_000
+}
+
+fn default_drain_ms() -> u64 {
+    3_000
+}
+
+fn default_stop_limit_ms() -> u64 {
+    30_000
+}
+
+fn default_platform_timeout_ms() -> u64 {
+    2_000
+}
+
+fn default_retention_s() -> u64 {
+    7 * 86_400
+}
+
+fn default_max_bytes() -> u64 {
+    64 * 1024 * 1024 * 1024
+}
+
+fn default_repair_ms() -> u64 {
+    30_000
+}
+
+/// Reads settings; `check` adds what types can't tell.
+pub fn read<T: DeserializeOwned>(
+    path: &Path,
+    check: impl Fn(&T) -> Vec<(&'static str, String, &'static str)>,
+) -> Result<T, Vec<Fault>> {
+    let file = path.display().to_string();
+    let fault = |path: String, found: String, allowed: &str| Fault {
+        file: file.clone(),
+        path,
+        found,
+        allowed: allowed.to_owned(),
+    };
+    let content = fs::read(path)
+        .map_err(|error| vec![fault("$".into(), error.to_string(), "a readable file")])?;
+    let settings: T = load::parse(&file, &content).map_err(|fault| vec![fault])?;
+    let faults: Vec<Fault> = check(&settings)
+        .into_iter()
+        .map(|(field, found, allowed)| fault(format!("$.{field}"), found, allowed))
+        .collect();
+    match faults.is_empty() {
+        true => Ok(settings),
+        false => Err(faults),
+    }
+}
+
+type Found = (&'static str, String, &'static str);
+
+fn common(cluster_key: &str, log: &Log) -> Vec<Found> {
+    let mut found = Vec::new();
+    if cluster_key.len() < 16 {
+        let length = format!("{} characters", cluster_key.len());
+        found.push(("cluster_key", length, "at least 16 characters"));
+    }
+    if log.level.parse::<log::LevelFilter>().is_err() {
+        found.push((
+            "log.level",
+            format!("{:?}", log.level),
+            "off error warn info debug trace",
+        ));
+    }
+    found
+}
+
+fn between(
+    field: &'static str,
+    value: u64,
+    from: u64,
+    to: u64,
+    allowed: &'static str,
+) -> Option<Found> {
+    (!(from..=to).contains(&value)).then(|| (field, value.to_string(), allowed))
+}
+
+/// Checks settings of `bramley-entry`.
+pub fn check_entry(settings: &Entry) -> Vec<Found> {
+    let mut found = common(&settings.cluster_key, &settings.log);
+    let connections = settings.max_connections as u64;
+    found.extend(between(
+        "max_connections",
+        connections,
+        1,
+        65_536,
+        "1 to 65536",
+    ));
+    found.extend(between(
+        "head_timeout_ms",
+        settings.head_timeout_ms,
+        10,
+        60_000,
+        "10 to 60000",
+    ));
+    found.extend(between(
+        "drain_ms",
+        settings.drain_ms,
+        0,
+        600_000,
+        "0 to 600000",
+    ));
+    found.extend(between(
+        "stop_limit_ms",
+        settings.stop_limit_ms,
+        1,
+        3_600_000,
+        "1 to 3600000",
+    ));
+    found.extend(between(
+        "bulk_copies",
+        settings.bulk_copies as u64,
+        1,
+        5,
+        "1 to 5",
+    ));
+    if settings.gossip_address.ip().is_unspecified() {
+        let address = settings.gossip_address.to_string();
+        found.push((
+            "gossip_address",
+            address,
+            "the IP number that the other VMs send to",
+        ));
+    }
+    found
+}
+
+/// Checks settings of `bramley-batch`.
+pub fn check_batch(settings: &Batch) -> Vec<Found> {
+    let mut found = common(&settings.cluster_key, &settings.log);
+    found.extend(between(
+        "bulk_copies",
+        settings.bulk_copies as u64,
+        1,
+        5,
+        "1 to 5",
+    ));
+    found.extend(between(
+        "stop_limit_ms",
+        settings.stop_limit_ms,
+        1,
+        3_600_000,
+        "1 to 3600000",
+    ));
+    found
+}
+
+/// Checks settings of `bramley-bulk`.
+pub fn check_bulk(settings: &Bulk) -> Vec<Found> {
+    let mut found = common(&settings.cluster_key, &settings.log);
+    found.extend(between(
+        "bulk_copies",
+        settings.bulk_copies as u64,
+        1,
+        5,
+        "1 to 5",
+    ));
+    found.extend(between(
+        "repair_ms",
+        settings.repair_ms,
+        100,
+        86_400_000,
+        "100 to 86400000",
+    ));
+    found
+}
+
+/// Milliseconds of a setting as a duration.
+pub fn ms(value_ms: u64) -> Duration {
+    Duration::from_millis(value_ms)
+}
--- /dev/null
+++ b/src/standin/engine.rs
@@ -0,0 +1,565 @@
+//! A model engine: continuous batching, a prefix cache, streams that resume and cancel.
+//!
+//! Each step takes a time that grows with the running set; requests are let in as they come.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tiny_http::{Method, Request};
+
+use super::{body_of, number};
+use crate::clock;
+use crate::id;
+use crate::pages::{self, Page};
+use crate::util::lock;
+
+const THREADS: usize = 16;
+/// A stream that nobody reads for so long is given up.
+const ORPHAN: Duration = Duration::from_secs(3);
+const KEPT: Duration = Duration::from_secs(10);
+const TOKENS_DEFAULT: u64 = 16;
+const PREFIX_BYTES: usize = 256;
+
+/// How the engine behaves; all may be changed while it runs.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Behaviour {
+    /// Requests in the running set.
+    pub slots: usize,
+    pub step_us: u64,
+    pub step_us_per_request: u64,
+    pub prefill_us_per_token: u64,
+    /// Prefixes in the cache; a cached one costs no prefill.
+    pub cached_prefixes: usize,
+    /// Load reports are this old.
+    pub report_lag_ms: u64,
+    pub fencing_checked: bool,
+    pub leaving: bool,
+    /// Takes requests and never answers them.
+    pub frozen: bool,
+    /// Steps take so many times longer.
+    pub slow_factor: f64,
+    /// Connections of this many streams break after the next token.
+    pub break_streams: u64,
+    /// Streams can't be resumed.
+    pub no_resume: bool,
+    /// This many answers carry another request's id and text.
+    pub swap_answers: u64,
+    /// This many whole answers are cut in the middle.
+    pub cut_answers: u64,
+    /// This many requests are answered 500.
+    pub fail_requests: u64,
+    /// A prompt with this text ends the process.
+    pub poison: String,
+}
+
+impl Default for Behaviour {
+    fn default() -> Behaviour {
+        Behaviour {
+            slots: 16,
+            step_us: 4_000,
+            step_us_per_request: 250,
+            prefill_us_per_token: 20,
+            cached_prefixes: 32,
+            report_lag_ms: 300,
+            fencing_checked: true,
+            leaving: false,
+            frozen: false,
+            slow_factor: 1.0,
+            break_streams: 0,
+            no_resume: false,
+            swap_answers: 0,
+            cut_answers: 0,
+            fail_requests: 0,
+            poison: String::new(),
+        }
+    }
+}
+
+/// Counters since the start.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Counts {
+    pub requests: u64,
+    pub finished: u64,
+    pub cancelled: u64,
+    pub tokens: u64,
+    pub prefix_hits: u64,
+    pub prefix_misses: u64,
+    pub orders: u64,
+    pub orders_refused: u64,
+}
+
+#[derive(Debug)]
+struct Sequence {
+    words: Vec<String>,
+    prompt_tokens: u64,
+    prefix: u64,
+    emitted: usize,
+    cancelled: bool,
+    finished_at: Option<Duration>,
+    read_at: Duration,
+}
+
+#[derive(Default)]
+struct State {
+    behaviour: Behaviour,
+    sequences: HashMap<String, Sequence>,
+    waiting: VecDeque<String>,
+    running: Vec<String>,
+    cache: VecDeque<u64>,
+    counts: Counts,
+    reports: VecDeque<(Duration, usize, usize)>,
+    models: Vec<String>,
+    fence: u64,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+    incarnation: u64,
+}
+
+/// Starts the stand-in on an open listener.
+pub fn serve(listener: TcpListener, behaviour: Behaviour) -> io::Result<SocketAddr> {
+    let address = listener.local_addr()?;
+    let state = State {
+        behaviour,
+        ..State::default()
+    };
+    let shared = Arc::new(Shared {
+        state: Mutex::new(state),
+        changed: Condvar::new(),
+        incarnation: clock::unix_ms(),
+    });
+    let stepping = shared.clone();
+    thread::Builder::new()
+        .name("steps".into())
+        .spawn(move || step_loop(&stepping))?;
+    pages::serve(listener, THREADS, move |request| handle(&shared, request))?;
+    Ok(address)
+}
+
+fn step_loop(shared: &Shared) {
+    loop {
+        let mut state = lock(&shared.state);
+        let now = clock::now();
+        state.forget(now);
+        if state.behaviour.frozen || (state.running.is_empty() && state.waiting.is_empty()) {
+            state.note_load(now);
+            let _ = shared
+                .changed
+                .wait_timeout(state, Duration::from_millis(20));
+            continue;
+        }
+        let prefill_us = state.admit();
+        let behaviour = &state.behaviour;
+        let step_us = behaviour.step_us
+            + behaviour.step_us_per_request * state.running.len() as u64
+            + prefill_us;
+        let step = Duration::from_micros(step_us).mul_f64(behaviour.slow_factor);
+        state.note_load(now);
+        drop(state);
+        clock::sleep(step);
+        lock(&shared.state).emit(clock::now());
+        shared.changed.notify_all();
+    }
+}
+
+impl State {
+    /// Lets waiting requests in; returns what their prompts cost.
+    fn admit(&mut self) -> u64 {
+        let mut cost_us = 0;
+        while self.running.len() < self.behaviour.slots {
+            let Some(id) = self.waiting.pop_front() else {
+                break;
+            };
+            let Some(sequence) = self.sequences.get(&id) else {
+                continue;
+            };
+            if sequence.cancelled {
+                continue;
+            }
+            let (prefix, tokens) = (sequence.prefix, sequence.prompt_tokens);
+            if self.cache.contains(&prefix) {
+                self.counts.prefix_hits += 1;
+                self.cache.retain(|cached| *cached != prefix);
+            } else {
+                self.counts.prefix_misses += 1;
+                cost_us += tokens * self.behaviour.prefill_us_per_token;
+            }
+            self.cache.push_back(prefix);
+            while self.cache.len() > self.behaviour.cached_prefixes {
+                self.cache.pop_front();
+            }
+            self.running.push(id);
+        }
+        cost_us
+    }
+
+    fn emit(&mut self, now: Duration) {
+        let running = std::mem::take(&mut self.running);
+        for id in running {
+            let Some(sequence) = self.sequences.get_mut(&id) else {
+                continue;
+            };
+            if now >= sequence.read_at + ORPHAN {
+                sequence.cancelled = true;
+            }
+            if sequence.cancelled {
+                sequence.finished_at = Some(now);
+                self.counts.cancelled += 1;
+                continue;
+            }
+            sequence.emitted += 1;
+            self.counts.tokens += 1;
+            if sequence.emitted < sequence.words.len() {
+                self.running.push(id);
+            } else {
+                sequence.finished_at = Some(now);
+                self.counts.finished += 1;
+            }
+        }
+    }
+
+    fn note_load(&mut self, now: Duration) {
+        let load = (now, self.running.len(), self.waiting.len());
+        self.reports.push_back(load);
+        let lag = Duration::from_millis(self.behaviour.report_lag_ms);
+        while self.reports.get(1).is_some_and(|(at, ..)| *at + lag <= now) {
+            self.reports.pop_front();
+        }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        self.sequences
+            .retain(|_, s| s.finished_at.is_none_or(|at| now < at + KEPT));
+    }
+}
+
+fn handle(shared: &Arc<Shared>, mut request: Request) {
+    let target = request.url().to_owned();
+    let path = target.split('?').next().unwrap_or_default().to_owned();
+    let body = body_of(&mut request);
+    let page = match path.as_str() {
+        "/control" => control(shared, &body),
+        "/stats" => Page::json(200, &lock(&shared.state).counts),
+        "/load" => load(shared),
+        "/orders" => orders(shared, &body),
+        "/v1/chat/completions" | "/v1/completions" => return spawn(shared, request, body),
+        _ if path.starts_with("/attempts/") => match path.rsplit('/').next() {
+            Some("cancel") => cancel(shared, &path),
+            _ => return resume(shared, &path, &target, request),
+        },
+        _ => Page::text(404, "no such page"),
+    };
+    page.send(request);
+}
+
+fn control(shared: &Shared, body: &[u8]) -> Page {
+    let mut state = lock(&shared.state);
+    let mut merged = serde_json::to_value(&state.behaviour).unwrap_or_default();
+    let change: Value = serde_json::from_slice(body).unwrap_or_default();
+    for (field, value) in change.as_object().into_iter().flatten() {
+        merged[field] = value.clone();
+    }
+    match serde_json::from_value(merged) {
+        Ok(behaviour) => state.behaviour = behaviour,
+        Err(error) => return Page::text(400, error.to_string()),
+    }
+    shared.changed.notify_all();
+    Page::text(200, "done")
+}
+
+fn load(shared: &Shared) -> Page {
+    let state = lock(&shared.state);
+    let (_, running, waiting) = state.reports.front().copied().unwrap_or_default();
+    Page::json(
+        200,
+        &json!({
+            "incarnation": shared.incarnation,
+            "running": running,
+            "waiting": waiting,
+            "leaving": state.behaviour.leaving,
+            "models": state.models,
+        }),
+    )
+}
+
+#[derive(Deserialize)]
+struct Order {
+    fence: u64,
+    models: Vec<String>,
+}
+
+fn orders(shared: &Shared, body: &[u8]) -> Page {
+    let Ok(order) = serde_json::from_slice::<Order>(body) else {
+        return Page::text(400, "not an order");
+    };
+    let mut state = lock(&shared.state);
+    if state.behaviour.fencing_checked && order.fence < state.fence {
+        state.counts.orders_refused += 1;
+        return Page::json(409, &json!({ "fence": state.fence }));
+    }
+    state.counts.orders += 1;
+    state.fence = order.fence;
+    state.models = order.models;
+    Page::json(200, &json!({ "fence": state.fence }))
+}
+
+/// The text that the engine answers to a prompt: anyone can check whose answer it is.
+pub fn answer_to(prompt: &str, tokens: u64) -> String {
+    words(prompt, tokens).concat()
+}
+
+fn words(prompt: &str, tokens: u64) -> Vec<String> {
+    let hash = id::of(prompt);
+    (0..tokens.max(1))
+        .map(|at| format!("{:x}.{at} ", hash % 0x10000))
+        .collect()
+}
+
+fn prompt_of(body: &Value) -> String {
+    match body.get("messages") {
+        Some(messages) => messages.to_string(),
+        None => body.get("prompt").map(Value::to_string).unwrap_or_default(),
+    }
+}
+
+/// Handles a generation on a thread of its own, so that streams don't use up the pages' threads.
+fn spawn(shared: &Arc<Shared>, request: Request, body: Vec<u8>) {
+    let shared = shared.clone();
+    thread::spawn(move || generate(&shared, request, &body));
+}
+
+fn attempt_of(request: &Request) -> String {
+    let header = request
+        .headers()
+        .iter()
+        .find(|header| header.field.equiv("X-Attempt-Id"));
+    header.map_or_else(String::new, |header| header.value.as_str().to_owned())
+}
+
+fn generate(shared: &Shared, request: Request, body: &[u8]) {
+    let Ok(body) = serde_json::from_slice::<Value>(body) else {
+        return Page::json(400, &json!({ "error": { "message": "not JSON" } })).send(request);
+    };
+    let prompt = prompt_of(&body);
+    let tokens = body
+        .get("max_tokens")
+        .and_then(Value::as_u64)
+        .unwrap_or(TOKENS_DEFAULT);
+    let attempt = attempt_of(&request);
+    let mut state = lock(&shared.state);
+    if !state.behaviour.poison.is_empty() && prompt.contains(&state.behaviour.poison) {
+        std::process::exit(3);
+    }
+    if state.behaviour.leaving {
+        drop(state);
+        return Page::text(503, "leaving").send(request);
+    }
+    state.counts.requests += 1;
+    if state.behaviour.fail_requests > 0 {
+        state.behaviour.fail_requests -= 1;
+        drop(state);
+        return Page::text(500, "failed").send(request);
+    }
+    let prefix: String = prompt.chars().take(PREFIX_BYTES).collect();
+    let sequence = Sequence {
+        words: words(&prompt, tokens),
+        prompt_tokens: prompt.len() as u64 / 4 + 1,
+        prefix: id::of(&prefix),
+        emitted: 0,
+        cancelled: false,
+        finished_at: None,
+        read_at: clock::now(),
+    };
+    state.sequences.insert(attempt.clone(), sequence);
+    state.waiting.push_back(attempt.clone());
+    drop(state);
+    shared.changed.notify_all();
+    match body.get("stream").and_then(Value::as_bool) {
+        Some(true) => stream(shared, request, &attempt, 0),
+        _ => whole(shared, request, &attempt),
+    }
+}
+
+fn cancel(shared: &Shared, path: &str) -> Page {
+    let id = path.split('/').nth(2).unwrap_or_default();
+    let mut state = lock(&shared.state);
+    let found = state
+        .sequences
+        .get_mut(id)
+        .map(|sequence| sequence.cancelled = true);
+    shared.changed.notify_all();
+    match found {
+        Some(()) => Page::text(200, "cancelled"),
+        None => Page::text(404, "no such attempt"),
+    }
+}
+
+fn resume(shared: &Arc<Shared>, path: &str, target: &str, request: Request) {
+    let id = path.split('/').nth(2).unwrap_or_default().to_owned();
+    let state = lock(&shared.state);
+    if *request.method() != Method::Get
+        || state.behaviour.no_resume
+        || !state.sequences.contains_key(&id)
+    {
+        drop(state);
+        return Page::text(404, "no such attempt").send(request);
+    }
+    drop(state);
+    let offset = number(target, "offset") as usize;
+    let shared = shared.clone();
+    thread::spawn(move || stream(&shared, request, &id, offset));
+}
+
+enum Seen {
+    Words(Vec<String>, bool),
+    Cancelled,
+}
+
+/// Waits until the sequence is past `offset`.
+fn wait(shared: &Shared, id: &str, offset: usize) -> Seen {
+    let mut state = lock(&shared.state);
+    loop {
+        let Some(sequence) = state.sequences.get_mut(id) else {
+            return Seen::Cancelled;
+        };
+        sequence.read_at = clock::now();
+        if sequence.emitted > offset || sequence.emitted == sequence.words.len() {
+            let fresh = sequence.words[offset.min(sequence.emitted)..sequence.emitted].to_vec();
+            return Seen::Words(fresh, sequence.emitted == sequence.words.len());
+        }
+        if sequence.cancelled {
+            return Seen::Cancelled;
+        }
+        state = pause(shared, state);
+    }
+}
+
+fn pause<'a>(shared: &'a Shared, state: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
+    match shared
+        .changed
+        .wait_timeout(state, Duration::from_millis(100))
+    {
+        Ok((state, _)) => state,
+        Err(poisoned) => poisoned.into_inner().0,
+    }
+}
+
+fn take(shared: &Shared, pick: impl Fn(&mut Behaviour) -> &mut u64) -> bool {
+    let mut state = lock(&shared.state);
+    let count = pick(&mut state.behaviour);
+    let any = *count > 0;
+    *count = count.saturating_sub(1);
+    any
+}
+
+fn stream(shared: &Shared, request: Request, id: &str, offset: usize) {
+    let mut out = request.into_writer();
+    let _ = send_stream(shared, &mut *out, id, offset);
+}
+
+fn send_stream(shared: &Shared, out: &mut dyn Write, id: &str, offset: usize) -> io::Result<()> {
+    let mut at = offset;
+    let mut started = false;
+    loop {
+        let (fresh, finished) = match wait(shared, id, at) {
+            Seen::Words(fresh, finished) => (fresh, finished),
+            Seen::Cancelled => (Vec::new(), false),
+        };
+        if !started {
+            started = true;
+            let swap = take(shared, |b| &mut b.swap_answers);
+            let echoed = if swap { "another" } else { id };
+            write!(
+                out,
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {echoed}\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n"
+            )?;
+        }
+        if fresh.is_empty() && !finished {
+            return event(out, "data: {\"error\":{\"code\":\"cancelled\"}}\n\n", true);
+        }
+        for word in fresh {
+            let chunk = json!({
+                "id": id,
+                "object": "chat.completion.chunk",
+                "choices": [{ "index": 0, "delta": { "content": word }, "finish_reason": null }],
+            });
+            at += 1;
+            event(out, &format!("id: {at}\ndata: {chunk}\n\n"), false)?;
+            if take(shared, |b| &mut b.break_streams) {
+                // A chunk size that is no number ends the connection for the reader.
+                out.write_all(b"broken\r\n")?;
+                return out.flush();
+            }
+        }
+        if finished {
+            return event(out, "data: [DONE]\n\n", true);
+        }
+    }
+}
+
+fn event(out: &mut dyn Write, text: &str, last: bool) -> io::Result<()> {
+    let mut piece = format!("{:x}\r\n{text}\r\n", text.len());
+    if last {
+        piece.push_str("0\r\n\r\n");
+    }
+    out.write_all(piece.as_bytes())?;
+    out.flush()
+}
+
+fn whole(shared: &Shared, request: Request, id: &str) {
+    let mut text = String::new();
+    let mut at = 0;
+    loop {
+        match wait(shared, id, at) {
+            Seen::Cancelled => {
+                let body = json!({ "error": { "code": "cancelled" } });
+                return Page::json(409, &body).send(request);
+            }
+            Seen::Words(fresh, finished) => {
+                at += fresh.len();
+                text.push_str(&fresh.concat());
+                if finished {
+                    break;
+                }
+            }
+        }
+    }
+    let swap = take(shared, |b| &mut b.swap_answers);
+    let echoed = if swap { "another" } else { id };
+    let body = json!({
+        "id": id,
+        "object": "chat.completion",
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": "stop",
+        }],
+        "usage": { "completion_tokens": at },
+    })
+    .to_string();
+    let cut = take(shared, |b| &mut b.cut_answers);
+    let sent = if cut { &body[..body.len() / 2] } else { &body };
+    let mut out = request.into_writer();
+    let _ = write!(
+        out,
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Attempt-Id: {echoed}\r\n\
+         Content-Length: {}\r\n\r\n{sent}",
+        body.len()
+    );
+    if cut {
+        // What follows can't be mistaken for the rest.
+        let _ = out.write_all(&vec![b' '; body.len() - sent.len()]);
+    }
+    let _ = out.flush();
+}
--- /dev/null
+++ b/src/standin/fleet.rs
@@ -0,0 +1,692 @@
+//! A small fleet on loopback, as processes, for tests, benchmarks and the demo.
+
+use std::fs::{self, File};
+use std::io::{self, BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+
+use super::relay::Relay;
+use crate::clock;
+use crate::config::{load, store};
+use crate::id;
+use crate::platform::Platform;
+
+const CLUSTER_KEY: &str = "a secret for tests on loopback only";
+const START_PATIENCE: Duration = Duration::from_secs(15);
+const LOOK: Duration = Duration::from_millis(25);
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+const PORT_FROM: u16 = 10_000;
+const PORT_COUNT: u16 = 20_000;
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub failure_domains: usize,
+    pub entries: usize,
+    pub engines: usize,
+    /// Behaviour of the engines.
+    pub behaviour: Value,
+    pub bulk: bool,
+    pub batch: bool,
+    /// Fields that replace those of the service `permit-desk`.
+    pub service: Value,
+    /// Fields that replace those of the entries' settings.
+    pub entry: Value,
+    /// Folder of the configuration; one is written when there is none.
+    pub config: Option<PathBuf>,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            failure_domains: 1,
+            entries: 1,
+            engines: 1,
+            behaviour: json!({}),
+            bulk: false,
+            batch: true,
+            service: json!({}),
+            entry: json!({}),
+            config: None,
+        }
+    }
+}
+
+/// One process.
+pub struct Process {
+    pub name: String,
+    pub failure_domain: usize,
+    /// Towards callers, or towards the system for a stand-in.
+    pub address: SocketAddr,
+    pub operators: Option<SocketAddr>,
+    binary: &'static str,
+    arguments: Vec<String>,
+    child: Child,
+}
+
+/// All processes; dropped, it ends them.
+pub struct Fleet {
+    pub folder: PathBuf,
+    pub platform: SocketAddr,
+    pub entries: Vec<Process>,
+    pub batches: Vec<Process>,
+    pub engines: Vec<Process>,
+    pub bulks: Vec<Process>,
+    pub services: Vec<Process>,
+    /// The link of each failure domain to the platform.
+    pub links: Vec<Relay>,
+    platform_process: Process,
+}
+
+/// Keys of the two workspaces.
+pub const KEYS: [(&str, &str); 2] = [
+    ("terrasse", "terrasse-key"),
+    ("deck-works", "deck-works-key"),
+];
+
+/// A port that is free for TCP and UDP.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() as u16).wrapping_mul(97);
+    loop {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst)) % PORT_COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], PORT_FROM + number));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+fn binary_folder() -> PathBuf {
+    let mut folder = std::env::current_exe().unwrap_or_default();
+    folder.pop();
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    folder
+}
+
+fn merge(base: Value, change: &Value) -> Value {
+    let mut base = base;
+    for (field, value) in change.as_object().into_iter().flatten() {
+        base[field] = value.clone();
+    }
+    base
+}
+
+fn standin(name: &str, domain: usize, arguments: &[&str]) -> io::Result<Process> {
+    let arguments: Vec<String> = arguments.iter().map(|a| (*a).to_owned()).collect();
+    let mut child = Command::new(binary_folder().join("bramley-standin"))
+        .args(&arguments)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::inherit())
+        .spawn()?;
+    let mut line = String::new();
+    if let Some(out) = child.stdout.take() {
+        BufReader::new(out).read_line(&mut line)?;
+    }
+    let address = line
+        .trim()
+        .strip_prefix("address ")
+        .and_then(|text| text.parse().ok());
+    let address = address.ok_or_else(|| io::Error::other(format!("{name} said {line:?}")))?;
+    Ok(Process {
+        name: name.to_owned(),
+        failure_domain: domain,
+        address,
+        operators: None,
+        binary: "bramley-standin",
+        arguments,
+        child,
+    })
+}
+
+impl Process {
+    fn start(
+        folder: &Path,
+        name: &str,
+        domain: usize,
+        binary: &'static str,
+        settings: &Value,
+        address: SocketAddr,
+    ) -> io::Result<Process> {
+        let file = folder.join(format!("{name}.json"));
+        fs::write(&file, settings.to_string())?;
+        let operators = settings["operators_address"]
+            .as_str()
+            .and_then(|a| a.parse().ok());
+        let arguments = vec![file.display().to_string()];
+        let child = spawn(folder, name, binary, &arguments)?;
+        let name = name.to_owned();
+        Ok(Process {
+            name,
+            failure_domain: domain,
+            address,
+            operators,
+            binary,
+            arguments,
+            child,
+        })
+    }
+
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Ends it at once, as a crash would.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks it to stop in order.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Freezes it.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Waits for its end; the exit code, or `None` when it was killed or goes on.
+    pub fn wait(&mut self, patience: Duration) -> Option<i32> {
+        let until = clock::now() + patience;
+        while clock::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            clock::sleep(LOOK);
+        }
+        None
+    }
+
+    /// Whether it runs.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Starts it again after its end, with the same settings.
+    pub fn restart(&mut self, folder: &Path) -> io::Result<()> {
+        self.child = spawn(folder, &self.name, self.binary, &self.arguments)?;
+        Ok(())
+    }
+
+    /// A page of its operators' address.
+    pub fn page(&self, path: &str) -> Value {
+        let Some(address) = self.operators else {
+            return Value::Null;
+        };
+        let text = call(address, "GET", path, "", &[], b"").map(|answer| answer.text());
+        serde_json::from_str(&text.unwrap_or_default()).unwrap_or(Value::Null)
+    }
+
+    /// Changes a stand-in's behaviour.
+    pub fn control(&self, change: Value) {
+        let path = if self.name == "platform" {
+            "/control/fault"
+        } else {
+            "/control"
+        };
+        let body = change.to_string();
+        let _ = call(self.address, "POST", path, "", &[], body.as_bytes());
+    }
+
+    /// A stand-in's counters.
+    pub fn stats(&self) -> Value {
+        let text = call(self.address, "GET", "/stats", "", &[], b"").map(|answer| answer.text());
+        serde_json::from_str(&text.unwrap_or_default()).unwrap_or(Value::Null)
+    }
+}
+
+fn spawn(folder: &Path, name: &str, binary: &str, arguments: &[String]) -> io::Result<Child> {
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(folder.join(format!("{name}.log")))?;
+    let quiet = File::options().append(true).open("/dev/null")?;
+    Command::new(binary_folder().join(binary))
+        .args(arguments)
+        .stderr(log)
+        .stdout(quiet)
+        .spawn()
+}
+
+/// An answer to [`call`].
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// The body ended before its end.
+    pub cut: bool,
+}
+
+impl Answer {
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// Calls a process as an outside client would.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    key: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<Answer> {
+    let agent = ureq::AgentBuilder::new()
+        .max_idle_connections(0)
+        .redirects(0)
+        .build();
+    let url = format!("http://{address}{path}");
+    let mut request = agent.request(method, &url).timeout(CALL_TIMEOUT);
+    if !key.is_empty() {
+        request = request.set("Authorization", &format!("Bearer {key}"));
+    }
+    for (name, value) in headers {
+        request = request.set(name, value);
+    }
+    let response = match request.send_bytes(body) {
+        Ok(response) | Err(ureq::Error::Status(_, response)) => response,
+        Err(error) => return Err(io::Error::other(error.to_string())),
+    };
+    let status = response.status();
+    let names = response.headers_names();
+    let headers = names
+        .iter()
+        .filter_map(|name| Some((name.clone(), response.header(name)?.to_owned())))
+        .collect();
+    let mut body = Vec::new();
+    let cut = response.into_reader().read_to_end(&mut body).is_err();
+    Ok(Answer {
+        status,
+        headers,
+        body,
+        cut,
+    })
+}
+
+impl Fleet {
+    /// Starts everything and waits until all entry VMs are ready.
+    pub fn start(name: &str, plan: &Plan) -> io::Result<Fleet> {
+        let folder =
+            std::env::temp_dir().join(format!("bramleyseam-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder)?;
+        let platform_process = standin("platform", 0, &["platform"])?;
+        let platform = platform_process.address;
+        let mut fleet = Fleet {
+            folder,
+            platform,
+            entries: Vec::new(),
+            batches: Vec::new(),
+            engines: Vec::new(),
+            bulks: Vec::new(),
+            services: Vec::new(),
+            links: Vec::new(),
+            platform_process,
+        };
+        fleet.start_outside(plan)?;
+        let config = fleet.write_config(plan)?;
+        fleet.apply(&config)?;
+        fleet.start_vms(plan)?;
+        fleet.wait_ready(START_PATIENCE)?;
+        Ok(fleet)
+    }
+
+    fn start_outside(&mut self, plan: &Plan) -> io::Result<()> {
+        let behaviour = plan.behaviour.to_string();
+        for domain in 0..plan.failure_domains {
+            self.links.push(Relay::start(self.platform)?);
+            for engine in 0..plan.engines {
+                let name = format!("engine-{domain}-{engine}");
+                let arguments = ["engine", "--behaviour", &behaviour];
+                self.engines.push(standin(&name, domain, &arguments)?);
+            }
+        }
+        self.services.push(standin("registry-1", 0, &["service"])?);
+        Ok(())
+    }
+
+    /// Writes the configuration with the stand-ins' addresses; returns its folder.
+    pub fn write_config(&self, plan: &Plan) -> io::Result<PathBuf> {
+        let target = self.folder.join("config");
+        fs::create_dir_all(&target)?;
+        let mut endpoints = Vec::new();
+        for engine in &self.engines {
+            endpoints.push(json!({
+                "name": engine.name,
+                "failure_domain": format!("fd-{}", engine.failure_domain),
+                "service": "permit-desk",
+                "address": engine.address.to_string(),
+            }));
+        }
+        for service in &self.services {
+            endpoints.push(json!({
+                "name": service.name,
+                "failure_domain": "fd-0",
+                "service": "registry",
+                "address": service.address.to_string(),
+            }));
+        }
+        let write = |kind: &str, rows: Value| {
+            fs::write(target.join(format!("{kind}.json")), rows.to_string())
+        };
+        write("endpoints", json!(endpoints))?;
+        let domains: Vec<Value> = (0..plan.failure_domains)
+            .map(|domain| json!({ "name": format!("fd-{domain}"), "region": "port-louis" }))
+            .collect();
+        write("failure_domains", json!(domains))?;
+        if let Some(source) = &plan.config {
+            let kinds = [
+                "services",
+                "models",
+                "adapters",
+                "versions",
+                "workspaces",
+                "shares",
+            ];
+            for kind in kinds {
+                let file = format!("{kind}.json");
+                fs::copy(source.join(&file), target.join(&file))?;
+            }
+            return Ok(target);
+        }
+        let desk = json!({
+            "name": "permit-desk", "kind": "model", "models": ["permit-7b"],
+            "fencing": "checked", "idempotent": true,
+            "deadline_ms": 20_000, "first_token_ms": 580,
+        });
+        let registry = json!({
+            "name": "registry", "kind": "plain", "fencing": "ignored", "idempotent": false,
+            "deadline_ms": 3_000, "first_token_ms": 1_000, "initial_limit": 32,
+        });
+        write("services", json!([merge(desk, &plan.service), registry]))?;
+        write(
+            "models",
+            json!([{ "name": "permit-7b", "weights": "w/permit-7b", "bytes": 1 }]),
+        )?;
+        write("adapters", json!([]))?;
+        write(
+            "versions",
+            json!([{ "model": "permit-7b", "version": "1" }]),
+        )?;
+        let workspaces: Vec<Value> = KEYS
+            .iter()
+            .map(|(name, key)| json!({ "name": name, "key_digests": [id::digest(key.as_bytes())] }))
+            .collect();
+        write("workspaces", json!(workspaces))?;
+        let shares: Vec<Value> = KEYS
+            .iter()
+            .flat_map(|(name, _)| {
+                ["permit-desk", "registry"].map(|service| {
+                    json!({
+                        "workspace": name, "service": service,
+                        "online_share": 0.5, "batch_share": 0.5,
+                    })
+                })
+            })
+            .collect();
+        write("shares", json!(shares))?;
+        Ok(target)
+    }
+
+    /// Applies a configuration folder, as `bramleyctl apply` does.
+    pub fn apply(&self, folder: &Path) -> io::Result<u64> {
+        let state =
+            load::folder(folder).map_err(|faults| io::Error::other(format!("{:?}", faults)))?;
+        let platform = Platform::new(&self.platform.to_string(), Duration::from_secs(2));
+        let base = store::read_head(&platform).map_err(io::Error::other)?;
+        let applied = store::apply(&platform, base, &state, "test", Duration::from_secs(5));
+        match applied.map_err(io::Error::other)? {
+            store::Applied::Won(head) => Ok(head.version),
+            store::Applied::Lost(_) => Err(io::Error::other("another version stands")),
+        }
+    }
+
+    fn start_vms(&mut self, plan: &Plan) -> io::Result<()> {
+        let mut bulk = Vec::new();
+        let mut vms = Vec::new();
+        let mut settings = Vec::new();
+        for domain in 0..plan.failure_domains {
+            for entry in 0..plan.entries {
+                let name = format!("vm-{domain}-{entry}");
+                let addresses: Vec<SocketAddr> = (0..7).map(|_| free_address()).collect();
+                if plan.bulk && entry == 0 {
+                    bulk.push(json!({
+                        "name": name,
+                        "failure_domain": format!("fd-{domain}"),
+                        "address": addresses[5],
+                    }));
+                }
+                vms.push(json!({
+                    "name": name,
+                    "failure_domain": format!("fd-{domain}"),
+                    "gossip_address": addresses[0].to_string(),
+                    "peer_address": addresses[1].to_string(),
+                }));
+                settings.push((name, domain, addresses));
+            }
+        }
+        let body = json!(vms).to_string();
+        call(
+            self.platform,
+            "POST",
+            "/control/vms",
+            "",
+            &[],
+            body.as_bytes(),
+        )?;
+        // The list lags until it is read once more.
+        for (name, domain, at) in &settings {
+            self.start_vm(plan, name, *domain, at, &bulk)?;
+        }
+        Ok(())
+    }
+
+    fn start_vm(
+        &mut self,
+        plan: &Plan,
+        name: &str,
+        domain: usize,
+        at: &[SocketAddr],
+        bulk: &[Value],
+    ) -> io::Result<()> {
+        let common = json!({
+            "name": name,
+            "failure_domain": format!("fd-{domain}"),
+            "cluster_key": CLUSTER_KEY,
+            "bulk": bulk,
+        });
+        let with_platform = merge(
+            common.clone(),
+            &json!({ "platform_address": self.links[domain].address, "platform_timeout_ms": 500 }),
+        );
+        let entry = merge(
+            with_platform.clone(),
+            &json!({
+                "gossip_address": at[0],
+                "peer_address": at[1],
+                "local_address": at[2],
+                "operators_address": at[3],
+                "caller_address": at[4],
+                "drain_ms": 500,
+            }),
+        );
+        let entry = merge(entry, &plan.entry);
+        let process = Process::start(&self.folder, name, domain, "bramley-entry", &entry, at[4])?;
+        self.entries.push(process);
+        if plan.batch {
+            let batch = merge(
+                with_platform,
+                &json!({ "entry_address": at[2], "operators_address": at[6] }),
+            );
+            let name = format!("{name}-batch");
+            let process =
+                Process::start(&self.folder, &name, domain, "bramley-batch", &batch, at[2])?;
+            self.batches.push(process);
+        }
+        if bulk.iter().any(|peer| peer["name"] == *name) {
+            let bulk = merge(
+                common,
+                &json!({
+                    "peer_address": at[5],
+                    "operators_address": free_address(),
+                    "data_dir": self.folder.join(format!("{name}-data")),
+                    "repair_ms": 1_000,
+                }),
+            );
+            let name = format!("{name}-bulk");
+            let process =
+                Process::start(&self.folder, &name, domain, "bramley-bulk", &bulk, at[5])?;
+            self.bulks.push(process);
+        }
+        Ok(())
+    }
+
+    /// Waits until all entry VMs are ready and their batch processes linked.
+    pub fn wait_ready(&self, patience: Duration) -> io::Result<()> {
+        let until = clock::now() + patience;
+        let batch = !self.batches.is_empty();
+        let ready = |process: &Process| {
+            let dump = process.page("/dump");
+            let linked = !batch || dump["vm"]["batch_ready"] == true;
+            dump["ready"].get("Ok").is_some() && linked
+        };
+        while !self.entries.iter().all(ready) {
+            if clock::now() >= until {
+                return Err(io::Error::other("the entry VMs did not become ready"));
+            }
+            clock::sleep(LOOK);
+        }
+        Ok(())
+    }
+
+    /// Calls an entry VM with the key of the first workspace.
+    pub fn ask(&self, entry: usize, method: &str, path: &str, body: &str) -> io::Result<Answer> {
+        self.ask_with(entry, method, path, &[], body)
+    }
+
+    /// Like [`Fleet::ask`], with headers.
+    pub fn ask_with(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> io::Result<Answer> {
+        let address = self.entries[entry].address;
+        call(address, method, path, KEYS[0].1, headers, body.as_bytes())
+    }
+
+    /// Sends a job of chat items; its id.
+    pub fn send_job(&self, entry: usize, lines: &str) -> io::Result<String> {
+        let file = self.ask(entry, "POST", "/v1/files", lines)?;
+        let file_id = file.json()["id"].as_str().map(str::to_owned);
+        let file_id = file_id.ok_or_else(|| io::Error::other(file.text()))?;
+        let body = json!({ "input_file_id": file_id, "endpoint": "/v1/chat/completions" });
+        let job = self.ask(entry, "POST", "/v1/batches", &body.to_string())?;
+        let id = job.json()["id"].as_str().map(str::to_owned);
+        id.ok_or_else(|| io::Error::other(job.text()))
+    }
+
+    /// Waits for a job's end; its last description.
+    pub fn wait_job(&self, entry: usize, job: &str, patience: Duration) -> Value {
+        let until = clock::now() + patience;
+        loop {
+            let shown = self.ask(entry, "GET", &format!("/v1/batches/{job}"), "");
+            let shown = shown.map(|answer| answer.json()).unwrap_or(Value::Null);
+            let status = shown["status"].as_str().unwrap_or_default();
+            if ["completed", "cancelled", "expired"].contains(&status) || clock::now() >= until {
+                return shown;
+            }
+            clock::sleep(LOOK * 2);
+        }
+    }
+
+    /// The platform's stand-in.
+    pub fn platform_process(&self) -> &Process {
+        &self.platform_process
+    }
+
+    /// All processes with their names.
+    pub fn processes(&self) -> impl Iterator<Item = &Process> {
+        let vms = self.entries.iter().chain(&self.batches).chain(&self.bulks);
+        vms.chain(&self.engines)
+            .chain(&self.services)
+            .chain([&self.platform_process])
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let all = [
+            &mut self.entries,
+            &mut self.batches,
+            &mut self.bulks,
+            &mut self.engines,
+            &mut self.services,
+        ];
+        for processes in all {
+            processes.iter_mut().for_each(Process::kill);
+        }
+        self.platform_process.kill();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Lines of a job of chat items.
+pub fn chat_lines(count: usize, tokens: u64) -> String {
+    let line = |at: usize| {
+        json!({
+            "custom_id": format!("item-{at}"),
+            "method": "POST",
+            "url": "/v1/chat/completions",
+            "body": {
+                "model": "permit-7b",
+                "max_tokens": tokens,
+                "messages": [{ "role": "user", "content": format!("objection {at}") }],
+            },
+        })
+        .to_string()
+            + "\n"
+    };
+    (0..count).map(line).collect()
+}
--- /dev/null
+++ b/src/util.rs
@@ -0,0 +1,57 @@
+//! Small helpers that belong to no layer.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::id::Nonce;
+
+/// Locks; a thread that panicked while it held the lock left whole values, since every update
+/// under a lock is one call of a deciding function.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A number that no other write has.
+pub fn nonce() -> Nonce {
+    rand::rng().random()
+}
+
+/// A generator seeded from the system.
+pub fn rng() -> SmallRng {
+    SmallRng::from_rng(&mut rand::rng())
+}
+
+/// Escapes a key for use in a URL's path or query.
+pub fn escape(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-_.~/".contains(&byte) {
+            out.push(byte as char);
+        } else {
+            out.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    out
+}
+
+/// Undoes [`escape`]; a broken escape stands for itself.
+pub fn unescape(text: &str) -> String {
+    let mut out = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&byte, tail)) = rest.split_first() {
+        let code = tail.get(..2).and_then(|hex| std::str::from_utf8(hex).ok());
+        match code.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
+            Some(decoded) if byte == b'%' => {
+                out.push(decoded);
+                rest = &tail[2..];
+            }
+            _ => {
+                out.push(byte);
+                rest = tail;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,196 @@
+//! Messages between the system's own processes: `postcard`, versioned, authenticated, bounded.
+
+use std::io::{self, Read, Write};
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::config::Versioned;
+use crate::decide::batch::place::Crew;
+use crate::decide::fleet::Heartbeat;
+use crate::decide::intents::{Ask, IntentKey, Verdict};
+use crate::decide::jobs::JobRecord;
+use crate::id::{ConfigVersion, EndpointId, Revision, ServiceId};
+
+/// Version of all formats in this module.
+pub const VERSION: u8 = 1;
+/// Largest datagram; below one packet's payload with room for tunnels.
+pub const DATAGRAM_BYTES: usize = 1400;
+/// Largest frame.
+pub const FRAME_BYTES: usize = 16 * 1024 * 1024;
+const MAC_BYTES: usize = 16;
+
+/// Why a message was not taken.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("the message is too short or too long"))]
+    Size,
+    #[snafu(display("the message has version {version}, not {VERSION}"))]
+    Version { version: u8 },
+    #[snafu(display("the message is not from this cluster"))]
+    Mac,
+    #[snafu(display("the message can't be read: {source}"))]
+    Codec { source: postcard::Error },
+    #[snafu(display("the connection failed: {source}"))]
+    Io { source: io::Error },
+}
+
+/// A message by UDP.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    Heartbeat(Heartbeat),
+    /// Online requests have come to an endpoint whose batch work another VM hands out.
+    Pressure {
+        endpoint: EndpointId,
+        online: u32,
+    },
+}
+
+/// A question of one VM to another, by TCP.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerAsk {
+    /// The configuration if it is newer than this.
+    Config { have: ConfigVersion },
+    /// Job records that changed after this revision.
+    Jobs { after: Revision },
+    /// A question to the owner of a range of intents.
+    Intent { key: IntentKey, ask: Ask },
+    /// Keep this content.
+    Put { digest: String, content: Bytes },
+    /// Give this content.
+    Get { digest: String },
+    /// Which of these are kept there?
+    Has { digests: Vec<String> },
+}
+
+/// The answer to a [`PeerAsk`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerReply {
+    Config(Option<Box<Versioned>>),
+    Jobs {
+        revision: Revision,
+        records: Vec<(Revision, JobRecord)>,
+    },
+    Intent(Verdict),
+    Kept,
+    Content(Option<Bytes>),
+    Has(Vec<bool>),
+    /// It can't be done here.
+    Refused(String),
+}
+
+/// From the entry process to the batch process of the same VM.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ToBatch {
+    Config(Box<Versioned>),
+    /// All jobs that have not ended.
+    Jobs(Vec<JobRecord>),
+    Crew(Crew),
+    /// Batch items that each endpoint may have now.
+    Windows(Vec<(EndpointId, ServiceId, u32)>),
+    /// The VM leaves: hand over what is held.
+    Leave,
+}
+
+/// From the batch process to the entry process of the same VM.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ToEntry {
+    /// Whether it takes on work.
+    Ready(bool),
+    /// Items at each endpoint.
+    InFlight(Vec<(EndpointId, u32)>),
+}
+
+/// The key that authenticates messages.
+#[derive(Clone)]
+pub struct Key([u8; 32]);
+
+impl Key {
+    /// Derives the key from the operators' secret.
+    pub fn new(secret: &str) -> Key {
+        Key(blake3::derive_key(
+            "bramleyseam cluster messages",
+            secret.as_bytes(),
+        ))
+    }
+
+    fn mac(&self, payload: &[u8]) -> [u8; MAC_BYTES] {
+        let hash = blake3::keyed_hash(&self.0, payload);
+        let mut mac = [0; MAC_BYTES];
+        mac.copy_from_slice(&hash.as_bytes()[..MAC_BYTES]);
+        mac
+    }
+
+    /// Encodes a message with version and digest.
+    pub fn seal(&self, message: &impl Serialize) -> Result<Vec<u8>, Error> {
+        let mut out = vec![0; 1 + MAC_BYTES];
+        out[0] = VERSION;
+        out = postcard::to_extend(message, out).map_err(|source| Error::Codec { source })?;
+        let mac = self.mac(&out[1 + MAC_BYTES..]);
+        out[1..=MAC_BYTES].copy_from_slice(&mac);
+        Ok(out)
+    }
+
+    /// Decodes a message; nothing of it is looked at before its digest has been checked.
+    pub fn open<T: DeserializeOwned>(&self, sealed: &[u8]) -> Result<T, Error> {
+        if sealed.len() < 1 + MAC_BYTES || sealed.len() > FRAME_BYTES {
+            return SizeSnafu.fail();
+        }
+        if sealed[0] != VERSION {
+            return VersionSnafu { version: sealed[0] }.fail();
+        }
+        let (mac, payload) = sealed[1..].split_at(MAC_BYTES);
+        // blake3's own comparison takes the same time wherever the first difference is.
+        let own = blake3::keyed_hash(&self.0, payload);
+        let mut theirs = *own.as_bytes();
+        theirs[..MAC_BYTES].copy_from_slice(mac);
+        if own != blake3::Hash::from(theirs) {
+            return MacSnafu.fail();
+        }
+        decode(payload)
+    }
+}
+
+/// Decodes what `postcard` encoded; trailing bytes are an error.
+pub fn decode<T: DeserializeOwned>(payload: &[u8]) -> Result<T, Error> {
+    let (message, rest) =
+        postcard::take_from_bytes(payload).map_err(|source| Error::Codec { source })?;
+    match rest.is_empty() {
+        true => Ok(message),
+        false => SizeSnafu.fail(),
+    }
+}
+
+/// Writes one frame: its length, then the sealed message.
+pub fn write_frame(out: &mut impl Write, key: &Key, message: &impl Serialize) -> Result<(), Error> {
+    let sealed = key.seal(message)?;
+    if sealed.len() > FRAME_BYTES {
+        return SizeSnafu.fail();
+    }
+    let mut frame = (sealed.len() as u32).to_le_bytes().to_vec();
+    frame.extend_from_slice(&sealed);
+    out.write_all(&frame)
+        .and_then(|()| out.flush())
+        .map_err(|source| Error::Io { source })
+}
+
+/// Reads one frame. Memory grows with what arrives, not with the length that is announced.
+pub fn read_frame<T: DeserializeOwned>(input: &mut impl Read, key: &Key) -> Result<T, Error> {
+    let mut length = [0; 4];
+    input
+        .read_exact(&mut length)
+        .map_err(|source| Error::Io { source })?;
+    let length = u32::from_le_bytes(length) as usize;
+    if length > FRAME_BYTES {
+        return SizeSnafu.fail();
+    }
+    let mut sealed = Vec::new();
+    let read = input.take(length as u64).read_to_end(&mut sealed);
+    read.map_err(|source| Error::Io { source })?;
+    if sealed.len() < length {
+        return SizeSnafu.fail();
+    }
+    key.open(&sealed)
+}
