Serve the stand-ins without tiny_http

Cause: a 500-item job took 26 s, and one test 20 s in some runs: requests hung at the stand-ins until their deadline. tiny_http gives a new connection to a waiting thread; two that come at once while one waits leave the second without a thread until some other connection closes. Ruled out: the placement of chunks (the dump showed all claimed within 2 s) and the engines' steps (other requests went on). Change: the stand-ins use the server towards callers; the operators' pages stay on tiny_http, where callers don't keep connections.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -292,6 +292,13 @@
         self.stream.flush()
     }
 
+    /// Sends bytes as they are and closes the connection after; stand-ins break answers with it.
+    pub fn raw(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.state = Sent::Streaming;
+        self.stream.write_all(bytes)?;
+        self.stream.flush()
+    }
+
     /// Whether any byte of an answer went out.
     pub fn started(&self) -> bool {
         self.state != Sent::Nothing
--- a/src/pages.rs
+++ b/src/pages.rs
@@ -10,6 +10,8 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tiny_http::{Header, Request, Response, Server};
 
+use crate::http::server::{Head, Responder};
+
 const BACKLOG: i32 = 512;
 
 /// What a page shows.
@@ -40,6 +42,11 @@
         }
     }
 
+    /// Sends it by the server towards callers.
+    pub fn reply(self, out: &mut Responder) -> io::Result<()> {
+        out.full(&Head::new(self.status, self.content_type), &self.body)
+    }
+
     /// Sends it in answer to a request.
     pub fn send(self, request: Request) {
         let header = Header::from_bytes("Content-Type", self.content_type);
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,4 +1,7 @@
 //! Small stand-ins for the outside systems, for tests, benchmarks and the demo.
+//!
+//! They use the server towards callers: `tiny_http` leaves a new connection without a thread when two
+//! come at once while one thread is free, until some other connection closes.
 
 pub mod engine;
 pub mod fleet;
@@ -6,26 +9,28 @@
 pub mod relay;
 pub mod service;
 
-use tiny_http::Request;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
 
-/// Reads the body of a request.
-fn body_of(request: &mut Request) -> Vec<u8> {
-    let mut body = Vec::new();
-    let _ = request.as_reader().read_to_end(&mut body);
-    body
-}
+use crate::http::server::{Limits, Responder, Server};
+use crate::http::Request;
 
-/// The value of a query parameter.
-fn query(target: &str, name: &str) -> Option<String> {
-    let query = target.split_once('?')?.1;
-    let value = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))?;
-    Some(crate::util::unescape(value))
+fn serve(
+    listener: TcpListener,
+    handler: impl Fn(&Request, &mut Responder) -> io::Result<()> + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
+    let limits = Limits {
+        max_connections: 8192,
+        idle_timeout: Duration::from_secs(600),
+        ..Limits::default()
+    };
+    Ok(Server::start(listener, limits, handler)?.address)
 }
 
-fn number(target: &str, name: &str) -> u64 {
-    query(target, name)
+fn number(request: &Request, name: &str) -> u64 {
+    request
+        .query(name)
         .and_then(|value| value.parse().ok())
         .unwrap_or(0)
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -3,23 +3,23 @@
 //! Each step takes a time that grows with the running set; requests are let in as they come.
 
 use std::collections::{HashMap, VecDeque};
-use std::io::{self, Write};
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use serde_json::{json, Value};
-use tiny_http::{Method, Request};
-
-use super::{body_of, number};
+use super::number;
 use crate::clock;
+use crate::engine::ATTEMPT_HEADER;
+use crate::http::server::{Head, Responder};
+use crate::http::Request;
 use crate::id;
-use crate::pages::{self, Page};
+use crate::pages::Page;
 use crate::util::lock;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
 
-const THREADS: usize = 16;
 /// A stream that nobody reads for so long is given up.
 const ORPHAN: Duration = Duration::from_secs(3);
 const KEPT: Duration = Duration::from_secs(10);
@@ -128,7 +128,6 @@
 
 /// Starts the stand-in on an open listener.
 pub fn serve(listener: TcpListener, behaviour: Behaviour) -> io::Result<SocketAddr> {
-    let address = listener.local_addr()?;
     let state = State {
         behaviour,
         ..State::default()
@@ -142,8 +141,7 @@
     thread::Builder::new()
         .name("steps".into())
         .spawn(move || step_loop(&stepping))?;
-    pages::serve(listener, THREADS, move |request| handle(&shared, request))?;
-    Ok(address)
+    super::serve(listener, move |request, out| handle(&shared, request, out))
 }
 
 fn step_loop(shared: &Shared) {
@@ -243,23 +241,21 @@
     }
 }
 
-fn handle(shared: &Arc<Shared>, mut request: Request) {
-    let target = request.url().to_owned();
-    let path = target.split('?').next().unwrap_or_default().to_owned();
-    let body = body_of(&mut request);
-    let page = match path.as_str() {
-        "/control" => control(shared, &body),
+fn handle(shared: &Shared, request: &Request, out: &mut Responder) -> io::Result<()> {
+    let path = request.path();
+    let page = match path {
+        "/control" => control(shared, &request.body),
         "/stats" => Page::json(200, &lock(&shared.state).counts),
         "/load" => load(shared),
-        "/orders" => orders(shared, &body),
-        "/v1/chat/completions" | "/v1/completions" => return spawn(shared, request, body),
+        "/orders" => orders(shared, &request.body),
+        "/v1/chat/completions" | "/v1/completions" => return generate(shared, request, out),
         _ if path.starts_with("/attempts/") => match path.rsplit('/').next() {
-            Some("cancel") => cancel(shared, &path),
-            _ => return resume(shared, &path, &target, request),
+            Some("cancel") => cancel(shared, path),
+            _ => return resume(shared, request, out),
         },
         _ => Page::text(404, "no such page"),
     };
-    page.send(request);
+    page.reply(out)
 }
 
 fn control(shared: &Shared, body: &[u8]) -> Page {
@@ -332,43 +328,32 @@
     }
 }
 
-/// Handles a generation on a thread of its own, so that streams don't use up the pages' threads.
-fn spawn(shared: &Arc<Shared>, request: Request, body: Vec<u8>) {
-    let shared = shared.clone();
-    thread::spawn(move || generate(&shared, request, &body));
-}
-
-fn attempt_of(request: &Request) -> String {
-    let header = request
-        .headers()
-        .iter()
-        .find(|header| header.field.equiv("X-Attempt-Id"));
-    header.map_or_else(String::new, |header| header.value.as_str().to_owned())
-}
-
-fn generate(shared: &Shared, request: Request, body: &[u8]) {
-    let Ok(body) = serde_json::from_slice::<Value>(body) else {
-        return Page::json(400, &json!({ "error": { "message": "not JSON" } })).send(request);
+fn generate(shared: &Shared, request: &Request, out: &mut Responder) -> io::Result<()> {
+    let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
+        return Page::json(400, &json!({ "error": { "message": "not JSON" } })).reply(out);
     };
     let prompt = prompt_of(&body);
     let tokens = body
         .get("max_tokens")
         .and_then(Value::as_u64)
         .unwrap_or(TOKENS_DEFAULT);
-    let attempt = attempt_of(&request);
+    let attempt = request
+        .header(ATTEMPT_HEADER)
+        .unwrap_or_default()
+        .to_owned();
     let mut state = lock(&shared.state);
     if !state.behaviour.poison.is_empty() && prompt.contains(&state.behaviour.poison) {
         std::process::exit(3);
     }
     if state.behaviour.leaving {
         drop(state);
-        return Page::text(503, "leaving").send(request);
+        return Page::text(503, "leaving").reply(out);
     }
     state.counts.requests += 1;
     if state.behaviour.fail_requests > 0 {
         state.behaviour.fail_requests -= 1;
         drop(state);
-        return Page::text(500, "failed").send(request);
+        return Page::text(500, "failed").reply(out);
     }
     let prefix: String = prompt.chars().take(PREFIX_BYTES).collect();
     let sequence = Sequence {
@@ -385,8 +370,8 @@
     drop(state);
     shared.changed.notify_all();
     match body.get("stream").and_then(Value::as_bool) {
-        Some(true) => stream(shared, request, &attempt, 0),
-        _ => whole(shared, request, &attempt),
+        Some(true) => send_stream(shared, out, &attempt, 0),
+        _ => whole(shared, out, &attempt),
     }
 }
 
@@ -404,20 +389,15 @@
     }
 }
 
-fn resume(shared: &Arc<Shared>, path: &str, target: &str, request: Request) {
-    let id = path.split('/').nth(2).unwrap_or_default().to_owned();
+fn resume(shared: &Shared, request: &Request, out: &mut Responder) -> io::Result<()> {
+    let id = request.path().split('/').nth(2).unwrap_or_default();
     let state = lock(&shared.state);
-    if *request.method() != Method::Get
-        || state.behaviour.no_resume
-        || !state.sequences.contains_key(&id)
-    {
-        drop(state);
-        return Page::text(404, "no such attempt").send(request);
-    }
+    let known = state.sequences.contains_key(id) && !state.behaviour.no_resume;
     drop(state);
-    let offset = number(target, "offset") as usize;
-    let shared = shared.clone();
-    thread::spawn(move || stream(&shared, request, &id, offset));
+    match known {
+        true => send_stream(shared, out, id, number(request, "offset") as usize),
+        false => Page::text(404, "no such attempt").reply(out),
+    }
 }
 
 enum Seen {
@@ -462,31 +442,21 @@
     any
 }
 
-fn stream(shared: &Shared, request: Request, id: &str, offset: usize) {
-    let mut out = request.into_writer();
-    let _ = send_stream(shared, &mut *out, id, offset);
-}
-
-fn send_stream(shared: &Shared, out: &mut dyn Write, id: &str, offset: usize) -> io::Result<()> {
+fn send_stream(shared: &Shared, out: &mut Responder, id: &str, offset: usize) -> io::Result<()> {
     let mut at = offset;
-    let mut started = false;
     loop {
         let (fresh, finished) = match wait(shared, id, at) {
             Seen::Words(fresh, finished) => (fresh, finished),
             Seen::Cancelled => (Vec::new(), false),
         };
-        if !started {
-            started = true;
+        if !out.started() {
             let swap = take(shared, |b| &mut b.swap_answers);
             let echoed = if swap { "another" } else { id };
-            write!(
-                out,
-                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {echoed}\r\n\
-                 Transfer-Encoding: chunked\r\n\r\n"
-            )?;
+            out.start(&Head::new(200, "text/event-stream").with(ATTEMPT_HEADER, echoed))?;
         }
         if fresh.is_empty() && !finished {
-            return event(out, "data: {\"error\":{\"code\":\"cancelled\"}}\n\n", true);
+            out.chunk(b"data: {\"error\":{\"code\":\"cancelled\"}}\n\n")?;
+            return out.end();
         }
         for word in fresh {
             let chunk = json!({
@@ -495,36 +465,25 @@
                 "choices": [{ "index": 0, "delta": { "content": word }, "finish_reason": null }],
             });
             at += 1;
-            event(out, &format!("id: {at}\ndata: {chunk}\n\n"), false)?;
+            out.chunk(format!("id: {at}\ndata: {chunk}\n\n").as_bytes())?;
             if take(shared, |b| &mut b.break_streams) {
-                // A chunk size that is no number ends the connection for the reader.
-                out.write_all(b"broken\r\n")?;
-                return out.flush();
+                return Err(io::ErrorKind::ConnectionAborted.into());
             }
         }
         if finished {
-            return event(out, "data: [DONE]\n\n", true);
+            out.chunk(b"data: [DONE]\n\n")?;
+            return out.end();
         }
     }
 }
 
-fn event(out: &mut dyn Write, text: &str, last: bool) -> io::Result<()> {
-    let mut piece = format!("{:x}\r\n{text}\r\n", text.len());
-    if last {
-        piece.push_str("0\r\n\r\n");
-    }
-    out.write_all(piece.as_bytes())?;
-    out.flush()
-}
-
-fn whole(shared: &Shared, request: Request, id: &str) {
+fn whole(shared: &Shared, out: &mut Responder, id: &str) -> io::Result<()> {
     let mut text = String::new();
     let mut at = 0;
     loop {
         match wait(shared, id, at) {
             Seen::Cancelled => {
-                let body = json!({ "error": { "code": "cancelled" } });
-                return Page::json(409, &body).send(request);
+                return Page::json(409, &json!({ "error": { "code": "cancelled" } })).reply(out);
             }
             Seen::Words(fresh, finished) => {
                 at += fresh.len();
@@ -546,20 +505,15 @@
             "finish_reason": "stop",
         }],
         "usage": { "completion_tokens": at },
-    })
-    .to_string();
-    let cut = take(shared, |b| &mut b.cut_answers);
-    let sent = if cut { &body[..body.len() / 2] } else { &body };
-    let mut out = request.into_writer();
-    let _ = write!(
-        out,
-        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Attempt-Id: {echoed}\r\n\
-         Content-Length: {}\r\n\r\n{sent}",
-        body.len()
-    );
-    if cut {
-        // What follows can't be mistaken for the rest.
-        let _ = out.write_all(&vec![b' '; body.len() - sent.len()]);
+    });
+    let mut body = body.to_string().into_bytes();
+    if take(shared, |b| &mut b.cut_answers) {
+        // As long as announced, and not whole.
+        let half = body.len() / 2;
+        body[half..].fill(b' ');
     }
-    let _ = out.flush();
+    out.full(
+        &Head::new(200, "application/json").with(ATTEMPT_HEADER, echoed),
+        &body,
+    )
 }
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -18,6 +18,8 @@
 use crate::platform::Platform;
 
 const CLUSTER_KEY: &str = "a secret for tests on loopback only";
+/// Set, it leaves the folder with the logs of the processes.
+const KEEP: &str = "BRAMLEY_KEEP";
 const START_PATIENCE: Duration = Duration::from_secs(15);
 const LOOK: Duration = Duration::from_millis(25);
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
@@ -668,7 +670,9 @@
             processes.iter_mut().for_each(Process::kill);
         }
         self.platform_process.kill();
-        let _ = fs::remove_dir_all(&self.folder);
+        if std::env::var_os(KEEP).is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -8,15 +8,15 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tiny_http::{Method, Request, Response};
 
-use super::{body_of, number, query};
+use super::number;
 use crate::clock;
-use crate::pages::{self, Page};
+use crate::http::server::{Head, Responder};
+use crate::http::Request;
+use crate::pages::Page;
 use crate::platform::{Changes, Entry, ListedVm, VALUE_BYTES};
 use crate::util::{lock, unescape};
 
-const THREADS: usize = 96;
 const WATCH_MAX: Duration = Duration::from_secs(30);
 
 /// Faults that are switched on and off.
@@ -75,52 +75,39 @@
     changed: Condvar,
 }
 
-/// Starts the stand-in.
-pub fn start(address: SocketAddr) -> io::Result<SocketAddr> {
-    serve(pages::listen(address)?)
-}
-
 /// Starts the stand-in on an open listener.
 pub fn serve(listener: TcpListener) -> io::Result<SocketAddr> {
-    let address = listener.local_addr()?;
     let shared = Arc::new(Shared::default());
-    pages::serve(listener, THREADS, move |request| handle(&shared, request))?;
-    Ok(address)
+    super::serve(listener, move |request, out| handle(&shared, request, out))
 }
 
-fn handle(shared: &Shared, mut request: Request) {
-    let target = request.url().to_owned();
-    let path = target.split('?').next().unwrap_or_default().to_owned();
+fn handle(shared: &Shared, request: &Request, out: &mut Responder) -> io::Result<()> {
+    let path = request.path();
     if path.starts_with("/control/") || path == "/stats" {
-        control(shared, &path, &body_of(&mut request)).send(request);
-        return;
+        return control(shared, path, &request.body).reply(out);
     }
     let faults = lock(&shared.state).faults.clone();
-    if faults.delay_ms > 0 {
-        clock::sleep(Duration::from_millis(faults.delay_ms));
-    }
+    clock::sleep(Duration::from_millis(faults.delay_ms));
     if faults.outage {
-        Page::text(503, "outage").send(request);
-        return;
+        return Page::text(503, "outage").reply(out);
     }
     if let Some(key) = path.strip_prefix("/kv/") {
         let key = unescape(key);
-        match request.method() {
-            Method::Get => get(shared, &key, request),
-            Method::Put => put(shared, &key, &target, request),
-            Method::Delete => delete(shared, &key, request),
-            _ => Page::text(405, "no such method").send(request),
-        }
-        return;
+        return match request.method.as_str() {
+            "GET" => get(shared, &key, out),
+            "PUT" => put(shared, &key, request, out),
+            "DELETE" => delete(shared, &key).reply(out),
+            _ => Page::text(405, "no such method").reply(out),
+        };
     }
-    let page = match path.as_str() {
-        "/list" => list(shared, &target),
-        "/watch" => watch(shared, &target),
+    let page = match path {
+        "/list" => list(shared, request),
+        "/watch" => watch(shared, request),
         "/vms" => vms(shared),
-        _ if path.starts_with("/lease") => lease(shared, &path, &target),
+        _ if path.starts_with("/lease") => lease(shared, request),
         _ => Page::text(404, "no such page"),
     };
-    page.send(request);
+    page.reply(out)
 }
 
 fn control(shared: &Shared, path: &str, body: &[u8]) -> Page {
@@ -168,48 +155,41 @@
     }
 }
 
-fn get(shared: &Shared, key: &str, request: Request) {
+fn get(shared: &Shared, key: &str, out: &mut Responder) -> io::Result<()> {
     let mut state = lock(&shared.state);
     state.calls.reads += 1;
     state.expire_leases(clock::now());
     let found = state.keys.get(key).cloned();
     drop(state);
     match found {
-        None => Page::text(404, "no such key").send(request),
+        None => Page::text(404, "no such key").reply(out),
         Some(stored) => {
-            let mut response = Response::from_string(stored.value);
-            let revision = stored.revision.to_string();
-            if let Ok(header) = tiny_http::Header::from_bytes("X-Revision", revision) {
-                response.add_header(header);
-            }
-            let _ = request.respond(response);
+            let head = Head::new(200, "application/json");
+            let head = head.with("X-Revision", stored.revision.to_string());
+            out.full(&head, stored.value.as_bytes())
         }
     }
 }
 
-fn put(shared: &Shared, key: &str, target: &str, mut request: Request) {
-    let body = body_of(&mut request);
-    if body.len() > VALUE_BYTES {
-        Page::text(413, "value too large").send(request);
-        return;
+fn put(shared: &Shared, key: &str, request: &Request, out: &mut Responder) -> io::Result<()> {
+    if request.body.len() > VALUE_BYTES {
+        return Page::text(413, "value too large").reply(out);
     }
     let mut state = lock(&shared.state);
     state.expire_leases(clock::now());
     state.calls.writes += 1;
-    let prefix = key.split('/').take(2).collect::<Vec<_>>().join("/");
-    let prefix = prefix.split('/').next().unwrap_or_default().to_owned();
+    let prefix = key.split('/').next().unwrap_or_default().to_owned();
     *state.calls.writes_by_prefix.entry(prefix).or_default() += 1;
     let standing = state.keys.get(key).map_or(0, |stored| stored.revision);
-    if standing != number(target, "expect") {
+    if standing != number(request, "expect") {
         state.calls.conflicts += 1;
         drop(state);
-        Page::json(409, &json!({ "revision": standing })).send(request);
-        return;
+        return Page::json(409, &json!({ "revision": standing })).reply(out);
     }
     state.revision += 1;
     let revision = state.revision;
-    let lease = query(target, "lease").and_then(|lease| lease.parse().ok());
-    let value = String::from_utf8_lossy(&body).into_owned();
+    let lease = request.query("lease").and_then(|lease| lease.parse().ok());
+    let value = String::from_utf8_lossy(&request.body).into_owned();
     state.keys.insert(
         key.to_owned(),
         Stored {
@@ -226,21 +206,17 @@
     shared.changed.notify_all();
     if lose {
         // Half an answer: the caller can't tell what happened.
-        let _ = request
-            .into_writer()
-            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{");
-        return;
+        return out.raw(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{");
     }
-    Page::json(200, &json!({ "revision": revision })).send(request);
+    Page::json(200, &json!({ "revision": revision })).reply(out)
 }
 
-fn delete(shared: &Shared, key: &str, request: Request) {
+fn delete(shared: &Shared, key: &str) -> Page {
     let mut state = lock(&shared.state);
     state.calls.writes += 1;
     state.keys.remove(key);
     state.revision += 1;
-    drop(state);
-    Page::text(200, "done").send(request);
+    Page::text(200, "done")
 }
 
 fn under(state: &State, prefix: &str, after: u64) -> Vec<Entry> {
@@ -255,19 +231,22 @@
         .collect()
 }
 
-fn list(shared: &Shared, target: &str) -> Page {
+fn prefix_of(request: &Request) -> String {
+    request.query("prefix").map(unescape).unwrap_or_default()
+}
+
+fn list(shared: &Shared, request: &Request) -> Page {
     let mut state = lock(&shared.state);
     state.calls.reads += 1;
     state.expire_leases(clock::now());
-    let prefix = query(target, "prefix").unwrap_or_default();
-    let entries = under(&state, &prefix, number(target, "after"));
+    let entries = under(&state, &prefix_of(request), number(request, "after"));
     Page::json(200, &entries)
 }
 
-fn watch(shared: &Shared, target: &str) -> Page {
-    let prefix = query(target, "prefix").unwrap_or_default();
-    let after = number(target, "after");
-    let wait = Duration::from_millis(number(target, "wait_ms")).min(WATCH_MAX);
+fn watch(shared: &Shared, request: &Request) -> Page {
+    let prefix = prefix_of(request);
+    let after = number(request, "after");
+    let wait = Duration::from_millis(number(request, "wait_ms")).min(WATCH_MAX);
     let until = clock::now() + wait;
     let mut state = lock(&shared.state);
     state.calls.watches += 1;
@@ -309,13 +288,14 @@
     Page::json(200, &state.shown_vms)
 }
 
-fn lease(shared: &Shared, path: &str, target: &str) -> Page {
+fn lease(shared: &Shared, request: &Request) -> Page {
+    let path = request.path();
     let mut state = lock(&shared.state);
     state.calls.writes += 1;
     let now = clock::now();
     state.expire_leases(now);
     if path == "/lease" {
-        let ttl = Duration::from_millis(number(target, "ttl_ms"));
+        let ttl = Duration::from_millis(number(request, "ttl_ms"));
         state.next_lease += 1;
         let lease = state.next_lease;
         state.leases.insert(lease, (now + ttl, ttl));
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -6,16 +6,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use serde_json::json;
-use tiny_http::Request;
-
-use super::body_of;
 use crate::clock;
-use crate::pages::{self, Page};
+use crate::http::server::{Head, Responder};
+use crate::http::Request;
+use crate::pages::Page;
 use crate::util::lock;
-
-const THREADS: usize = 64;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
 
 /// Faults that are switched on and off.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -42,37 +39,28 @@
 
 /// Starts the stand-in on an open listener.
 pub fn serve(listener: TcpListener) -> io::Result<SocketAddr> {
-    let address = listener.local_addr()?;
     let state = Arc::new(Mutex::new(State::default()));
-    pages::serve(listener, THREADS, move |request| handle(&state, request))?;
-    Ok(address)
+    super::serve(listener, move |request, out| handle(&state, request, out))
 }
 
-fn handle(state: &Mutex<State>, mut request: Request) {
-    let path = request
-        .url()
-        .split('?')
-        .next()
-        .unwrap_or_default()
-        .to_owned();
-    let body = body_of(&mut request);
-    match path.as_str() {
-        "/control" => {
-            match serde_json::from_slice(&body) {
-                Ok(faults) => lock(state).faults = faults,
-                Err(error) => return Page::text(400, error.to_string()).send(request),
+fn handle(state: &Mutex<State>, request: &Request, out: &mut Responder) -> io::Result<()> {
+    let page = match request.path() {
+        "/control" => match serde_json::from_slice(&request.body) {
+            Ok(faults) => {
+                lock(state).faults = faults;
+                Page::text(200, "done")
             }
-            return Page::text(200, "done").send(request);
-        }
-        "/stats" => return Page::json(200, &lock(state).executions).send(request),
+            Err(error) => Page::text(400, error.to_string()),
+        },
+        "/stats" => Page::json(200, &lock(state).executions),
         "/load" => {
             let leaving = lock(state).faults.leaving;
             let load = json!({ "incarnation": 1, "running": 0, "waiting": 0, "leaving": leaving });
-            return Page::json(200, &load).send(request);
+            Page::json(200, &load)
         }
-        _ => {}
-    }
-    execute(state, &body, request);
+        _ => return execute(state, request, out),
+    };
+    page.reply(out)
 }
 
 fn take(count: &mut u64) -> bool {
@@ -81,16 +69,13 @@
     any
 }
 
-fn execute(state: &Mutex<State>, body: &[u8], request: Request) {
-    let header = |name: &'static str| {
-        let found = request.headers().iter().find(|h| h.field.equiv(name));
-        found.map(|h| h.value.as_str().to_owned())
-    };
-    let key = header("Idempotency-Key").unwrap_or_else(|| String::from_utf8_lossy(body).into());
+fn execute(state: &Mutex<State>, request: &Request, out: &mut Responder) -> io::Result<()> {
+    let key = request.header("Idempotency-Key").map(str::to_owned);
+    let key = key.unwrap_or_else(|| String::from_utf8_lossy(&request.body).into());
     let mut locked = lock(state);
     if take(&mut locked.faults.refuse) {
         drop(locked);
-        return Page::text(503, "not now").send(request);
+        return Page::text(503, "not now").reply(out);
     }
     *locked.executions.entry(key.clone()).or_default() += 1;
     let count = locked.executions[&key];
@@ -102,21 +87,14 @@
     drop(locked);
     clock::sleep(Duration::from_millis(delay_ms));
     if lose {
-        drop(request.into_writer());
-        return;
+        return Err(io::ErrorKind::ConnectionAborted.into());
     }
     if cut {
-        let half = b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\nConnection: close\r\n\r\n{\"half\":";
-        let _ = request.into_writer().write_all(half);
-        return;
+        return out.raw(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"half\":");
     }
     if redirect {
-        let mut response = tiny_http::Response::from_string("").with_status_code(307);
-        if let Ok(header) = tiny_http::Header::from_bytes("Location", "/elsewhere") {
-            response.add_header(header);
-        }
-        let _ = request.respond(response);
-        return;
+        let head = Head::new(307, "text/plain").with("Location", "/elsewhere");
+        return out.full(&head, b"");
     }
-    Page::json(200, &json!({ "key": key, "executions": count })).send(request);
+    Page::json(200, &json!({ "key": key, "executions": count })).reply(out)
 }
