--- a/src/batch/host.rs
+++ b/src/batch/host.rs
@@ -14,13 +14,13 @@
 use super::items::{self, Lines};
 use super::link;
 use crate::clock;
-use crate::config::Versioned;
+use crate::config::{State, Versioned};
 use crate::decide::batch::{Action, Batch, ChunkKey, End, Event, FlightId, JobView, Totals};
 use crate::decide::jobs::{
     chunk_key, file_key, job_key, ChunkRecord, FileRecord, JobRecord, ResultSegment,
 };
 use crate::engine::Engines;
-use crate::id::{self, EndpointId, Name};
+use crate::id::{self, EndpointId, Name, OwnerId};
 use crate::platform::{Platform, Settled};
 use crate::segments::Segments;
 use crate::settings::{self, ms};
@@ -100,7 +100,7 @@
     shown: Arc<Mutex<Shown>>,
     linked: bool,
     stopping: bool,
-    said_ready: Option<bool>,
+    said_ready: Option<OwnerId>,
     to_clerks: Sender<Work>,
     clerks: Mutex<Option<Receiver<Work>>>,
 }
@@ -130,7 +130,7 @@
             settings,
             key,
             tools: Arc::new(tools),
-            batch: Batch::new(util::rng()),
+            batch: Batch::new(util::nonce() | 1, util::rng()),
             config: None,
             addresses: HashMap::new(),
             lines: BTreeMap::new(),
@@ -233,11 +233,14 @@
                     .map(|s| (s.workspace.clone(), s.batch_share))
                     .collect();
                 self.config = Some(Arc::new(*versioned));
+                let views = self.views(now);
                 handle(&mut self.batch, Event::Shares(shares));
+                // Which services the jobs ask for may have changed.
+                handle(&mut self.batch, Event::Jobs(views));
             }
             Message::Entry(ToBatch::Jobs(records)) => {
-                let views = records.iter().map(|record| view(now, record)).collect();
                 self.records = records.into_iter().map(|r| (r.id.to_string(), r)).collect();
+                let views = self.views(now);
                 handle(&mut self.batch, Event::Jobs(views));
             }
             Message::Entry(ToBatch::Crew(crew)) => handle(&mut self.batch, Event::Crew(crew)),
@@ -248,13 +251,24 @@
         }
     }
 
+    fn views(&self, now: Duration) -> Vec<JobView> {
+        let Some(config) = &self.config else {
+            return Vec::new();
+        };
+        self.records
+            .values()
+            .map(|record| view(now, record, &config.state))
+            .collect()
+    }
+
     /// Tells the entry process and the pages how things stand, and drops what nobody needs.
     fn tidy(&mut self) {
         let batch = &self.batch;
         self.lines
             .retain(|key, (run, _)| batch.runs.get(key).is_some_and(|r| r.id == *run));
         // Handed over or not holding anything: the VM may go.
-        let ready = !batch.leaving() || !batch.idle();
+        let busy = !batch.leaving() || !batch.idle();
+        let ready = if busy { batch.owner() } else { 0 };
         if self.linked && self.said_ready != Some(ready) {
             self.said_ready = Some(ready);
             let _ = self.to_entry.send(ToEntry::Ready(ready));
@@ -372,11 +386,22 @@
     }
 }
 
-fn view(now: Duration, record: &JobRecord) -> JobView {
+fn view(now: Duration, record: &JobRecord, state: &State) -> JobView {
+    let service = |target: &String| match target.split_once(':') {
+        Some(("model", name)) => state.service_of_model(name),
+        Some((_, name)) => state.service(name),
+        None => None,
+    };
+    let services = record
+        .targets
+        .iter()
+        .filter_map(service)
+        .map(|s| id::of(&s.name));
     let left_ms = record.deadline_ms.saturating_sub(clock::unix_ms());
     JobView {
         id: record.id.clone(),
         workspace: record.workspace.clone(),
+        services: services.collect(),
         chunks: record.chunks,
         state: record.state,
         deadline: now + ms(left_ms),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,7 @@
 pub mod limit;
 pub mod members;
 pub mod online;
+pub mod orders;
 pub mod refusal;
 pub mod retry;
 pub mod routing;
--- a/src/decide/batch.rs
+++ b/src/decide/batch.rs
@@ -7,7 +7,7 @@
 pub mod place;
 pub mod run;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +19,7 @@
 use super::commit::Answer;
 use super::jobs::{ChunkRecord, ChunkState, JobState, ResultSegment};
 use super::retry::Reach;
-use crate::id::{EndpointId, JobId, Name, Revision, ServiceId, VmId};
+use crate::id::{EndpointId, JobId, Name, OwnerId, Revision, ServiceId};
 
 /// Chunks that one VM works on at once; bounds its memory.
 pub const RUNS_MAX: usize = 4;
@@ -41,6 +41,8 @@
 pub struct JobView {
     pub id: JobId,
     pub workspace: Name,
+    /// Services that its items ask for.
+    pub services: Vec<ServiceId>,
     pub chunks: u32,
     pub state: JobState,
     /// Monotonic.
@@ -89,7 +91,7 @@
     /// All jobs that have not ended.
     Jobs(Vec<JobView>),
     Crew(Crew),
-    /// Batch items that each endpoint may have now; endpoints left out have none.
+    /// Batch items that each endpoint of which this VM is home may have now.
     Windows(Vec<(EndpointId, ServiceId, u32)>),
     /// Weight of each workspace among those with batch work.
     Shares(HashMap<Name, f64>),
@@ -208,14 +210,13 @@
 /// The state of batch work at one VM.
 #[derive(Debug)]
 pub struct Batch {
+    owner: OwnerId,
     pub jobs: BTreeMap<JobId, Job>,
     pub runs: BTreeMap<ChunkKey, Run>,
     pub slots: BTreeMap<EndpointId, Slot>,
     pub flights: BTreeMap<FlightId, Flight>,
     pub totals: Totals,
     sightings: BTreeMap<ChunkKey, Sighting>,
-    /// VMs that were ever seen in the own failure domain.
-    near: HashSet<VmId>,
     crew: Crew,
     shares: HashMap<Name, f64>,
     leaving: bool,
@@ -225,16 +226,16 @@
 }
 
 impl Batch {
-    /// A VM that knows of no job.
-    pub fn new(rng: SmallRng) -> Batch {
+    /// A process that knows of no job; `owner` must be drawn anew at each start.
+    pub fn new(owner: OwnerId, rng: SmallRng) -> Batch {
         Batch {
+            owner,
             jobs: BTreeMap::new(),
             runs: BTreeMap::new(),
             slots: BTreeMap::new(),
             flights: BTreeMap::new(),
             totals: Totals::default(),
             sightings: BTreeMap::new(),
-            near: HashSet::new(),
             crew: Crew::default(),
             shares: HashMap::new(),
             leaving: false,
@@ -284,6 +285,11 @@
         self.count(&out[from..]);
     }
 
+    /// This process as an owner of chunks.
+    pub fn owner(&self) -> OwnerId {
+        self.owner
+    }
+
     /// Whether this VM hands over what it holds.
     pub fn leaving(&self) -> bool {
         self.leaving
@@ -371,6 +377,7 @@
     fn take_windows(&mut self, windows: Vec<(EndpointId, ServiceId, u32)>) {
         for slot in self.slots.values_mut() {
             slot.window = 0;
+            slot.home = false;
         }
         for (endpoint, service, window) in windows {
             let slot = self
@@ -379,9 +386,9 @@
                 .or_insert_with(|| Slot::new(service));
             slot.service = service;
             slot.window = window;
+            slot.home = true;
         }
-        self.slots
-            .retain(|_, slot| slot.window > 0 || slot.in_flight > 0);
+        self.slots.retain(|_, slot| slot.home || slot.in_flight > 0);
     }
 
     fn with_run(
@@ -453,7 +460,14 @@
     }
 
     fn run_all(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let slots = &self.slots;
+        let home = |service| {
+            slots
+                .values()
+                .any(|slot| slot.home && slot.service == service)
+        };
         for (key, run) in &mut self.runs {
+            run.note_homes(now, home);
             let flying = self.flights.values().any(|flight| flight.key == *key);
             run.advance(now, flying, out);
         }
@@ -489,7 +503,7 @@
                 continue;
             }
             job.next_look = now + FINISH_LOOK;
-            if self.crew.answers_for(id) {
+            if self.crew.answers_for(id, &job.view.services) {
                 out.push(Action::Finish { job: id.clone() });
             }
         }
--- a/src/decide/batch/dispatch.rs
+++ b/src/decide/batch/dispatch.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, Clone)]
 pub struct Slot {
     pub service: ServiceId,
+    /// Whether this VM is the endpoint's home, though the window may be closed.
+    pub home: bool,
     /// Items that may be there now.
     pub window: u32,
     pub in_flight: u32,
@@ -24,6 +26,7 @@
     pub fn new(service: ServiceId) -> Slot {
         Slot {
             service,
+            home: false,
             window: 0,
             in_flight: 0,
         }
--- a/src/decide/batch/place.rs
+++ b/src/decide/batch/place.rs
@@ -1,14 +1,13 @@
 //! Which VM claims which chunk, and when.
 
-use std::collections::HashSet;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::run::Run;
-use super::{Action, Batch, ChunkKey, RUNS_MAX};
+use super::{Action, Batch, ChunkKey, Job, RUNS_MAX};
 use crate::decide::jobs::{ChunkRecord, ChunkState};
-use crate::id::{self, ranked, DomainId, JobId, Revision, VmId};
+use crate::id::{self, ranked, DomainId, JobId, OwnerId, Revision, ServiceId, VmId};
 
 /// How much later than the first failure domain each further one tries for a chunk.
 pub const DOMAIN_DELAY: Duration = Duration::from_secs(8);
@@ -25,6 +24,16 @@
 /// Time after which a claim that failed for want of the platform is tried again.
 pub const TRY_AGAIN: Duration = Duration::from_secs(1);
 
+/// Who can work off the items of one service.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Hands {
+    pub service: ServiceId,
+    /// VMs of the own failure domain that are home of an endpoint of it.
+    pub vms: Vec<VmId>,
+    /// Failure domains that have endpoints of it.
+    pub domains: Vec<DomainId>,
+}
+
 /// The VMs that share batch work, as this VM sees them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Crew {
@@ -32,32 +41,46 @@
     pub own_domain: DomainId,
     /// VMs of the own failure domain whose batch process is up, this one included when it is.
     pub vms: Vec<VmId>,
-    /// Failure domains that have endpoints.
-    pub domains: Vec<DomainId>,
+    /// Their batch processes.
+    pub owners: Vec<OwnerId>,
+    pub hands: Vec<Hands>,
 }
 
 impl Crew {
-    fn rank(&self, key: &ChunkKey) -> (usize, usize) {
+    /// The place of this VM's failure domain among those that can work on a chunk, and its own
+    /// among the VMs of that domain; `None` when it can't work on it.
+    ///
+    /// Only VMs that are home of an endpoint of the job's services count: a chunk that another one
+    /// claimed would wait there for slots that never come.
+    fn rank(&self, key: &ChunkKey, services: &[ServiceId]) -> Option<(usize, usize)> {
         let hash = id::of(&key.job).wrapping_add(u64::from(key.chunk));
-        let place = |ids: &[u64], own: u64| {
-            ranked(hash, ids.iter().copied())
+        let hands = || {
+            self.hands
                 .iter()
-                .position(|id| *id == own)
+                .filter(|hands| services.contains(&hands.service))
         };
-        let domain = place(&self.domains, self.own_domain);
-        let vm = place(&self.vms, self.own);
-        (
-            domain.unwrap_or(self.domains.len()),
-            vm.unwrap_or(self.vms.len()),
-        )
+        let domains = hands().flat_map(|hands| hands.domains.iter().copied());
+        let vms = hands().flat_map(|hands| hands.vms.iter().copied());
+        let place = |ids: Vec<u64>, own: u64| ids.iter().position(|id| *id == own);
+        let domain = place(ranked(hash, domains), self.own_domain)?;
+        let vm = place(ranked(hash, vms), self.own)?;
+        Some((domain, vm))
     }
 
     /// Whether this VM sees to it that a job is ended.
-    pub fn answers_for(&self, job: &JobId) -> bool {
-        self.rank(&ChunkKey {
+    pub fn answers_for(&self, job: &JobId, services: &[ServiceId]) -> bool {
+        let key = ChunkKey {
             job: job.clone(),
             chunk: u32::MAX,
-        }) == (0, 0)
+        };
+        match self.rank(&key, services) {
+            Some(rank) => rank == (0, 0),
+            // Nobody can work on it: all look, so that a cancelled job still ends.
+            None => !self
+                .hands
+                .iter()
+                .any(|hands| services.contains(&hands.service)),
+        }
     }
 }
 
@@ -112,90 +135,109 @@
         }
     }
 
-    /// Whether the owner of the record is thought to be gone.
-    fn owner_gone(&self, now: Duration, crew: &Crew, near: &HashSet<VmId>) -> bool {
+    /// Whether the owner of the record is thought to be gone. A mistake costs only work: the owner
+    /// loses its next write.
+    fn owner_gone(&self, now: Duration, crew: &Crew) -> bool {
         let Some((_, record)) = &self.record else {
             return true;
         };
-        let owner = record.owner;
-        if owner == 0 || owner == crew.own {
-            // Handed over, or owned by an earlier process of this VM.
+        if record.owner == 0 {
             return true;
         }
-        if crew.vms.contains(&owner) {
-            return false;
+        if record.owner_domain == crew.own_domain {
+            return !crew.owners.contains(&record.owner);
         }
-        // An owner that was seen in this failure domain and is not there any more is dead; one
-        // that never was belongs to another, which can only be told by its record.
-        near.contains(&owner) || now >= self.moved_at + STALE_AFTER
+        // Of another failure domain only the record tells.
+        now >= self.moved_at + STALE_AFTER
     }
 }
 
 impl Batch {
     /// Claims chunks while there is room for their items.
     pub(super) fn claim(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let crew = self.crew.clone();
-        self.near.extend(crew.vms.iter().copied());
-        if !crew.vms.contains(&crew.own) {
+        if !self.crew.vms.contains(&self.crew.own) {
             return;
         }
-        let mut wanted: Vec<(Duration, ChunkKey)> = Vec::new();
+        let mut wanted: Vec<(Duration, ChunkKey, bool)> = Vec::new();
         for (id, job) in &self.jobs {
             for chunk in 0..job.view.chunks {
                 let key = ChunkKey {
                     job: id.clone(),
                     chunk,
                 };
-                if self.runs.contains_key(&key) || !self.due(now, &crew, job.seen_at, &key) {
+                if self.runs.contains_key(&key) {
                     continue;
                 }
-                wanted.push((job.view.deadline, key));
+                if let Some(first) = self.due(now, job, &key) {
+                    wanted.push((job.view.deadline, key, first));
+                }
             }
         }
         wanted.sort();
-        for (_, key) in wanted {
-            let stopping = self.jobs.get(&key.job).is_none_or(|job| job.stopping(now));
-            if !stopping && !self.has_appetite() {
+        for (_, key, first) in wanted {
+            let Some(job) = self.jobs.get(&key.job) else {
                 continue;
+            };
+            let stopping = job.stopping(now);
+            if stopping || self.has_appetite(&job.view.services) {
+                self.claim_one(now, key, first, stopping, out);
             }
-            self.claim_one(now, key, stopping, out);
         }
     }
 
-    /// Whether this VM could use more items than it holds.
-    fn has_appetite(&self) -> bool {
-        let window: u32 = self.slots.values().map(|slot| slot.window).sum();
+    /// Whether this VM could use more items of these services than it holds.
+    fn has_appetite(&self, services: &[ServiceId]) -> bool {
+        let slots = self
+            .slots
+            .values()
+            .filter(|slot| services.contains(&slot.service));
+        let window: u32 = slots.map(|slot| slot.window).sum();
         let waiting: usize = self.runs.values().map(|run| run.waiting()).sum();
         self.runs.len() < RUNS_MAX && waiting < 2 * window as usize
     }
 
-    fn due(&self, now: Duration, crew: &Crew, seen_at: Duration, key: &ChunkKey) -> bool {
+    /// Whether to try for a chunk now, and whether as the first claimant.
+    fn due(&self, now: Duration, job: &Job, key: &ChunkKey) -> Option<bool> {
         let sighting = self.sightings.get(key);
         if sighting.is_some_and(|s| s.ended || s.reading) {
-            return false;
-        }
-        if let Some(sighting) = sighting.filter(|s| s.record.is_some()) {
-            let gone = sighting.owner_gone(now, crew, &self.near);
-            if !gone && now < sighting.next_look {
-                return false;
-            }
-            if gone && crew.rank(key).0 == 0 {
-                return now >= sighting.next_look.min(sighting.moved_at + TRY_AGAIN);
-            }
-            return now >= sighting.next_look && crew.rank(key).1 < CLAIMANTS;
+            return None;
         }
-        if sighting.is_some_and(|s| now < s.next_look) {
-            return false;
+        let services = &job.view.services;
+        let rank = self.crew.rank(key, services);
+        // A chunk that nobody can work on is still ended when its job is stopped.
+        let (domain, vm) = match rank {
+            None if job.stopping(now) && self.crew.answers_for(&key.job, services) => (0, 0),
+            rank => rank?,
+        };
+        if vm >= CLAIMANTS {
+            return None;
         }
-        let (domain, vm) = crew.rank(key);
-        vm < CLAIMANTS && now >= seen_at + DOMAIN_DELAY * domain as u32 + VM_DELAY * vm as u32
+        let at = match sighting {
+            None => job.seen_at + DOMAIN_DELAY * domain as u32 + VM_DELAY * vm as u32,
+            Some(sighting) if sighting.record.is_none() => sighting.next_look,
+            Some(sighting) => {
+                let gone = sighting.owner_gone(now, &self.crew);
+                let soon = sighting.moved_at + TRY_AGAIN;
+                if gone {
+                    sighting.next_look.min(soon)
+                } else {
+                    sighting.next_look
+                }
+            }
+        };
+        (now >= at).then_some((domain, vm) == (0, 0))
     }
 
-    fn claim_one(&mut self, now: Duration, key: ChunkKey, stopping: bool, out: &mut Vec<Action>) {
-        let near = &self.near;
+    fn claim_one(
+        &mut self,
+        now: Duration,
+        key: ChunkKey,
+        first: bool,
+        stopping: bool,
+        out: &mut Vec<Action>,
+    ) {
         let sighting = self.sightings.entry(key.clone()).or_default();
-        let first = self.crew.rank(&key) == (0, 0);
-        let owned = sighting.record.is_some() && !sighting.owner_gone(now, &self.crew, near);
+        let owned = sighting.record.is_some() && !sighting.owner_gone(now, &self.crew);
         if owned || (!first && !sighting.looked) {
             // It may have moved since it was last seen, or the first claimant has it: a read costs
             // the platform less than a write that fails.
@@ -207,7 +249,14 @@
         self.next_run += 1;
         let nonce = rand::Rng::random(&mut self.rng);
         let record = sighting.record.take();
-        let Some(run) = Run::claim(key.clone(), id, self.crew.own, record, nonce, stopping) else {
+        let Some(run) = Run::claim(
+            key.clone(),
+            id,
+            (self.owner, self.crew.own_domain),
+            record,
+            nonce,
+            stopping,
+        ) else {
             sighting.ended = true;
             return;
         };
--- a/src/decide/batch/run.rs
+++ b/src/decide/batch/run.rs
@@ -11,7 +11,7 @@
 use crate::decide::commit::{Answer, Commit, Step};
 use crate::decide::jobs::{ChunkRecord, ChunkState, ItemSet, ResultSegment};
 use crate::decide::retry::Reach;
-use crate::id::{Epoch, Nonce, Revision, ServiceId, VmId};
+use crate::id::{DomainId, Epoch, Nonce, OwnerId, Revision, ServiceId};
 
 /// Results that start a checkpoint.
 pub const CHECKPOINT_ITEMS: usize = 1024;
@@ -23,6 +23,10 @@
 pub const TRIES_MAX: u32 = 5;
 /// Endpoint deaths that an item may coincide with before it is given up.
 pub const DEATHS_MAX: u32 = 2;
+/// A run whose items wait for services that this VM has no endpoint of is handed over after this.
+pub const HOMELESS_AFTER: Duration = Duration::from_secs(2);
+/// Time for which this VM leaves a chunk that it handed over to others.
+pub const LEFT_ALONE: Duration = Duration::from_secs(20);
 /// Pause before the second try of an item; each further pause is twice as long.
 pub const BACKOFF: Duration = Duration::from_millis(250);
 
@@ -31,7 +35,7 @@
 pub enum Stop {
     /// The job was cancelled, or its deadline passed.
     Job,
-    /// This VM leaves: another one goes on.
+    /// Another VM goes on: this one leaves, or is home of no endpoint that its items need.
     Leave,
 }
 
@@ -115,6 +119,7 @@
     /// Items without any result.
     open: u32,
     stop: Option<Stop>,
+    homeless_since: Option<Duration>,
     lost: bool,
     retry_at: Duration,
 }
@@ -124,13 +129,13 @@
     pub fn claim(
         key: ChunkKey,
         id: u64,
-        own: VmId,
+        owner: (OwnerId, DomainId),
         before: Option<(Revision, ChunkRecord)>,
         nonce: Nonce,
         stopping: bool,
     ) -> Option<Run> {
         let standing = before.as_ref().map(|(_, record)| record);
-        let mut record = ChunkRecord::claim(standing, own, nonce)?;
+        let mut record = ChunkRecord::claim(standing, owner.0, owner.1, nonce)?;
         // With nothing to tell of its items, a chunk of a cancelled job ends in one write.
         if stopping && record.started.is_empty() {
             record.state = ChunkState::Stopped;
@@ -154,6 +159,7 @@
             checkpoint: None,
             open: 0,
             stop: None,
+            homeless_since: None,
             lost: false,
             retry_at: Duration::ZERO,
         })
@@ -233,6 +239,24 @@
         self.stop = Some(stop);
     }
 
+    /// Hands the chunk over when this VM is not `home` of any endpoint that its items need.
+    ///
+    /// The failure: homes move when VMs come and go. Items already here would wait for slots that
+    /// this VM never gets again, and the job with them, although others could go on.
+    pub fn note_homes(&mut self, now: Duration, home: impl Fn(ServiceId) -> bool) {
+        let waiting = |lane: &Lane| !lane.fresh.is_empty() || !lane.suspect.is_empty();
+        let wanted = || self.ready.iter().filter(|(_, lane)| waiting(lane));
+        let homeless = wanted().next().is_some() && !wanted().any(|(service, _)| home(*service));
+        if !homeless {
+            self.homeless_since = None;
+            return;
+        }
+        let since = *self.homeless_since.get_or_insert(now);
+        if now >= since + HOMELESS_AFTER && self.stop.is_none() {
+            self.stop = Some(Stop::Leave);
+        }
+    }
+
     /// Whether an item may be tried again after a byte may have reached an endpoint.
     pub fn idempotent(&self, item: u32) -> bool {
         self.items[item as usize].idempotent
@@ -357,6 +381,7 @@
                     self.make_ready(item);
                 }
             }
+            _ if handed_over => self.retry_at = now + LEFT_ALONE,
             _ => self.retry_at = now + TRY_AGAIN,
         }
     }
@@ -667,6 +692,16 @@
         if whole {
             record.state = ChunkState::Complete;
         } else if fin {
+            // Marked and still here: no byte of them went out, so whoever goes on may run them.
+            for lane in self.ready.values() {
+                lane.fresh
+                    .iter()
+                    .chain(&lane.suspect)
+                    .for_each(|item| record.started.remove(*item));
+            }
+            self.delayed
+                .iter()
+                .for_each(|(_, item)| record.started.remove(*item));
             match self.stop {
                 Some(Stop::Leave) => record.owner = 0,
                 _ => record.state = ChunkState::Stopped,
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -3,14 +3,14 @@
 //! Heartbeats go to each VM of the own failure domain. Two delegates a domain, by rendezvous, also
 //! send to the other domains. Heartbeats carry versions; who is behind fetches from the sender.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::endpoints::{Endpoints, Report};
 use super::members::{Card, Heard, Members, HEARTBEAT};
-use crate::id::{ranked, ConfigVersion, DomainId, EndpointId, Incarnation, VmId};
+use crate::id::{ranked, ConfigVersion, DomainId, EndpointId, Incarnation, OwnerId, VmId};
 
 /// VMs of a domain that watch the platform, and that speak with other domains.
 pub const DELEGATES: usize = 2;
@@ -97,6 +97,16 @@
     dirty: VecDeque<EndpointId>,
     refresh_at: usize,
     told: HashMap<EndpointId, Row>,
+    /// VMs of the own failure domain that take on work, as of the last tick.
+    working: Vec<VmId>,
+    /// Those of them whose batch process is up.
+    batching: Vec<VmId>,
+    /// Home of each endpoint of the own failure domain. Invariant: made from `batching`.
+    homes: BTreeMap<EndpointId, VmId>,
+    /// Endpoints that this VM polls. Invariant: made from `working`.
+    polls: Vec<EndpointId>,
+    /// Number of endpoints and configuration that `homes` and `polls` were made for.
+    made_for: (usize, ConfigVersion),
     /// Use by other VMs: what each said, and when.
     uses: HashMap<(VmId, EndpointId), (u32, u32, Duration)>,
 }
@@ -116,6 +126,11 @@
             dirty: VecDeque::new(),
             refresh_at: 0,
             told: HashMap::new(),
+            working: Vec::new(),
+            batching: Vec::new(),
+            homes: BTreeMap::new(),
+            polls: Vec::new(),
+            made_for: (0, 0),
             uses: HashMap::new(),
         }
     }
@@ -219,6 +234,7 @@
     /// Sends, polls and forgets what is due.
     pub fn tick(&mut self, now: Duration, endpoints: &mut Endpoints, out: &mut Vec<Action>) {
         self.members.tick(now);
+        self.place(now, endpoints);
         self.sum_uses(now, endpoints);
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + HEARTBEAT;
@@ -228,7 +244,7 @@
             }
             self.send(now, endpoints, far, out);
         }
-        self.poll(now, endpoints, out);
+        self.poll(now, out);
     }
 
     /// Tells everybody at once, as when leaving.
@@ -346,42 +362,80 @@
         }
     }
 
-    fn poll(&mut self, now: Duration, endpoints: &Endpoints, out: &mut Vec<Action>) {
-        for endpoint in &endpoints.rows {
-            if endpoint.declared.domain != self.card.domain {
-                continue;
+    /// Places endpoints on VMs anew when either have changed.
+    fn place(&mut self, now: Duration, endpoints: &Endpoints) {
+        let (domain, card) = (self.card.domain, &self.card);
+        let mut working = self.members.ranked_for(now, card, domain, 0);
+        working.sort_unstable();
+        let mut batching = self.members.batch_ranked(now, card, 0);
+        batching.sort_unstable();
+        let made_for = (endpoints.rows.len(), card.config);
+        if (&working, &batching, made_for) == (&self.working, &self.batching, self.made_for) {
+            return;
+        }
+        (self.working, self.batching, self.made_for) = (working, batching, made_for);
+        self.homes.clear();
+        self.polls.clear();
+        for row in endpoints
+            .rows
+            .iter()
+            .filter(|row| row.declared.domain == domain)
+        {
+            if let Some(home) = ranked(row.id, self.batching.iter().copied()).first() {
+                self.homes.insert(row.id, *home);
             }
-            let last = self.polled_at.get(&endpoint.id);
-            if last.is_some_and(|at| now < *at + POLL) {
-                continue;
+            let pollers = ranked(row.id, self.working.iter().copied());
+            if pollers.iter().take(POLLERS).any(|vm| *vm == self.card.vm) {
+                self.polls.push(row.id);
             }
-            if self.among_first(now, endpoint.id, POLLERS) {
-                self.polled_at.insert(endpoint.id, now);
+        }
+    }
+
+    fn poll(&mut self, now: Duration, out: &mut Vec<Action>) {
+        for endpoint in &self.polls {
+            let last = self.polled_at.get(endpoint);
+            if last.is_none_or(|at| now >= *at + POLL) {
+                self.polled_at.insert(*endpoint, now);
                 out.push(Action::Poll {
-                    endpoint: endpoint.id,
+                    endpoint: *endpoint,
                 });
             }
         }
     }
 
-    fn among_first(&self, now: Duration, key: u64, count: usize) -> bool {
+    /// Whether this VM is the first of the delegates: the one that tries for the lease of orders.
+    pub fn is_first_delegate(&self, now: Duration) -> bool {
         let ranked = self
             .members
-            .ranked_for(now, &self.card, self.card.domain, key);
-        ranked.iter().take(count).any(|vm| *vm == self.card.vm)
+            .ranked_for(now, &self.card, self.card.domain, KEY_DELEGATE);
+        ranked.first() == Some(&self.card.vm)
     }
 
     /// Whether this VM watches the platform and speaks with other domains.
     pub fn is_delegate(&self, now: Duration) -> bool {
-        self.among_first(now, KEY_DELEGATE, DELEGATES)
+        let ranked = self
+            .members
+            .ranked_for(now, &self.card, self.card.domain, KEY_DELEGATE);
+        ranked.iter().take(DELEGATES).any(|vm| *vm == self.card.vm)
     }
 
     /// The VM whose batch process may use an endpoint of the own domain.
-    pub fn home(&self, now: Duration, endpoint: EndpointId) -> Option<VmId> {
-        self.members
-            .batch_ranked(now, &self.card, endpoint)
-            .first()
-            .copied()
+    pub fn home(&self, endpoint: EndpointId) -> Option<VmId> {
+        self.homes.get(&endpoint).copied()
+    }
+
+    /// Batch processes of the own domain that are up.
+    pub fn owners(&self) -> Vec<OwnerId> {
+        let batch = |vm: &VmId| match *vm == self.card.vm {
+            true => Some(self.card.batch),
+            false => self.members.rows.get(vm).map(|row| row.card.batch),
+        };
+        self.batching.iter().filter_map(batch).collect()
+    }
+
+    /// VMs of the own domain whose batch process is up.
+    pub fn batching(&self) -> &[VmId] {
+        &self.batching
     }
 }
 
--- a/src/decide/jobs.rs
+++ b/src/decide/jobs.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
-use crate::id::{Epoch, JobId, Name, Nonce, VmId};
+use crate::id::{DomainId, Epoch, JobId, Name, Nonce, OwnerId};
 
 /// Items in one chunk at the most.
 pub const CHUNK_ITEMS_MAX: usize = 4096;
@@ -44,6 +44,8 @@
     pub created_ms: u64,
     pub bytes: u64,
     pub lines: u32,
+    /// What its lines ask for: `model:NAME` and `service:NAME`, each once.
+    pub targets: Vec<String>,
     /// One for each chunk of a job over this file.
     pub segments: Vec<Segment>,
 }
@@ -85,6 +87,8 @@
     pub workspace: Name,
     pub endpoint: String,
     pub file: String,
+    /// What its items ask for, as in the file's record.
+    pub targets: Vec<String>,
     pub chunks: u32,
     pub state: JobState,
     pub created_ms: u64,
@@ -169,6 +173,13 @@
         fresh
     }
 
+    /// Takes an item out.
+    pub fn remove(&mut self, item: u32) {
+        if let Some(word) = self.words.get_mut(item as usize / 64) {
+            *word &= !(1u64 << (item % 64));
+        }
+    }
+
     /// Whether an item is in.
     pub fn contains(&self, item: u32) -> bool {
         let word = self.words.get(item as usize / 64);
@@ -218,7 +229,10 @@
 /// One chunk. Results count once they are in here.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ChunkRecord {
-    pub owner: VmId,
+    /// The batch process that works on it; 0 when it was handed over. A process that is started
+    /// again is another owner: it knows nothing of what the one before held.
+    pub owner: OwnerId,
+    pub owner_domain: DomainId,
     /// Grows with each claim. Invariant: a write by an owner carries the epoch of its claim.
     pub epoch: Epoch,
     pub state: ChunkState,
@@ -234,10 +248,16 @@
 
 impl ChunkRecord {
     /// The record with a claim by `owner`; `None` when the chunk has ended.
-    pub fn claim(before: Option<&ChunkRecord>, owner: VmId, nonce: Nonce) -> Option<ChunkRecord> {
+    pub fn claim(
+        before: Option<&ChunkRecord>,
+        owner: OwnerId,
+        owner_domain: DomainId,
+        nonce: Nonce,
+    ) -> Option<ChunkRecord> {
         match before {
             None => Some(ChunkRecord {
                 owner,
+                owner_domain,
                 epoch: 1,
                 state: ChunkState::Open,
                 done: ItemSet::default(),
@@ -248,6 +268,7 @@
             }),
             Some(record) if record.state == ChunkState::Open => Some(ChunkRecord {
                 owner,
+                owner_domain,
                 epoch: record.epoch + 1,
                 nonce,
                 ..record.clone()
--- a/src/decide/members.rs
+++ b/src/decide/members.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{ranked, ConfigVersion, DomainId, Incarnation, Name, Revision, VmId};
+use crate::id::{ranked, ConfigVersion, DomainId, Incarnation, Name, OwnerId, Revision, VmId};
 
 /// Time between two heartbeats to the same VM.
 pub const HEARTBEAT: Duration = Duration::from_millis(400);
@@ -26,8 +26,8 @@
     pub peer_address: SocketAddr,
     pub incarnation: Incarnation,
     pub leaving: bool,
-    /// Whether its batch process is up.
-    pub batch_ready: bool,
+    /// Its batch process, 0 when it is not up.
+    pub batch: OwnerId,
     /// Configuration in force there.
     pub config: ConfigVersion,
     /// Newest revision of the job records known there.
@@ -148,9 +148,9 @@
             .rows
             .values()
             .filter(|row| row.card.domain == own.domain)
-            .filter(|row| row.working(now) && row.card.batch_ready)
+            .filter(|row| row.working(now) && row.card.batch != 0)
             .map(|row| row.card.vm);
-        let own_id = (own.batch_ready && !own.leaving).then_some(own.vm);
+        let own_id = (own.batch != 0 && !own.leaving).then_some(own.vm);
         ranked(key, others.chain(own_id))
     }
 }
--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -414,7 +414,7 @@
     fn retry(&mut self, now: Duration, row: Row, reach: Reach, out: &mut Vec<Action>) {
         let request = row.arrival.request;
         let may = retry::allowed(reach, row.arrival.idempotent, row.attempts);
-        if may && now < row.arrival.deadline && self.budget.spend() {
+        if may && now < row.arrival.deadline && self.budget.spend(now) {
             if let Ok(endpoint) = self.route(now, &row) {
                 self.send(now, row, endpoint, out);
                 return;
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -1,9 +1,13 @@
 //! Whether a failed try may be made again.
 
+use std::time::Duration;
+
 use strum::IntoStaticStr;
 
-/// Retries earned by one first try; keeps tries at 1.1 a request whatever fails.
-pub const EARNED: f64 = 0.1;
+/// Retries earned by one first try; with the floor it keeps tries at 1.1 a request whatever fails.
+pub const EARNED: f64 = 0.09;
+/// After so long without a retry there is one, so that callers of a quiet service have one too.
+pub const FLOOR: Duration = Duration::from_secs(1);
 /// Retries that may be saved up.
 pub const SAVED_MAX: f64 = 10.0;
 /// Tries of one request, the first included.
@@ -29,11 +33,15 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     saved: f64,
+    spent_at: Duration,
 }
 
 impl Default for Budget {
     fn default() -> Budget {
-        Budget { saved: 1.0 }
+        Budget {
+            saved: 1.0,
+            spent_at: Duration::ZERO,
+        }
     }
 }
 
@@ -44,11 +52,15 @@
     }
 
     /// Takes one retry if there is one.
-    pub fn spend(&mut self) -> bool {
+    pub fn spend(&mut self, now: Duration) -> bool {
+        if self.saved < 1.0 && now >= self.spent_at + FLOOR {
+            self.saved = 1.0;
+        }
         if self.saved < 1.0 {
             return false;
         }
         self.saved -= 1.0;
+        self.spent_at = now;
         true
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,6 +8,7 @@
 pub mod node;
 pub mod online;
 pub mod operators;
+pub mod orders;
 pub mod plain;
 pub mod plan;
 pub mod watch;
@@ -69,6 +70,7 @@
     gossip::start(&node).context(ListenSnafu { what: "threads" })?;
     watch::start(&node).context(ListenSnafu { what: "threads" })?;
     intent::start(&node).context(ListenSnafu { what: "threads" })?;
+    orders::start(&node).context(ListenSnafu { what: "threads" })?;
     gossip::serve_peers(&node, peers).context(ListenSnafu {
         what: "peer_address",
     })?;
@@ -110,7 +112,7 @@
         clock::sleep(STOP_LOOK);
     }
     server.close();
-    while (server.busy() > 0 || lock(&node.links).batch_ready) && !hurry && clock::now() < limit {
+    while (server.busy() > 0 || lock(&node.links).batch != 0) && !hurry && clock::now() < limit {
         hurry = signals.pending().next().is_some();
         clock::sleep(STOP_LOOK);
     }
--- a/src/entry/files.rs
+++ b/src/entry/files.rs
@@ -1,8 +1,11 @@
 //! Input and output files of batch jobs.
 
+use std::borrow::Cow;
+use std::collections::BTreeSet;
 use std::io;
 
 use bytes::Bytes;
+use serde::Deserialize;
 use serde_json::json;
 
 use super::node::{Asker, Node};
@@ -21,6 +24,8 @@
 /// Lines in one file; well above the largest job that is foreseen.
 pub const LINES_MAX: usize = 2_000_000;
 const RETRY_SOON: Duration = Duration::from_secs(2);
+/// Distinct models and services in one file that are noted.
+const TARGETS_MAX: usize = 256;
 const PATIENCE: Duration = Duration::from_secs(3);
 
 /// Answers calls under `/v1/files`.
@@ -133,6 +138,39 @@
     out
 }
 
+/// What the lines ask for, each once. Lines that can't be read ask for nothing; they end as errors
+/// wherever the chunk is worked on.
+fn targets(content: &Bytes) -> Vec<String> {
+    #[derive(Deserialize)]
+    struct Line<'a> {
+        #[serde(borrow)]
+        url: Cow<'a, str>,
+        body: Option<Body>,
+    }
+    #[derive(Deserialize)]
+    struct Body {
+        #[serde(default)]
+        model: Option<String>,
+    }
+    let mut found = BTreeSet::new();
+    for text in content.split(|byte| *byte == b'\n') {
+        let Ok(line) = serde_json::from_slice::<Line>(text) else {
+            continue;
+        };
+        let model = line.body.and_then(|body| body.model);
+        let target = match (line.url.strip_prefix("/svc/"), model) {
+            (Some(rest), _) => format!("service:{}", rest.split('/').next().unwrap_or_default()),
+            (None, Some(model)) => format!("model:{model}"),
+            (None, None) => continue,
+        };
+        found.insert(target);
+        if found.len() >= TARGETS_MAX {
+            break;
+        }
+    }
+    found.into_iter().collect()
+}
+
 fn blank(line: &[u8]) -> bool {
     line.iter().all(u8::is_ascii_whitespace)
 }
@@ -164,6 +202,7 @@
         created_ms: clock::unix_ms(),
         bytes: content.len() as u64,
         lines,
+        targets: targets(content),
         segments,
     };
     let text = serde_json::to_string(&record).unwrap_or_default();
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -106,6 +106,7 @@
         workspace: asker.workspace.clone(),
         endpoint: asked.endpoint,
         file: file.id,
+        targets: file.targets,
         chunks: file.segments.len() as u32,
         state: JobState::InProgress,
         created_ms: now_ms,
--- a/src/entry/local.rs
+++ b/src/entry/local.rs
@@ -30,7 +30,7 @@
         }
         let mut links = lock(&node.links);
         links.to_batch = None;
-        links.batch_ready = false;
+        links.batch = 0;
         drop(links);
         lock(&node.core).batch_here.clear();
     };
@@ -53,7 +53,7 @@
     let mut reading = stream;
     loop {
         match read_frame::<ToEntry>(&mut reading, &node.key)? {
-            ToEntry::Ready(ready) => lock(&node.links).batch_ready = ready,
+            ToEntry::Ready(batch) => lock(&node.links).batch = batch,
             ToEntry::InFlight(counts) => {
                 lock(&node.core).batch_here = counts.into_iter().collect::<HashMap<_, _>>();
             }
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -13,14 +13,16 @@
 use super::plan::Plan;
 use crate::clock;
 use crate::config::Versioned;
-use crate::decide::batch::place::Crew;
+use crate::decide::batch::place::{Crew, Hands};
 use crate::decide::fleet::{self, Fleet};
 use crate::decide::jobs::{JobRecord, JobState};
 use crate::decide::members::Card;
 use crate::decide::online::{Action, Event, Online};
 use crate::decide::window::{self, Seen};
 use crate::engine::Engines;
-use crate::id::{self, ConfigVersion, EndpointId, JobId, Name, RequestId, Revision, ServiceId};
+use crate::id::{
+    self, ConfigVersion, EndpointId, JobId, Name, OwnerId, RequestId, Revision, ServiceId,
+};
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::segments::Segments;
@@ -93,7 +95,8 @@
 #[derive(Default)]
 pub struct Links {
     pub to_batch: Option<Sender<ToBatch>>,
-    pub batch_ready: bool,
+    /// The batch process that is linked and takes on work; 0 for none.
+    pub batch: OwnerId,
     windows: Vec<(EndpointId, ServiceId, u32)>,
     crew: Crew,
 }
@@ -186,7 +189,7 @@
             peer_address: settings.peer_address,
             incarnation: clock::unix_ms(),
             leaving: false,
-            batch_ready: false,
+            batch: 0,
             config: 0,
             jobs: 0,
         };
@@ -343,7 +346,7 @@
         if domain != Some(core.fleet.card.domain) {
             return;
         }
-        match core.fleet.home(now, endpoint) {
+        match core.fleet.home(endpoint) {
             Some(home) if home == core.fleet.card.vm => self.push_windows(now, core),
             // Only the first one is told: while it is there, heartbeats tell of it.
             Some(home) if online == 1 => {
@@ -395,7 +398,7 @@
         let mut actions = Vec::new();
         core.online.tick(now, &mut actions);
         self.pass_on(now, core, actions);
-        core.fleet.card.batch_ready = lock(&self.links).batch_ready;
+        core.fleet.card.batch = lock(&self.links).batch;
         core.fleet.card.jobs = core.jobs.revision;
         let mut actions = Vec::new();
         core.fleet
@@ -408,7 +411,7 @@
         }
         core.jobs.forget_ended(clock::unix_ms());
         self.push_windows(now, core);
-        self.push_crew(now, core);
+        self.push_crew(core);
     }
 
     /// Carries out what the fleet's table asks for.
@@ -452,7 +455,7 @@
             if row.declared.domain != core.fleet.card.domain || !row.usable(now) {
                 continue;
             }
-            if core.fleet.home(now, row.id) != Some(core.fleet.card.vm) {
+            if core.fleet.home(row.id) != Some(core.fleet.card.vm) {
                 continue;
             }
             let seen = Seen {
@@ -471,19 +474,28 @@
         }
     }
 
-    fn push_crew(&self, now: Duration, core: &Core) {
+    fn push_crew(&self, core: &Core) {
         let card = &core.fleet.card;
-        let mut vms = core.fleet.members.batch_ranked(now, card, 0);
-        vms.sort_unstable();
-        let endpoints = core.online.endpoints.rows.iter();
-        let mut domains: Vec<u64> = endpoints.map(|row| row.declared.domain).collect();
-        domains.sort_unstable();
-        domains.dedup();
+        let mut hands: BTreeMap<ServiceId, Hands> = BTreeMap::new();
+        for row in &core.online.endpoints.rows {
+            let service = row.declared.service;
+            let of_service = hands.entry(service).or_default();
+            of_service.service = service;
+            of_service.domains.push(row.declared.domain);
+            of_service.vms.extend(core.fleet.home(row.id));
+        }
+        for of_service in hands.values_mut() {
+            for ids in [&mut of_service.domains, &mut of_service.vms] {
+                ids.sort_unstable();
+                ids.dedup();
+            }
+        }
         let crew = Crew {
             own: card.vm,
             own_domain: card.domain,
-            vms,
-            domains,
+            vms: core.fleet.batching().to_vec(),
+            owners: core.fleet.owners(),
+            hands: hands.into_values().collect(),
         };
         let mut links = lock(&self.links);
         if links.crew != crew {
@@ -579,7 +591,7 @@
         if let Some(sender) = &self.to_batch {
             if sender.send(message).is_err() {
                 self.to_batch = None;
-                self.batch_ready = false;
+                self.batch = 0;
             }
         }
     }
--- a/src/entry/online.rs
+++ b/src/entry/online.rs
@@ -255,6 +255,12 @@
             Next::Send {
                 address, attempt, ..
             } => {
+                // An endpoint that takes a request and never answers must leave time for another.
+                let timeout = if asked.stream {
+                    ticket.left()
+                } else {
+                    ticket.left() / 2
+                };
                 let call = Call {
                     address: &address,
                     method: "POST",
@@ -263,7 +269,7 @@
                     attempt: &attempt,
                     key: None,
                     body: &request.body,
-                    timeout: ticket.left(),
+                    timeout,
                 };
                 let ended = match asked.stream {
                     true => try_stream(&ticket, call, out)?,
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -79,7 +79,7 @@
             "online_here": row.online_here,
             "online_elsewhere": row.online_elsewhere,
             "batch_here": core.batch_here.get(&row.id).copied().unwrap_or(0),
-            "home": core.fleet.home(now, row.id) == Some(core.fleet.card.vm),
+            "home": core.fleet.home(row.id) == Some(core.fleet.card.vm),
             "first_token_ms": row.first_token_ms,
             "ejected_ms": row.ejected_until.saturating_sub(now).as_millis() as u64,
             "report": row.report,
@@ -122,7 +122,7 @@
 
 fn job_waits(core: &Core, node: &Node) -> String {
     let now = clock::now();
-    if !lock(&node.links).batch_ready {
+    if lock(&node.links).batch == 0 {
         return "the batch process of this VM, which is not linked".into();
     }
     let homes: Vec<_> = core
@@ -130,7 +130,7 @@
         .endpoints
         .rows
         .iter()
-        .filter(|row| core.fleet.home(now, row.id) == Some(core.fleet.card.vm))
+        .filter(|row| core.fleet.home(row.id) == Some(core.fleet.card.vm))
         .collect();
     if homes.is_empty() {
         return "other VMs: this one is home of no endpoint".into();
--- /dev/null
+++ b/src/entry/orders.rs
@@ -0,0 +1,157 @@
+//! Orders to endpoints: carries out what the deciding functions say.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use log::{info, warn};
+use serde::Serialize;
+
+use super::node::{Core, Node};
+use super::plan::Plan;
+use crate::clock;
+use crate::config::ServiceKind;
+use crate::decide::commit::Answer;
+use crate::decide::orders::{Action, FenceRecord, Orders, Wanted, LEASE};
+use crate::id::{self, Epoch, Name};
+use crate::util::{self, lock};
+
+const TICK: Duration = Duration::from_millis(200);
+const REFUSED_AS_OLD: u16 = 409;
+
+/// An order as endpoints take it: the whole wanted state.
+#[derive(Serialize)]
+struct Order<'a> {
+    fence: Epoch,
+    models: &'a [Name],
+}
+
+/// Starts the thread.
+pub fn start(node: &Arc<Node>) -> io::Result<()> {
+    let node = node.clone();
+    thread::Builder::new()
+        .name("orders".into())
+        .spawn(move || run(&node))?;
+    Ok(())
+}
+
+fn run(node: &Node) {
+    let mut orders = Orders::new(id::of(&node.settings.name), util::nonce());
+    loop {
+        clock::sleep(TICK);
+        let now = clock::now();
+        let (candidate, wanted) = {
+            let core = lock(&node.core);
+            (
+                core.fleet.is_first_delegate(now) && !core.fleet.card.leaving,
+                wanted(&core),
+            )
+        };
+        let mut actions = Vec::new();
+        orders.tick(now, candidate, &wanted, &mut actions);
+        while let Some(action) = actions.pop() {
+            carry_out(node, &mut orders, action, &mut actions);
+        }
+    }
+}
+
+/// What each endpoint of the own failure domain should have loaded.
+fn wanted(core: &Core) -> Vec<Wanted> {
+    let Some(plan) = &core.plan else {
+        return Vec::new();
+    };
+    let own = |row: &&crate::decide::endpoints::Endpoint| {
+        row.declared.domain == core.fleet.card.domain && row.leaving.is_none()
+    };
+    let rows = core.online.endpoints.rows.iter().filter(own);
+    rows.filter_map(|row| {
+        let models = models_of(plan, row.declared.service)?;
+        let reported = row.report.as_ref().map(|report| report.models.clone());
+        Some(Wanted {
+            endpoint: row.id,
+            models,
+            reported,
+        })
+    })
+    .collect()
+}
+
+/// `model@version` of each model of a service, then its adapters; `None` for plain services.
+fn models_of(plan: &Plan, service: u64) -> Option<Vec<Name>> {
+    let state = plan.state();
+    let service = state
+        .services
+        .iter()
+        .find(|row| id::of(&row.name) == service)?;
+    if service.kind != ServiceKind::Model {
+        return None;
+    }
+    let version = |model: &Name| state.versions.iter().find(|row| row.model == *model);
+    let models = service.models.iter().map(|model| match version(model) {
+        Some(row) => format!("{model}@{}", row.version).into(),
+        None => model.clone(),
+    });
+    let adapters = state
+        .adapters
+        .iter()
+        .filter(|row| service.models.contains(&row.model));
+    Some(models.chain(adapters.map(|row| row.name.clone())).collect())
+}
+
+fn carry_out(node: &Node, orders: &mut Orders, action: Action, out: &mut Vec<Action>) {
+    let domain = &node.settings.failure_domain;
+    let (lease_key, fence_key) = (
+        format!("orders/lease/{domain}"),
+        format!("orders/fence/{domain}"),
+    );
+    match action {
+        Action::Lease => {
+            let lease = node.platform.lease(LEASE).ok().filter(|lease| {
+                let holder = node.settings.name.to_string();
+                let put = node
+                    .platform
+                    .put_leased(&lease_key, 0, &holder, Some(*lease));
+                matches!(put, Answer::Won(_))
+            });
+            orders.leased(clock::now(), lease, out);
+        }
+        Action::Renew { lease } => {
+            let alive = node.platform.renew(lease).ok();
+            orders.renewed(clock::now(), alive);
+        }
+        Action::ReadFence => {
+            let found = node.platform.get(&fence_key).ok().map(|entry| {
+                let entry = entry?;
+                let record: FenceRecord = serde_json::from_str(&entry.value).ok()?;
+                Some((entry.revision, record))
+            });
+            orders.fence_read(clock::now(), found, out);
+        }
+        Action::WriteFence { expect, record } => {
+            let text = serde_json::to_string(&record).unwrap_or_default();
+            let answer = node.platform.put(&fence_key, expect, &text);
+            orders.fence_written(clock::now(), answer, out);
+        }
+        Action::Order {
+            endpoint,
+            fence,
+            models,
+        } => {
+            let address = node.plan().and_then(|plan| plan.address(endpoint).cloned());
+            let Some(address) = address else { return };
+            info!(endpoint = &*address, fence; "order: {models:?}");
+            match node.engines.order(
+                &address,
+                &Order {
+                    fence,
+                    models: &models,
+                },
+            ) {
+                Ok(REFUSED_AS_OLD) => orders.refused(clock::now()),
+                Ok(_) => {}
+                Err(fault) => warn!("order to {address}: {}", fault.detail),
+            }
+        }
+    }
+}
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -23,7 +23,7 @@
 use crate::util::lock;
 
 /// How long one watch waits.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time between two reads of the list of VMs by one delegate: two of them make one read a second.
 const LIST_PAUSE: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(200);
@@ -64,7 +64,7 @@
         peer_address: address,
         incarnation: 0,
         leaving: false,
-        batch_ready: false,
+        batch: 0,
         config: 0,
         jobs: 0,
     }
@@ -195,7 +195,7 @@
         peer_address: vm.peer_address.parse().ok()?,
         incarnation: 0,
         leaving: vm.leaving,
-        batch_ready: false,
+        batch: 0,
         config: 0,
         jobs: 0,
     })
--- a/src/id.rs
+++ b/src/id.rs
@@ -8,6 +8,8 @@
 pub type Name = Arc<str>;
 /// Hash of a VM's name; what heartbeats and rendezvous hashing use.
 pub type VmId = u64;
+/// One run of a VM's batch process, drawn at its start; 0 stands for none.
+pub type OwnerId = u64;
 /// Hash of an endpoint's name.
 pub type EndpointId = u64;
 /// Hash of a service's name.
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -588,7 +588,7 @@
         let batch = !self.batches.is_empty();
         let ready = |process: &Process| {
             let dump = process.page("/dump");
-            let linked = !batch || dump["vm"]["batch_ready"] == true;
+            let linked = !batch || dump["vm"]["batch"] != 0;
             dump["ready"].get("Ok").is_some() && linked
         };
         while !self.entries.iter().all(ready) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -12,7 +12,7 @@
 use crate::decide::fleet::Heartbeat;
 use crate::decide::intents::{Ask, IntentKey, Verdict};
 use crate::decide::jobs::JobRecord;
-use crate::id::{ConfigVersion, EndpointId, Revision, ServiceId};
+use crate::id::{ConfigVersion, EndpointId, OwnerId, Revision, ServiceId};
 
 /// Version of all formats in this module.
 pub const VERSION: u8 = 1;
@@ -97,8 +97,8 @@
 /// From the batch process to the entry process of the same VM.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToEntry {
-    /// Whether it takes on work.
-    Ready(bool),
+    /// The process if it takes on work or holds some, else 0.
+    Ready(OwnerId),
     /// Items at each endpoint.
     InFlight(Vec<(EndpointId, u32)>),
 }
--- a/tests/batch_machine.rs
+++ b/tests/batch_machine.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use bramleyseam::decide::batch::place::Crew;
+use bramleyseam::decide::batch::place::{Crew, Hands};
 use bramleyseam::decide::batch::{Action, Batch, ChunkKey, End, Event, JobView, Planned, Work};
 use bramleyseam::decide::commit::Answer;
 use bramleyseam::decide::jobs::{
@@ -73,6 +73,7 @@
             workspace: "terrasse".into(),
             endpoint: "/v1/chat/completions".into(),
             file: "file-1".into(),
+            targets: vec!["model:permit-7b".into()],
             chunks: CHUNKS,
             state: JobState::InProgress,
             created_ms: 0,
@@ -106,7 +107,8 @@
     }
 
     fn fresh_vm(&mut self) -> Vm {
-        let batch = Batch::new(SmallRng::seed_from_u64(self.rng.random()));
+        let owner = self.rng.random();
+        let batch = Batch::new(owner, SmallRng::seed_from_u64(self.rng.random()));
         Vm {
             batch,
             inbox: Vec::new(),
@@ -328,6 +330,7 @@
             false => vec![JobView {
                 id: self.job.id.clone(),
                 workspace: self.job.workspace.clone(),
+                services: vec![SERVICE],
                 chunks: CHUNKS,
                 state: self.job.state,
                 deadline: HOUR * 24,
@@ -336,16 +339,25 @@
         let seen = |other: usize, state: &Vm| {
             other == vm || (state.paused_until <= step && state.hidden_until <= step)
         };
-        let vms = self
+        let seen: Vec<(usize, &Vm)> = self
             .vms
             .iter()
             .enumerate()
-            .filter(|(at, state)| seen(*at, state));
+            .filter(|(at, state)| seen(*at, state))
+            .collect();
+        let vms: Vec<u64> = seen.iter().map(|(at, _)| *at as u64 + 1).collect();
+        let owners = seen.iter().map(|(_, state)| state.batch.owner()).collect();
+        let hands = Hands {
+            service: SERVICE,
+            vms: vms.clone(),
+            domains: vec![1],
+        };
         let crew = Crew {
             own: vm as u64 + 1,
             own_domain: 1,
-            vms: vms.map(|(at, _)| at as u64 + 1).collect(),
-            domains: vec![1],
+            vms,
+            owners,
+            hands: vec![hands],
         };
         let told = (views, crew);
         if self.vms[vm].told.as_ref() != Some(&told) {
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -51,7 +51,7 @@
         peer_address: address(at),
         incarnation,
         leaving: false,
-        batch_ready: true,
+        batch: at as u64 + 1,
         config: 0,
         jobs: 0,
     }
@@ -342,7 +342,7 @@
         world.run_for(Duration::from_secs(5));
         let homes = |vm: &Vm| -> Vec<_> {
             let rows = vm.endpoints.rows.iter();
-            rows.map(|row| vm.fleet.home(world.now, row.id)).collect()
+            rows.map(|row| vm.fleet.home(row.id)).collect()
         };
         let first = homes(&world.vms[0]);
         world.vms.iter().all(|vm| homes(vm) == first)
--- /dev/null
+++ b/tests/online_failures.rs
@@ -0,0 +1,265 @@
+//! Online requests when endpoints and links fail, through real processes.
+
+use std::time::Duration;
+
+use bramleyseam::clock;
+use bramleyseam::standin::engine::answer_to;
+use bramleyseam::standin::fleet::{Fleet, Plan};
+use serde_json::{json, Value};
+
+fn chat(prompt: &str, tokens: u64, stream: bool) -> String {
+    bramleyseam::bench::load::chat(prompt, tokens, stream)
+}
+
+fn expected(prompt: &str, tokens: u64) -> String {
+    answer_to(
+        &json!([{ "role": "user", "content": prompt }]).to_string(),
+        tokens,
+    )
+}
+
+/// The text of a streamed answer, and whether its end marker came.
+fn streamed(text: &str) -> (String, bool) {
+    let mut out = String::new();
+    for line in text.lines().filter_map(|line| line.strip_prefix("data: {")) {
+        let event: Value = serde_json::from_str(&format!("{{{line}")).unwrap();
+        out += event["choices"][0]["delta"]["content"]
+            .as_str()
+            .unwrap_or_default();
+    }
+    (out, text.contains("data: [DONE]"))
+}
+
+fn plan(engines: usize) -> Plan {
+    Plan {
+        engines,
+        batch: false,
+        ..Plan::default()
+    }
+}
+
+// The connection to the engine breaks in the middle of a stream. The entry process resumes it at
+// its offset on the same engine; the caller sees each token once and nothing of the break.
+#[test]
+fn stream_resumed() {
+    let fleet = Fleet::start("stream-resumed", &plan(1)).unwrap();
+    for breaks in [1, 2] {
+        fleet.engines[0].control(json!({ "break_streams": breaks }));
+        let body = chat("resume", 20, true);
+        let answer = fleet.ask(0, "POST", "/v1/chat/completions", &body).unwrap();
+        assert_eq!(streamed(&answer.text()), (expected("resume", 20), true));
+    }
+}
+
+// The stream breaks after some tokens went out, and the engine can't resume it. The caller gets an
+// error event and no end, never a short answer that looks whole.
+#[test]
+fn broken_visible() {
+    let fleet = Fleet::start("broken-visible", &plan(1)).unwrap();
+    fleet.engines[0].control(json!({ "break_streams": 1, "no_resume": true }));
+    let body = chat("broken", 20, true);
+    let answer = fleet.ask(0, "POST", "/v1/chat/completions", &body).unwrap();
+    assert!(answer.cut, "the body ended as if whole");
+    assert!(answer.text().contains("event: error"), "{}", answer.text());
+    assert!(!answer.text().contains("[DONE]"));
+}
+
+// An engine is killed in the middle of many streams. Each caller gets its whole answer or sees an
+// error; no answer is short and looks whole. Requests after it go to the other engine.
+#[test]
+fn engine_dies() {
+    let behaviour = json!({ "step_us": 20_000 });
+    let mut fleet = Fleet::start(
+        "engine-dies",
+        &Plan {
+            behaviour,
+            ..plan(2)
+        },
+    )
+    .unwrap();
+    let (entry, key) = (fleet.entries[0].address, "terrasse-key");
+    let callers: Vec<_> = (0..10)
+        .map(|at| {
+            std::thread::spawn(move || {
+                let prompt = format!("caller {at}");
+                let body = chat(&prompt, 30, true);
+                let path = "/v1/chat/completions";
+                let answer = bramleyseam::standin::fleet::call(
+                    entry,
+                    "POST",
+                    path,
+                    key,
+                    &[],
+                    body.as_bytes(),
+                );
+                (prompt, answer.unwrap())
+            })
+        })
+        .collect();
+    clock::sleep(Duration::from_millis(250));
+    fleet.engines[0].kill();
+    let mut whole = 0;
+    for caller in callers {
+        let (prompt, answer) = caller.join().unwrap();
+        let (text, done) = streamed(&answer.text());
+        if done {
+            assert_eq!(text, expected(&prompt, 30));
+            whole += 1;
+        } else {
+            assert!(answer.cut || answer.status != 200, "{}", answer.text());
+        }
+    }
+    assert!((1..10).contains(&whole), "{whole} whole");
+    for at in 0..10 {
+        let body = chat(&format!("after {at}"), 2, false);
+        let answer = fleet.ask(0, "POST", "/v1/chat/completions", &body).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+}
+
+// An engine sends another request's answer, or one that is cut in the middle and padded to its
+// announced length. Neither reaches the caller: it gets its own whole answer by a second try.
+#[test]
+fn crossed_answers() {
+    let fleet = Fleet::start("crossed", &plan(2)).unwrap();
+    for fault in ["swap_answers", "cut_answers", "fail_requests"] {
+        for engine in &fleet.engines {
+            engine.control(json!({ fault: 1 }));
+        }
+        // Fill the budget of retries again.
+        for at in 0..30 {
+            let body = chat(&format!("{fault} {at}"), 3, at % 2 == 0);
+            let answer = fleet.ask(0, "POST", "/v1/chat/completions", &body).unwrap();
+            if answer.status != 200 {
+                assert_eq!(answer.status, 502, "{}", answer.text());
+                assert!(answer.json().get("not_run").is_none());
+                continue;
+            }
+            let text = match at % 2 == 0 {
+                true => streamed(&answer.text()).0,
+                false => answer.json()["choices"][0]["message"]["content"]
+                    .as_str()
+                    .unwrap()
+                    .into(),
+            };
+            assert_eq!(text, expected(&format!("{fault} {at}"), 3));
+        }
+    }
+}
+
+// An engine takes connections and never answers. The request goes on to another engine well before
+// its deadline, and the silent one is taken out of use.
+#[test]
+fn silent_engine() {
+    let service = json!({ "deadline_ms": 4_000 });
+    let fleet = Fleet::start("silent", &Plan { service, ..plan(2) }).unwrap();
+    fleet.engines[0].control(json!({ "frozen": true }));
+    let mut good = 0;
+    for at in 0..12 {
+        let body = chat(&format!("silent {at}"), 2, false);
+        let answer = fleet.ask(0, "POST", "/v1/chat/completions", &body).unwrap();
+        good += u32::from(answer.status == 200);
+    }
+    assert!(good >= 11, "{good} of 12 answered");
+}
+
+// No endpoint can be reached. The answer comes at once, says "not run", which is true, and when to
+// come back.
+#[test]
+fn nothing_reachable() {
+    let mut fleet = Fleet::start("unreachable", &plan(1)).unwrap();
+    fleet.engines[0].kill();
+    for _ in 0..6 {
+        let body = chat("anyone", 2, false);
+        let answer = fleet.ask(0, "POST", "/v1/chat/completions", &body).unwrap();
+        assert_eq!(answer.status, 503, "{}", answer.text());
+        assert_eq!(answer.json()["not_run"], true);
+        assert!(answer.header("Retry-After").is_some());
+    }
+}
+
+// The platform is away for long. Online requests go on as before; what needs the platform is
+// refused at once as not run, and works again when it is back.
+#[test]
+fn platform_away() {
+    let fleet = Fleet::start("platform-away", &plan(1)).unwrap();
+    fleet.platform_process().control(json!({ "outage": true }));
+    clock::sleep(Duration::from_millis(300));
+    for at in 0..5 {
+        let body = chat(&format!("away {at}"), 2, true);
+        let answer = fleet.ask(0, "POST", "/v1/chat/completions", &body).unwrap();
+        assert_eq!(answer.status, 200);
+    }
+    let headers = [("Idempotency-Key", "renewal-7")];
+    let refused = fleet
+        .ask_with(0, "POST", "/svc/registry/renew", &headers, "{}")
+        .unwrap();
+    assert_eq!(
+        (refused.status, refused.json()["not_run"].clone()),
+        (503, json!(true))
+    );
+    let refused = fleet.ask(0, "POST", "/v1/files", "{}\n").unwrap();
+    assert_eq!(
+        (refused.status, refused.json()["not_run"].clone()),
+        (503, json!(true))
+    );
+    assert_eq!(fleet.services[0].stats(), json!({}));
+    fleet.platform_process().control(json!({}));
+    let until = clock::now() + Duration::from_secs(5);
+    loop {
+        let answer = fleet
+            .ask_with(0, "POST", "/svc/registry/renew", &headers, "{}")
+            .unwrap();
+        if answer.status == 200 {
+            break;
+        }
+        assert!(clock::now() < until, "{}", answer.text());
+        clock::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(fleet.services[0].stats(), json!({ "renewal-7": 1 }));
+}
+
+// An endpoint says that it is leaving while streams run there. Nothing new goes there after two
+// seconds; the streams end whole.
+#[test]
+fn leaving_endpoint() {
+    let behaviour = json!({ "step_us": 50_000 });
+    let fleet = Fleet::start(
+        "leaving",
+        &Plan {
+            behaviour,
+            entries: 2,
+            ..plan(2)
+        },
+    )
+    .unwrap();
+    let (entry, key) = (fleet.entries[0].address, "terrasse-key");
+    let callers: Vec<_> = (0..8)
+        .map(|at| {
+            std::thread::spawn(move || {
+                let body = chat(&format!("leaving {at}"), 50, true);
+                let path = "/v1/chat/completions";
+                bramleyseam::standin::fleet::call(entry, "POST", path, key, &[], body.as_bytes())
+            })
+        })
+        .collect();
+    clock::sleep(Duration::from_millis(300));
+    fleet.engines[0].control(json!({ "leaving": true }));
+    clock::sleep(Duration::from_secs(2));
+    let before = fleet.engines[0].stats()["requests"].clone();
+    for at in 0..20 {
+        let body = chat(&format!("new {at}"), 1, false);
+        let answer = fleet
+            .ask(at % 2, "POST", "/v1/chat/completions", &body)
+            .unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    assert_eq!(fleet.engines[0].stats()["requests"], before);
+    for (at, caller) in callers.into_iter().enumerate() {
+        let answer = caller.join().unwrap().unwrap();
+        assert_eq!(
+            streamed(&answer.text()),
+            (expected(&format!("leaving {at}"), 50), true)
+        );
+    }
+}
--- /dev/null
+++ b/tests/online_rules.rs
@@ -0,0 +1,410 @@
+//! Admission, routing and retries: the deciding functions against fake endpoints.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use bramleyseam::decide::endpoints::{Declared, Report};
+use bramleyseam::decide::online::{Action, Arrival, Event, Online, Outcome, Service};
+use bramleyseam::decide::refusal::Kind;
+use bramleyseam::decide::retry::Reach;
+use bramleyseam::decide::routing::{choose, Ask, Policy};
+use bramleyseam::id;
+use quickcheck::quickcheck;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const SERVICE: u64 = 1;
+const HOME: u64 = 1;
+const TICK: Duration = Duration::from_millis(10);
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn online(seed: u64, endpoints: usize, slots: f64) -> Online {
+    let mut online = Online::new(HOME, SmallRng::seed_from_u64(seed));
+    online.endpoints.declare((0..endpoints).map(|at| {
+        let name = format!("endpoint-{at}");
+        let declared = Declared {
+            name: name.as_str().into(),
+            domain: HOME,
+            service: SERVICE,
+            address: "127.0.0.1:1".into(),
+            initial_limit: slots,
+        };
+        (id::of(&name), declared)
+    }));
+    let service = Service {
+        first_token_goal: ms(500),
+        queue_limit: 40,
+        max_in_flight: 1000,
+        learn: false,
+        shares: HashMap::from([(1, 0.5), (2, 0.5)]),
+    };
+    online.services.insert(SERVICE, service);
+    online
+}
+
+fn arrival(request: u64, workspace: u64, now: Duration, idempotent: bool) -> Arrival {
+    Arrival {
+        request,
+        workspace,
+        service: SERVICE,
+        prefix: request % 7,
+        deadline: now + ms(2_000),
+        idempotent,
+    }
+}
+
+/// Reason, whether it says "not run", and when to come back.
+type Refused = (Kind, bool, Option<Duration>);
+
+/// What happened to one request.
+#[derive(Debug, Default, Clone)]
+struct Story {
+    workspace: u64,
+    arrived: Duration,
+    attempts: u32,
+    /// Farthest reach of any try.
+    reach: Option<Reach>,
+    maybe_run: u32,
+    end: Option<(Duration, Result<(), Refused>)>,
+}
+
+struct World {
+    rng: SmallRng,
+    now: Duration,
+    online: Online,
+    stories: BTreeMap<u64, Story>,
+    /// Ends of tries on their way.
+    due: Vec<(Duration, u64, Outcome)>,
+    hold: Duration,
+    /// Endpoints that fail every request.
+    broken: Vec<u64>,
+    idempotent: bool,
+}
+
+impl World {
+    fn new(seed: u64, endpoints: usize, slots: f64, hold: Duration) -> World {
+        World {
+            rng: SmallRng::seed_from_u64(seed),
+            now: ms(1),
+            online: online(seed, endpoints, slots),
+            stories: BTreeMap::new(),
+            due: Vec::new(),
+            hold,
+            broken: Vec::new(),
+            idempotent: true,
+        }
+    }
+
+    fn arrive(&mut self, workspace: u64) {
+        let request = self.stories.len() as u64 + 1;
+        let story = Story {
+            workspace,
+            arrived: self.now,
+            ..Story::default()
+        };
+        self.stories.insert(request, story);
+        let arrival = arrival(request, workspace, self.now, self.idempotent);
+        self.event(Event::Arrived(arrival));
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.online.handle(self.now, event, &mut out);
+        self.perform(out);
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send {
+                    request, endpoint, ..
+                } => {
+                    let outcome = if self.broken.contains(&endpoint) {
+                        let reach = match self.rng.random_range(0..3) {
+                            0 => Reach::NotSent,
+                            1 => Reach::Refused,
+                            _ => Reach::MaybeSent,
+                        };
+                        Outcome::Failed { reach, blame: true }
+                    } else {
+                        Outcome::Done
+                    };
+                    let story = self.stories.get_mut(&request).unwrap();
+                    assert!(story.end.is_none(), "sent after its end");
+                    story.attempts += 1;
+                    if let Outcome::Failed { reach, .. } = outcome {
+                        story.reach = story.reach.max(Some(reach));
+                        story.maybe_run += u32::from(reach == Reach::MaybeSent);
+                    } else {
+                        story.maybe_run += 1;
+                        story.reach = Some(Reach::MaybeSent);
+                    }
+                    let hold = self.hold.mul_f64(self.rng.random_range(0.8..1.2));
+                    self.due.push((self.now + hold, request, outcome));
+                }
+                Action::Refuse {
+                    request,
+                    kind,
+                    not_run,
+                    retry_after,
+                } => {
+                    let now = self.now;
+                    let story = self.stories.get_mut(&request).unwrap();
+                    assert!(story.end.is_none(), "two ends");
+                    story.end = Some((now, Err((kind, not_run, retry_after))));
+                }
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        let now = self.now;
+        let (due, later) = self.due.drain(..).partition(|(at, ..)| *at <= now);
+        self.due = later;
+        let due: Vec<(Duration, u64, Outcome)> = due;
+        for (_, request, outcome) in due {
+            if outcome == Outcome::Done {
+                self.event(Event::FirstToken { request });
+                self.stories.get_mut(&request).unwrap().end = Some((now, Ok(())));
+            }
+            self.event(Event::Ended { request, outcome });
+        }
+        let mut out = Vec::new();
+        self.online.tick(self.now, &mut out);
+        self.perform(out);
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..500 {
+            self.step();
+        }
+    }
+
+    fn attempts(&self) -> u32 {
+        self.stories.values().map(|story| story.attempts).sum()
+    }
+}
+
+quickcheck! {
+    // Endpoints fail in any way. Each request gets exactly one final answer and leaves nothing
+    // behind; "not run" is said only when no try got past "not sent"; and a request that may not be
+    // repeated reaches an endpoint at most once.
+    fn one_true_end(seed: u64, idempotent: bool) -> bool {
+        let mut world = World::new(seed, 6, 4.0, ms(100));
+        world.idempotent = idempotent;
+        world.broken = world.online.endpoints.rows.iter().take(3).map(|row| row.id).collect();
+        for _ in 0..200 {
+            if world.rng.random_bool(0.5) {
+                let workspace = world.rng.random_range(1..3);
+                world.arrive(workspace);
+            }
+            world.step();
+        }
+        world.settle();
+        world.online.in_hand() == 0 && world.stories.values().all(|story| {
+            let true_end = match &story.end {
+                None => false,
+                Some((_, Ok(()))) => true,
+                Some((_, Err((_, not_run, _)))) => {
+                    !not_run || story.reach.is_none_or(|reach| reach == Reach::NotSent)
+                }
+            };
+            true_end && (idempotent || story.maybe_run <= 1)
+        })
+    }
+}
+
+// Half of the endpoints fail everything. However many callers there are, there are no more than 1.1
+// tries a request, since only first tries earn retries.
+#[test]
+fn no_retry_storm() {
+    let mut world = World::new(7, 8, 50.0, ms(50));
+    world.broken = world
+        .online
+        .endpoints
+        .rows
+        .iter()
+        .take(4)
+        .map(|row| row.id)
+        .collect();
+    for _ in 0..1_000 {
+        world.arrive(1);
+        world.arrive(2);
+        world.step();
+    }
+    world.settle();
+    let (tries, requests) = (f64::from(world.attempts()), world.stories.len() as f64);
+    assert!(
+        tries <= requests * 1.1 + 2.0,
+        "{tries} tries of {requests} requests"
+    );
+    let good = world
+        .stories
+        .values()
+        .filter(|s| matches!(s.end, Some((_, Ok(())))))
+        .count();
+    assert!(
+        good as f64 > 0.95 * requests,
+        "{good} of {requests}: broken endpoints are not ejected"
+    );
+}
+
+// One workspace sends ten times what all endpoints can do. The other, within its share, is answered
+// all the same, and waits no longer than the goal.
+#[test]
+fn flood_harmless() {
+    let mut world = World::new(3, 2, 5.0, ms(100));
+    for step in 0..1_000 {
+        for _ in 0..10 {
+            world.arrive(1);
+        }
+        // 100 requests a second can be done; this is 25.
+        if step % 4 == 0 {
+            world.arrive(2);
+        }
+        world.step();
+    }
+    world.settle();
+    let of = |workspace: u64| {
+        world
+            .stories
+            .values()
+            .filter(move |s| s.workspace == workspace)
+    };
+    let good = |workspace: u64| of(workspace).filter(|s| matches!(s.end, Some((_, Ok(())))));
+    let (done, all) = (good(2).count(), of(2).count());
+    assert!(done as f64 >= 0.98 * all as f64, "{done} of {all}");
+    let most = good(2)
+        .map(|s| s.end.as_ref().unwrap().0 - s.arrived)
+        .max()
+        .unwrap();
+    assert!(most <= ms(620), "{most:?}");
+    assert!(
+        good(1).count() > 400,
+        "the flood uses what is free: {}",
+        good(1).count()
+    );
+}
+
+// Requests that can't be served in time are refused at once, with a time to come back that spreads
+// the callers; none is held until its deadline.
+#[test]
+fn refused_at_once() {
+    let mut world = World::new(5, 1, 2.0, ms(400));
+    for _ in 0..300 {
+        world.arrive(1);
+        world.step();
+    }
+    world.settle();
+    let mut after = Vec::new();
+    for story in world.stories.values() {
+        let Some((at, Err((_, not_run, retry_after)))) = &story.end else {
+            continue;
+        };
+        assert!(not_run);
+        assert!(
+            *at - story.arrived <= ms(510),
+            "held for {:?}",
+            *at - story.arrived
+        );
+        after.push(retry_after.expect("when to come back"));
+    }
+    let at_once = world
+        .stories
+        .values()
+        .filter(|story| matches!(&story.end, Some((at, Err(_))) if *at == story.arrived));
+    assert!(at_once.count() as f64 >= 0.9 * after.len() as f64);
+    after.sort();
+    assert!(after[after.len() - 1] > after[0].mul_f64(1.5), "{after:?}");
+}
+
+// An endpoint answers everything, ten times slower than the others. It is taken out of use, and
+// comes back slowly; when all are slow none is.
+#[test]
+fn slow_found() {
+    let mut online = online(1, 4, 8.0);
+    let now = ms(1_000);
+    for (at, row) in online.endpoints.rows.iter_mut().enumerate() {
+        for _ in 0..20 {
+            row.succeeded(Some(if at == 2 { ms(900) } else { ms(90) }));
+        }
+    }
+    online.tick(now, &mut Vec::new());
+    let usable: Vec<bool> = online
+        .endpoints
+        .rows
+        .iter()
+        .map(|row| row.usable(now))
+        .collect();
+    assert_eq!(usable, [true, true, false, true]);
+    let back = online.endpoints.rows[2].ejected_until;
+    let slots = |after| online.endpoints.rows[2].slots(back + after);
+    assert!(slots(ms(100)) < 2.0 && slots(ms(2_500)) < 5.0 && slots(ms(6_000)) == 8.0);
+    for row in &mut online.endpoints.rows {
+        (0..20).for_each(|_| row.succeeded(Some(ms(900))));
+    }
+    online.tick(back + ms(1), &mut Vec::new());
+    assert!(online
+        .endpoints
+        .rows
+        .iter()
+        .all(|row| row.usable(back + ms(1))));
+}
+
+// A report that was on its way when the endpoint was restarted says "leaving" of the old process.
+#[test]
+fn old_report() {
+    let mut online = online(1, 1, 8.0);
+    let row = &mut online.endpoints.rows[0];
+    row.reported(
+        ms(1),
+        Report {
+            incarnation: 2,
+            ..Report::default()
+        },
+    );
+    row.reported(
+        ms(2),
+        Report {
+            incarnation: 1,
+            leaving: true,
+            ..Report::default()
+        },
+    );
+    assert!(row.usable(ms(3)));
+}
+
+quickcheck! {
+    // Whatever the loads are: a full endpoint is never chosen, one of the own failure domain goes
+    // before the others, and the same prefix goes to the same endpoint while that has room.
+    fn routing_rules(seed: u64, loads: Vec<u8>) -> bool {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut online = online(seed, loads.len().min(30), 4.0);
+        for (at, row) in online.endpoints.rows.iter_mut().enumerate() {
+            row.declared.domain = (at % 3) as u64;
+            row.online_elsewhere = u32::from(loads[at] % 6);
+        }
+        let table = &online.endpoints;
+        let now = ms(1);
+        [Policy::Affinity, Policy::TwoChoices, Policy::LeastLoad].into_iter().all(|policy| {
+            let ask = Ask { service: SERVICE, prefix: 77, avoid: None };
+            let room = |home: bool| {
+                table.rows.iter().any(|r| r.has_room(now) && (r.declared.domain == HOME) == home)
+            };
+            match choose(table, HOME, ask, policy, now, &mut rng) {
+                Err(_) => !room(true) && !room(false),
+                Ok(chosen) => {
+                    let row = table.get(chosen).unwrap();
+                    let again = choose(table, HOME, ask, policy, now, &mut rng);
+                    row.has_room(now)
+                        && (row.declared.domain == HOME || !room(true))
+                        && (policy != Policy::Affinity || again == Ok(chosen))
+                }
+            }
+        })
+    }
+}
