--- a/src/bench.rs
+++ b/src/bench.rs
@@ -1,8 +1,11 @@
 //! The demo and the benchmarks, one file each. Speeds are compared within one run.
 
 pub mod demo;
+pub mod goodput;
 pub mod load;
 pub mod overhead;
+pub mod prefixes;
+pub mod slopes;
 pub mod yielding;
 
 use std::error::Error;
@@ -20,7 +23,10 @@
         .about("Shows the system at work, and measures it, on loopback")
         .subcommand_required(true)
         .subcommand(demo::usage())
+        .subcommand(goodput::usage())
         .subcommand(overhead::usage())
+        .subcommand(prefixes::usage())
+        .subcommand(slopes::usage())
         .subcommand(yielding::usage())
 }
 
@@ -31,7 +37,10 @@
     };
     let outcome = match name {
         "demo" => demo::run(matches),
+        "goodput" => goodput::run(matches),
         "overhead" => overhead::run(matches),
+        "prefixes" => prefixes::run(matches),
+        "slopes" => slopes::run(matches),
         _ => yielding::run(matches),
     };
     match outcome {
--- /dev/null
+++ b/src/bench/slopes.rs
@@ -0,0 +1,593 @@
+//! `slopes`: what each part costs as the system grows, for docs/CAPACITY.md.
+
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use serde_json::{json, Value};
+use strum::IntoEnumIterator;
+
+use super::load::{self, Shot};
+use super::Outcome;
+use crate::batch::items;
+use crate::clock;
+use crate::config::{diff, store, State, Versioned};
+use crate::decide::batch::place::{Crew, Hands};
+use crate::decide::batch::{Action, Batch, End, Event, JobView, Planned, Work};
+use crate::decide::commit::Answer;
+use crate::decide::endpoints::{Declared, Endpoints, Report};
+use crate::decide::fleet::{self, Fleet as FleetTable};
+use crate::decide::jobs::{JobState, Place, ResultSegment, Segment};
+use crate::decide::members::Card;
+use crate::decide::routing::{choose, Ask, Policy};
+use crate::entry::plan::Plan as Layout;
+use crate::id;
+use crate::metrics::resident_bytes;
+use crate::standin::fleet::{call, chat_lines, Fleet, Plan, KEYS};
+use crate::wire::{Datagram, Key, PeerReply};
+
+const RUNS: usize = 3;
+const SERVICE: u64 = 1;
+/// Bytes of IP and UDP headers of a datagram.
+const HEADER_BYTES: usize = 28;
+
+/// The arguments.
+pub fn usage() -> Command {
+    let out = Arg::new("out")
+        .long("out")
+        .default_value("docs/figures/slopes.json")
+        .value_parser(clap::value_parser!(PathBuf))
+        .help("File for the figures");
+    Command::new("slopes")
+        .about("Costs against sizes, as JSON")
+        .arg(out)
+}
+
+/// Runs a measurement several times; the median and the spread.
+fn repeated(mut measure: impl FnMut() -> f64) -> Value {
+    let mut values: Vec<f64> = (0..RUNS).map(|_| measure()).collect();
+    values.sort_by(f64::total_cmp);
+    json!({ "median": values[RUNS / 2], "least": values[0], "most": values[RUNS - 1] })
+}
+
+fn table(count: usize, domains: usize) -> Endpoints {
+    let mut table = Endpoints::default();
+    table.declare((0..count).map(|at| {
+        let name = format!("endpoint-{at}");
+        let declared = Declared {
+            name: name.as_str().into(),
+            domain: (at % domains) as u64,
+            service: SERVICE,
+            address: "127.0.0.1:1".into(),
+            initial_limit: 16.0,
+        };
+        (id::of(&name), declared)
+    }));
+    for (at, row) in table.rows.iter_mut().enumerate() {
+        row.online_elsewhere = (at % 12) as u32;
+        row.reported(
+            Duration::ZERO,
+            Report {
+                incarnation: 1,
+                ..Report::default()
+            },
+        );
+    }
+    table
+}
+
+fn routing() -> Value {
+    let mut rows = Vec::new();
+    for endpoints in [8, 66, 264, 1056, 1900] {
+        let table = table(endpoints, 1);
+        for policy in Policy::iter() {
+            let mut rng = SmallRng::seed_from_u64(1);
+            let ns = repeated(|| {
+                let rounds = 200_000 / endpoints as u64 + 200;
+                let start = clock::now();
+                for round in 0..rounds {
+                    let ask = Ask {
+                        service: SERVICE,
+                        prefix: round | 1,
+                        avoid: None,
+                    };
+                    let now = Duration::from_secs(1);
+                    let _ = black_box(choose(&table, 0, ask, policy, now, &mut rng));
+                }
+                clock::now().saturating_sub(start).as_nanos() as f64 / rounds as f64
+            });
+            let name: &'static str = policy.into();
+            rows.push(json!({ "endpoints": endpoints, "policy": name, "ns": ns }));
+        }
+    }
+    json!(rows)
+}
+
+fn card(at: usize, domains: usize) -> Card {
+    let name = format!("vm-{at}");
+    let address = SocketAddr::from(([10, 0, (at / 250) as u8, (at % 250) as u8], 7000));
+    Card {
+        vm: id::of(&name),
+        name: name.into(),
+        domain: (at % domains) as u64,
+        gossip_address: address,
+        peer_address: address,
+        incarnation: 1_796_000_000_000,
+        leaving: false,
+        batch: at as u64 + 1,
+        config: 1,
+        jobs: 1,
+    }
+}
+
+/// Bytes a second sent by one VM, and its processor time, with everybody's heartbeats taken in.
+fn heartbeats(vms: usize, endpoints: usize, domains: usize) -> Value {
+    const SECONDS: u64 = 60;
+    const TICK: Duration = Duration::from_millis(20);
+    let key = Key::new("a secret for benchmarks");
+    let cards: Vec<Card> = (0..vms * domains).map(|at| card(at, domains)).collect();
+    let mut tables: Vec<(FleetTable, Endpoints)> = cards
+        .iter()
+        .map(|card| {
+            let mut table = FleetTable::new(card.clone());
+            table.members.listed(card, cards.clone());
+            (table, table_of(endpoints, domains))
+        })
+        .collect();
+    let by_address: HashMap<SocketAddr, usize> = cards
+        .iter()
+        .enumerate()
+        .map(|(at, card)| (card.gossip_address, at))
+        .collect();
+    let (mut sent_bytes, mut spent, mut datagrams) = (0usize, Duration::ZERO, 0u64);
+    let mut now = Duration::ZERO;
+    while now < Duration::from_secs(SECONDS) {
+        now += TICK;
+        let mut wires = Vec::new();
+        for (at, (table, endpoints)) in tables.iter_mut().enumerate() {
+            let mut out = Vec::new();
+            let start = clock::now();
+            // One endpoint in ten changes its use each second.
+            let rows = endpoints.rows.len();
+            let turn = (now.as_millis() / 20) as usize;
+            if turn.is_multiple_of(5) && rows > 0 {
+                endpoints.rows[turn / 5 % rows].online_here ^= 1;
+            }
+            table.tick(now, endpoints, &mut out);
+            for action in out {
+                match action {
+                    fleet::Action::Send { to, heartbeat } => {
+                        let sealed = key.seal(&Datagram::Heartbeat(heartbeat));
+                        let Ok(sealed) = sealed else { continue };
+                        if at == 0 {
+                            sent_bytes += sealed.len() + HEADER_BYTES;
+                            datagrams += 1;
+                        }
+                        wires.push((to, sealed));
+                    }
+                    fleet::Action::Poll { endpoint } => {
+                        let report = Report {
+                            incarnation: 1,
+                            ..Report::default()
+                        };
+                        table.polled(now, endpoint, report, endpoints);
+                    }
+                    _ => {}
+                }
+            }
+            if at == 0 {
+                spent += clock::now().saturating_sub(start);
+            }
+        }
+        for (to, sealed) in wires {
+            let Some(at) = by_address.get(&to).copied() else {
+                continue;
+            };
+            let start = clock::now();
+            let (table, endpoints) = &mut tables[at];
+            if let Ok(Datagram::Heartbeat(heartbeat)) = key.open(&sealed) {
+                table.heard(now, heartbeat, endpoints, &mut Vec::new());
+            }
+            if at == 0 {
+                spent += clock::now().saturating_sub(start);
+            }
+        }
+    }
+    json!({
+        "vms_in_domain": vms,
+        "endpoints_in_domain": endpoints,
+        "domains": domains,
+        "sent_bytes_per_s": sent_bytes as f64 / SECONDS as f64,
+        "datagrams_per_s": datagrams as f64 / SECONDS as f64,
+        "core_percent": spent.as_secs_f64() / SECONDS as f64 * 100.0,
+    })
+}
+
+fn table_of(endpoints: usize, domains: usize) -> Endpoints {
+    table(endpoints * domains, domains)
+}
+
+fn state(workspaces: usize, endpoints: usize) -> State {
+    let digest = |at: usize| id::digest(format!("key {at}").as_bytes());
+    let rows: Vec<Value> = (0..workspaces)
+        .map(|at| json!({ "name": format!("workspace-{at}"), "key_digests": [digest(at)] }))
+        .collect();
+    let shares: Vec<Value> = (0..workspaces)
+        .map(|at| {
+            let share = 1.0 / workspaces as f64;
+            json!({
+                "workspace": format!("workspace-{at}"), "service": "permit-desk",
+                "online_share": share, "batch_share": share,
+            })
+        })
+        .collect();
+    let endpoints: Vec<Value> = (0..endpoints)
+        .map(|at| {
+            json!({
+                "name": format!("endpoint-{at}"), "failure_domain": "fd-0",
+                "service": "permit-desk",
+                "address": format!("10.0.{}.{}:9000", at / 250, at % 250),
+            })
+        })
+        .collect();
+    let whole = json!({
+        "services": [{
+            "name": "permit-desk", "kind": "model", "models": ["permit-7b"], "fencing": "checked",
+            "idempotent": true, "deadline_ms": 20_000, "first_token_ms": 580,
+        }],
+        "models": [{ "name": "permit-7b", "weights": "w", "bytes": 1 }],
+        "adapters": [], "versions": [],
+        "workspaces": rows, "shares": shares,
+        "failure_domains": [{ "name": "fd-0", "region": "r" }], "endpoints": endpoints,
+    });
+    serde_json::from_value(whole).unwrap_or_default()
+}
+
+fn millis(work: impl FnOnce()) -> f64 {
+    let start = clock::now();
+    work();
+    clock::now().saturating_sub(start).as_secs_f64() * 1000.0
+}
+
+fn configuration() -> Result<Value, store::Error> {
+    let mut rows = Vec::new();
+    for workspaces in [100, 400, 800, 1500, 3000] {
+        let state = state(workspaces, 1900);
+        let (bodies, contents) = store::bodies(&state)?;
+        let bytes: usize = contents.values().map(String::len).sum();
+        let head = crate::config::Head {
+            version: 2,
+            nonce: 1,
+            by: "bench".into(),
+            at_ms: 0,
+            bodies,
+            ancestors: Vec::new(),
+        };
+        let versioned = Versioned {
+            head,
+            state: state.clone(),
+        };
+        let key = Key::new("a secret for benchmarks");
+        let reply = PeerReply::Config(Some(Box::new(versioned.clone())));
+        let sealed = key.seal(&reply).map_or(0, |sealed| sealed.len());
+        let mut changed = state.clone();
+        changed.workspaces.truncate(workspaces - 1);
+        rows.push(json!({
+            "workspaces": workspaces,
+            "endpoints": 1900,
+            "body_bytes": bytes,
+            "frame_bytes": sealed,
+            "check_ms": repeated(|| millis(|| drop(crate::config::check::state(&state)))),
+            "diff_ms": repeated(|| millis(|| drop(diff::states(&state, &changed)))),
+            "adopt_ms": repeated(|| {
+                let versioned = std::sync::Arc::new(versioned.clone());
+                millis(|| {
+                    let plan = Layout::new(versioned);
+                    let mut table = Endpoints::default();
+                    table.declare(plan.endpoints());
+                    black_box(plan.services());
+                })
+            }),
+        }));
+    }
+    Ok(json!(rows))
+}
+
+/// Resident bytes that making something adds, for each of `count`.
+fn bytes_each<T>(count: usize, make: impl FnOnce() -> T) -> f64 {
+    let pid = std::process::id();
+    let before = resident_bytes(pid);
+    let kept = make();
+    let after = resident_bytes(pid);
+    drop(black_box(kept));
+    after.saturating_sub(before) as f64 / count as f64
+}
+
+fn memory() -> Value {
+    let mut rows = Vec::new();
+    for count in [10_000, 20_000, 40_000, 80_000] {
+        rows.push(json!({
+            "count": count,
+            "bytes_an_endpoint": bytes_each(count, || table(count, 29)),
+            "bytes_a_workspace": bytes_each(count, || {
+                let state = state(count, 0);
+                let head = crate::config::Head {
+                    version: 1, nonce: 1, by: String::new(), at_ms: 0,
+                    bodies: Vec::new(), ancestors: Vec::new(),
+                };
+                Layout::new(std::sync::Arc::new(Versioned { head, state }))
+            }),
+            "bytes_a_job": bytes_each(count, || {
+                let mut batch = Batch::new(1, SmallRng::seed_from_u64(1));
+                let views = (0..count).map(|at| view(&format!("batch_{at:032}"), 16)).collect();
+                batch.handle(Duration::ZERO, Event::Jobs(views), &mut Vec::new());
+                batch
+            }),
+        }));
+    }
+    let content: bytes::Bytes = chat_lines(4096, 16).into();
+    let state = state(1, 1);
+    let item = bytes_each(4096, || items::plan(content.clone(), &state));
+    json!({ "tables": rows, "bytes_an_item_in_hand": item, "line_bytes": content.len() / 4096 })
+}
+
+fn view(job: &str, chunks: u32) -> JobView {
+    JobView {
+        id: job.into(),
+        workspace: "workspace-1".into(),
+        services: vec![SERVICE],
+        chunks,
+        state: JobState::InProgress,
+        deadline: Duration::from_secs(86_400),
+    }
+}
+
+/// Processor time of the deciding functions for an item, with everything answered at once.
+fn batch_decisions(jobs: usize, window: u32) -> Value {
+    const ITEMS: usize = 1024;
+    let mut batch = Batch::new(1, SmallRng::seed_from_u64(1));
+    let mut now = Duration::from_secs(1);
+    let views = (0..jobs)
+        .map(|at| view(&format!("batch_{at:032}"), 4))
+        .collect();
+    let crew = Crew {
+        own: 1,
+        own_domain: 1,
+        vms: vec![1],
+        owners: vec![1],
+        hands: vec![Hands {
+            service: SERVICE,
+            vms: vec![1],
+            domains: vec![1],
+        }],
+    };
+    let mut pending = vec![Event::Crew(crew), Event::Jobs(views)];
+    pending.push(Event::Windows(
+        (0..6).map(|at| (at, SERVICE, window)).collect(),
+    ));
+    let planned = Planned {
+        custom_id: bytes::Bytes::from_static(b"\"item\""),
+        work: Work::Run {
+            service: SERVICE,
+            idempotent: true,
+        },
+    };
+    let (mut done, mut spent) = (0u64, Duration::ZERO);
+    let mut revision = 0;
+    while done < 20_000 {
+        now += Duration::from_millis(1);
+        let mut out = Vec::new();
+        let start = clock::now();
+        for event in pending.drain(..) {
+            batch.handle(now, event, &mut out);
+        }
+        batch.tick(now, &mut out);
+        spent += clock::now().saturating_sub(start);
+        for action in out {
+            revision += 1;
+            match action {
+                Action::Write { key, run, .. } => {
+                    let answer = Answer::Won(revision);
+                    pending.push(Event::Written { key, run, answer });
+                }
+                Action::Read { key, run } => {
+                    pending.push(Event::Read {
+                        key,
+                        run,
+                        found: Some(None),
+                    });
+                }
+                Action::Load { key, run } => {
+                    let items = vec![planned.clone(); ITEMS];
+                    pending.push(Event::Loaded { key, run, items });
+                }
+                Action::Store { key, run, .. } => {
+                    let segment = Segment {
+                        digest: "0".repeat(64),
+                        bytes: 1,
+                        lines: 1,
+                        place: Place::Inline,
+                    };
+                    let segments = vec![ResultSegment {
+                        segment,
+                        errors: false,
+                    }];
+                    pending.push(Event::Stored { key, run, segments });
+                }
+                Action::Start { flight, .. } => {
+                    done += 1;
+                    let end = End::Done(bytes::Bytes::from_static(b"{}"));
+                    pending.push(Event::Ended { flight, end });
+                }
+                Action::Cancel { .. } | Action::Finish { .. } => {}
+            }
+        }
+    }
+    json!({
+        "jobs": jobs,
+        "window": window * 6,
+        "us_an_item": spent.as_secs_f64() * 1e6 / done as f64,
+        "writes_for_4096_items": batch.totals.writes as f64 * 4096.0 / done as f64,
+    })
+}
+
+fn batch() -> Value {
+    let mut rows = Vec::new();
+    for jobs in [1, 10, 50, 200] {
+        rows.push(batch_decisions(jobs, 16));
+    }
+    for window in [4, 32, 64] {
+        rows.push(batch_decisions(10, window));
+    }
+    json!(rows)
+}
+
+fn processor_ms(fleet: &Fleet) -> f64 {
+    let dump = fleet.entries[0].page("/dump");
+    dump["processor_ms"].as_f64().unwrap_or(0.0)
+}
+
+/// Processor time of the entry process against tokens a second.
+fn streams() -> Result<Value, Box<dyn std::error::Error>> {
+    let behaviour = json!({ "slots": 256, "step_us": 20_000, "step_us_per_request": 0 });
+    let service = json!({ "initial_limit": 256, "queue_limit": 1000 });
+    let plan = Plan {
+        engines: 4,
+        batch: false,
+        behaviour,
+        service,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start("slope-streams", &plan)?;
+    let mut rows = Vec::new();
+    for callers in [10, 20, 40, 80, 160] {
+        let shots = (0..callers).map(|at| Shot {
+            at: Duration::from_millis(at as u64 * 3),
+            target: fleet.entries[0].address,
+            key: KEYS[0].1.into(),
+            body: load::chat(&format!("stream {at}"), 200, true),
+            stream: true,
+            attempt: String::new(),
+        });
+        let (before_ms, start) = (processor_ms(&fleet), clock::now());
+        let samples = load::run(shots.collect(), callers);
+        let took_s = clock::now().saturating_sub(start).as_secs_f64();
+        let spent_ms = processor_ms(&fleet) - before_ms;
+        let tokens = samples.iter().filter(|sample| sample.whole).count() as f64 * 200.0;
+        rows.push(json!({
+            "callers": callers,
+            "tokens_per_s": tokens / took_s,
+            "core_percent": spent_ms / 10.0 / took_s,
+            "us_a_token": spent_ms * 1000.0 / tokens,
+        }));
+    }
+    Ok(json!(rows))
+}
+
+/// Writes of intents against requests a second.
+fn intents() -> Result<Value, Box<dyn std::error::Error>> {
+    const SECONDS: f64 = 4.0;
+    const CALLERS: usize = 48;
+    let plan = Plan {
+        entries: 2,
+        batch: false,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start("slope-intents", &plan)?;
+    let mut rows = Vec::new();
+    for rate in [25, 50, 100, 250, 500] {
+        call(fleet.platform, "POST", "/control/reset", "", &[], b"")?;
+        let before_ms = processor_ms(&fleet);
+        let targets: Vec<SocketAddr> = fleet.entries.iter().map(|entry| entry.address).collect();
+        let start = clock::now();
+        let workers: Vec<_> = (0..CALLERS)
+            .map(|worker| {
+                let targets = targets.clone();
+                let gap = Duration::from_secs_f64(CALLERS as f64 / f64::from(rate));
+                thread::spawn(move || order_calls(worker, rate, &targets, start, gap, SECONDS))
+            })
+            .collect();
+        let good: usize = workers
+            .into_iter()
+            .filter_map(|worker| worker.join().ok())
+            .sum();
+        let took_s = clock::now().saturating_sub(start).as_secs_f64();
+        let calls = fleet.platform_process().stats();
+        let writes = calls["writes_by_prefix"]["intent"].as_f64().unwrap_or(0.0);
+        rows.push(json!({
+            "asked_per_s": rate,
+            "done_per_s": good as f64 / took_s,
+            "writes_a_request": writes / good.max(1) as f64,
+            "entry_core_percent": (processor_ms(&fleet) - before_ms) / 10.0 / took_s,
+        }));
+    }
+    Ok(json!(rows))
+}
+
+fn order_calls(
+    worker: usize,
+    rate: u32,
+    targets: &[SocketAddr],
+    start: Duration,
+    gap: Duration,
+    seconds: f64,
+) -> usize {
+    let agent = ureq::AgentBuilder::new().build();
+    let mut good = 0;
+    let count = (seconds / gap.as_secs_f64()) as u32;
+    for at in 0..count {
+        let due = start + gap * at + gap.mul_f64(worker as f64 / 48.0);
+        clock::sleep(due.saturating_sub(clock::now()));
+        let url = format!(
+            "http://{}/svc/registry/renew",
+            targets[worker % targets.len()]
+        );
+        let sent = agent
+            .post(&url)
+            .set("Authorization", &format!("Bearer {}", KEYS[0].1))
+            .set("Idempotency-Key", &format!("{rate}-{worker}-{at}"))
+            .send_string("{}");
+        good += usize::from(sent.is_ok());
+    }
+    good
+}
+
+/// Runs all measurements.
+pub fn run(matches: &ArgMatches) -> Outcome {
+    let mut beats = Vec::new();
+    for (vms, endpoints, domains) in [
+        (3, 4, 1),
+        (6, 33, 1),
+        (12, 66, 1),
+        (12, 132, 1),
+        (24, 66, 1),
+        (3, 66, 4),
+        (3, 66, 8),
+    ] {
+        beats.push(heartbeats(vms, endpoints, domains));
+    }
+    let report = json!({
+        "memory": memory(),
+        "routing": routing(),
+        "heartbeats": beats,
+        "configuration": configuration()?,
+        "batch": batch(),
+        "streams": streams()?,
+        "intents": intents()?,
+    });
+    let text = serde_json::to_string_pretty(&report)?;
+    if let Some(out) = matches.get_one::<PathBuf>("out") {
+        if let Some(folder) = out.parent() {
+            std::fs::create_dir_all(folder)?;
+        }
+        std::fs::write(out, &text)?;
+    }
+    println!("{text}");
+    Ok(())
+}
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use serde::Deserialize;
 
 use super::endpoints::Endpoints;
 use crate::id::{weight, DomainId, EndpointId, ServiceId};
@@ -11,10 +12,14 @@
 pub const LOAD_BOUND: f64 = 1.25;
 
 /// The ways of choosing among endpoints with room.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr, strum::EnumIter)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize, strum::IntoStaticStr, strum::EnumIter,
+)]
 #[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum Policy {
     /// Rendezvous on the prompt's prefix, passing over endpoints above the bounded load.
+    #[default]
     Affinity,
     /// The less loaded of two random ones.
     TwoChoices,
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -199,8 +199,10 @@
         );
         let key = Key::new(&settings.cluster_key);
         let (errands, errands_out) = mpsc::channel();
+        let mut online = Online::new(card.domain, util::rng());
+        online.policy = settings.routing;
         let core = Core {
-            online: Online::new(card.domain, util::rng()),
+            online,
             fleet: Fleet::new(card),
             plan: None,
             jobs: Jobs::default(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 
 use crate::config::check::Fault;
 use crate::config::load;
+use crate::decide::routing::Policy;
 use crate::id::Name;
 
 /// How log lines look.
@@ -80,6 +81,9 @@
     pub stop_limit_ms: u64,
     #[serde(default = "default_platform_timeout_ms")]
     pub platform_timeout_ms: u64,
+    /// How online requests are routed.
+    #[serde(default)]
+    pub routing: Policy,
     #[serde(default)]
     pub log: Log,
 }
