Fetch what was heard of again; rank chunks when they change, not at each event

Cause 1: a failure domain cut off from the platform learned of a cancellation 1.2 s after its acknowledgement (platform_cut). The log showed the heartbeat with the new revision at 10 ms, and no fetch: one for the job's creation had been made 40 ms before, and the next heartbeat from afar came a second later. Cause 2: the slopes benchmark did not end in 60 s with 200 jobs: each event ranked this VM for every chunk of every job. Ruled out for 1: the watch (both delegates had it in 1 ms) and the errand threads (idle).

--- a/src/decide/batch.rs
+++ b/src/decide/batch.rs
@@ -14,7 +14,7 @@
 use rand::rngs::SmallRng;
 
 use self::dispatch::Slot;
-use self::place::{Crew, Sighting};
+use self::place::{Candidate, Crew, Sighting};
 use self::run::Run;
 use super::commit::Answer;
 use super::jobs::{ChunkRecord, ChunkState, JobState, ResultSegment};
@@ -217,6 +217,10 @@
     pub flights: BTreeMap<FlightId, Flight>,
     pub totals: Totals,
     sightings: BTreeMap<ChunkKey, Sighting>,
+    /// Chunks that this VM may try for. Invariant: made from `jobs` and `crew`.
+    candidates: BTreeMap<ChunkKey, Candidate>,
+    claim_at: Duration,
+    claim_soon: bool,
     crew: Crew,
     shares: HashMap<Name, f64>,
     leaving: bool,
@@ -236,6 +240,9 @@
             flights: BTreeMap::new(),
             totals: Totals::default(),
             sightings: BTreeMap::new(),
+            candidates: BTreeMap::new(),
+            claim_at: Duration::ZERO,
+            claim_soon: true,
             crew: Crew::default(),
             shares: HashMap::new(),
             leaving: false,
@@ -250,7 +257,7 @@
         let from = out.len();
         match event {
             Event::Jobs(views) => self.take_jobs(now, views, out),
-            Event::Crew(crew) => self.crew = crew,
+            Event::Crew(crew) => self.take_crew(crew),
             Event::Windows(windows) => self.take_windows(windows),
             Event::Shares(shares) => self.shares = shares,
             Event::Read { key, run, found } => self.take_read(now, key, run, found, out),
@@ -324,29 +331,42 @@
     }
 
     fn take_jobs(&mut self, now: Duration, views: Vec<JobView>, out: &mut Vec<Action>) {
+        self.claim_soon = true;
         let mut old = std::mem::take(&mut self.jobs);
+        let mut changed = Vec::new();
         for view in views {
             let known = old.remove(&view.id);
             let seen_at = known.as_ref().map_or(now, |job| job.seen_at);
             let next_look = known
                 .as_ref()
                 .map_or(now + FINISH_LOOK, |job| job.next_look);
-            self.jobs.insert(
-                view.id.clone(),
-                Job {
-                    view,
-                    seen_at,
-                    next_look,
-                },
-            );
+            if known.is_none_or(|job| job.view.services != view.services) {
+                changed.push(view.id.clone());
+            }
+            let job = Job {
+                view,
+                seen_at,
+                next_look,
+            };
+            self.jobs.insert(job.view.id.clone(), job);
         }
+        changed.iter().for_each(|job| self.rank_job(job));
         // Jobs that are no longer told have ended: their runs can commit nothing of use.
         for job in old.keys() {
             self.drop_job(job, out);
         }
     }
 
+    fn take_crew(&mut self, crew: Crew) {
+        self.crew = crew;
+        self.claim_soon = true;
+        self.candidates.clear();
+        let jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
+        jobs.iter().for_each(|job| self.rank_job(job));
+    }
+
     fn drop_job(&mut self, job: &JobId, out: &mut Vec<Action>) {
+        self.candidates.retain(|key, _| key.job != *job);
         self.sightings.retain(|key, _| key.job != *job);
         let keys: Vec<ChunkKey> = self
             .runs
@@ -484,6 +504,7 @@
             let Some(run) = self.runs.remove(&key) else {
                 continue;
             };
+            self.claim_soon = true;
             self.cancel_flights(&key, out);
             let sighting = self.sightings.entry(key.clone()).or_default();
             sighting.after_run(&run);
--- a/src/decide/batch/place.rs
+++ b/src/decide/batch/place.rs
@@ -21,6 +21,8 @@
 pub const CLAIMANTS: usize = 3;
 /// Time between two looks at a chunk that somebody else owns.
 pub const LOOK_AGAIN: Duration = Duration::from_secs(15);
+/// Time between two looks for chunks to claim.
+pub const CLAIM_PAUSE: Duration = Duration::from_millis(100);
 /// Time after which a claim that failed for want of the platform is tried again.
 pub const TRY_AGAIN: Duration = Duration::from_secs(1);
 
@@ -152,29 +154,72 @@
     }
 }
 
+/// A chunk that this VM may try for.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// Place of the own failure domain, and of this VM in it.
+    place: (usize, usize),
+    /// Nobody can work on it: it is only to be ended when its job is stopped.
+    stranded: bool,
+}
+
 impl Batch {
+    /// Ranks this VM for all chunks of a job. Done when the job or the crew changes, not at each
+    /// event: with thousands of chunks that alone would cost more than a node may spend.
+    pub(super) fn rank_job(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let services = &job.view.services;
+        for chunk in 0..job.view.chunks {
+            let key = ChunkKey {
+                job: id.clone(),
+                chunk,
+            };
+            let candidate = match self.crew.rank(&key, services) {
+                Some(place) if place.1 < CLAIMANTS => Candidate {
+                    place,
+                    stranded: false,
+                },
+                None if self.crew.answers_for(id, services) => Candidate {
+                    place: (0, 0),
+                    stranded: true,
+                },
+                _ => {
+                    self.candidates.remove(&key);
+                    continue;
+                }
+            };
+            self.candidates.insert(key, candidate);
+        }
+    }
+
     /// Claims chunks while there is room for their items.
     pub(super) fn claim(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if !self.claim_soon && now < self.claim_at {
+            return;
+        }
+        self.claim_soon = false;
+        self.claim_at = now + CLAIM_PAUSE;
         if !self.crew.vms.contains(&self.crew.own) {
             return;
         }
-        let mut wanted: Vec<(Duration, ChunkKey, bool)> = Vec::new();
-        for (id, job) in &self.jobs {
-            for chunk in 0..job.view.chunks {
-                let key = ChunkKey {
-                    job: id.clone(),
-                    chunk,
-                };
-                if self.runs.contains_key(&key) {
-                    continue;
-                }
-                if let Some(first) = self.due(now, job, &key) {
-                    wanted.push((job.view.deadline, key, first));
-                }
+        let mut wanted: Vec<(Duration, &ChunkKey, bool)> = Vec::new();
+        for (key, candidate) in &self.candidates {
+            let Some(job) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            if self.runs.contains_key(key) || !self.due(now, job, key, *candidate) {
+                continue;
             }
+            wanted.push((job.view.deadline, key, candidate.place == (0, 0)));
         }
         wanted.sort();
-        for (_, key, first) in wanted {
+        let wanted: Vec<(ChunkKey, bool)> = wanted
+            .into_iter()
+            .map(|(_, key, first)| (key.clone(), first))
+            .collect();
+        for (key, first) in wanted {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
@@ -196,36 +241,26 @@
         self.runs.len() < RUNS_MAX && waiting < 2 * window as usize
     }
 
-    /// Whether to try for a chunk now, and whether as the first claimant.
-    fn due(&self, now: Duration, job: &Job, key: &ChunkKey) -> Option<bool> {
-        let sighting = self.sightings.get(key);
-        if sighting.is_some_and(|s| s.ended || s.reading) {
-            return None;
+    /// Whether to try for a chunk now.
+    fn due(&self, now: Duration, job: &Job, key: &ChunkKey, candidate: Candidate) -> bool {
+        let stopping = job.stopping(now);
+        if candidate.stranded && !stopping {
+            return false;
         }
-        let services = &job.view.services;
-        let rank = self.crew.rank(key, services);
-        // A chunk that nobody can work on is still ended when its job is stopped.
-        let (domain, vm) = match rank {
-            None if job.stopping(now) && self.crew.answers_for(&key.job, services) => (0, 0),
-            rank => rank?,
-        };
-        if vm >= CLAIMANTS {
-            return None;
+        if !stopping && self.runs.len() >= RUNS_MAX {
+            return false;
         }
-        let at = match sighting {
+        let (domain, vm) = candidate.place;
+        let at = match self.sightings.get(key) {
+            Some(sighting) if sighting.ended || sighting.reading => return false,
             None => job.seen_at + DOMAIN_DELAY * domain as u32 + VM_DELAY * vm as u32,
             Some(sighting) if sighting.record.is_none() => sighting.next_look,
-            Some(sighting) => {
-                let gone = sighting.owner_gone(now, &self.crew);
-                let soon = sighting.moved_at + TRY_AGAIN;
-                if gone {
-                    sighting.next_look.min(soon)
-                } else {
-                    sighting.next_look
-                }
+            Some(sighting) if sighting.owner_gone(now, &self.crew) => {
+                sighting.next_look.min(sighting.moved_at + TRY_AGAIN)
             }
+            Some(sighting) => sighting.next_look,
         };
-        (now >= at).then_some((domain, vm) == (0, 0))
+        now >= at
     }
 
     fn claim_one(
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -4,13 +4,16 @@
 //! send to the other domains. Heartbeats carry versions; who is behind fetches from the sender.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::endpoints::{Endpoints, Report};
 use super::members::{Card, Heard, Members, HEARTBEAT};
-use crate::id::{ranked, ConfigVersion, DomainId, EndpointId, Incarnation, OwnerId, VmId};
+use crate::id::{
+    ranked, ConfigVersion, DomainId, EndpointId, Incarnation, OwnerId, Revision, VmId,
+};
 
 /// VMs of a domain that watch the platform, and that speak with other domains.
 pub const DELEGATES: usize = 2;
@@ -66,16 +69,16 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     Send {
-        to: std::net::SocketAddr,
+        to: SocketAddr,
         heartbeat: Heartbeat,
     },
     /// Ask this VM for its configuration.
     FetchConfig {
-        from: std::net::SocketAddr,
+        from: SocketAddr,
         version: ConfigVersion,
     },
     /// Ask this VM for job records after the own revision.
-    FetchJobs { from: std::net::SocketAddr },
+    FetchJobs { from: SocketAddr },
     /// Ask an endpoint for its report.
     Poll { endpoint: EndpointId },
     /// A later process has this VM's id.
@@ -91,6 +94,9 @@
     next_heartbeat: Duration,
     next_far: Duration,
     polled_at: HashMap<EndpointId, Duration>,
+    /// Highest version that was heard of, and from whom.
+    config_told: (SocketAddr, ConfigVersion),
+    jobs_told: (SocketAddr, Revision),
     fetched_config_at: Option<Duration>,
     fetched_jobs_at: Option<Duration>,
     /// Rows that changed since they were last told.
@@ -115,12 +121,13 @@
     /// A VM that has heard of no other.
     pub fn new(card: Card) -> Fleet {
         Fleet {
-            card,
             members: Members::default(),
             sequence: 0,
             next_heartbeat: Duration::ZERO,
             next_far: Duration::ZERO,
             polled_at: HashMap::new(),
+            config_told: (card.peer_address, 0),
+            jobs_told: (card.peer_address, 0),
             fetched_config_at: None,
             fetched_jobs_at: None,
             dirty: VecDeque::new(),
@@ -132,6 +139,7 @@
             polls: Vec::new(),
             made_for: (0, 0),
             uses: HashMap::new(),
+            card,
         }
     }
 
@@ -160,14 +168,27 @@
         for row in heartbeat.rows {
             self.take_row(now, vm, domain, row, endpoints);
         }
-        if config > self.card.config && due(self.fetched_config_at, now) {
+        if config >= self.config_told.1 {
+            self.config_told = (from, config);
+        }
+        if jobs >= self.jobs_told.1 {
+            self.jobs_told = (from, jobs);
+        }
+        self.fetch(now, out);
+    }
+
+    /// Fetches what this VM was told of and does not have; again while it does not come.
+    ///
+    /// The failure: a second change comes right after a first one whose fetch is under way. Asked
+    /// for only when it is heard, it would wait for the next heartbeat from afar.
+    fn fetch(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let (from, version) = self.config_told;
+        if version > self.card.config && due(self.fetched_config_at, now) {
             self.fetched_config_at = Some(now);
-            out.push(Action::FetchConfig {
-                from,
-                version: config,
-            });
+            out.push(Action::FetchConfig { from, version });
         }
-        if jobs > self.card.jobs && due(self.fetched_jobs_at, now) {
+        let (from, revision) = self.jobs_told;
+        if revision > self.card.jobs && due(self.fetched_jobs_at, now) {
             self.fetched_jobs_at = Some(now);
             out.push(Action::FetchJobs { from });
         }
@@ -234,6 +255,7 @@
     /// Sends, polls and forgets what is due.
     pub fn tick(&mut self, now: Duration, endpoints: &mut Endpoints, out: &mut Vec<Action>) {
         self.members.tick(now);
+        self.fetch(now, out);
         self.place(now, endpoints);
         self.sum_uses(now, endpoints);
         if now >= self.next_heartbeat {
