--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod http;
 pub mod id;
+pub mod launch;
 pub mod logging;
 pub mod metrics;
 pub mod pages;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -188,7 +188,7 @@
 /// Reads settings; `check` adds what types can't tell.
 pub fn read<T: DeserializeOwned>(
     path: &Path,
-    check: impl Fn(&T) -> Vec<(&'static str, String, &'static str)>,
+    check: impl Fn(&T) -> Vec<Found>,
 ) -> Result<T, Vec<Fault>> {
     let file = path.display().to_string();
     let fault = |path: String, found: String, allowed: &str| Fault {
@@ -210,7 +210,8 @@
     }
 }
 
-type Found = (&'static str, String, &'static str);
+/// A field that is wrong, what was found, and what is allowed.
+pub type Found = (&'static str, String, &'static str);
 
 fn common(cluster_key: &str, log: &Log) -> Vec<Found> {
     let mut found = Vec::new();
