Remove counts that nobody sent; rank delegates in one place

Cause, found on reading the whole change again: the dump showed batch_here for each endpoint, always 0, since the batch process never sent InFlight; the batch count in heartbeat rows and in the endpoint table was always 0 too. A page that shows a count that is never taken misleads operators. Ruled out: sending it. Nothing decides by it, and the batch process's own dump has what is in flight. Change: the field, the message and the two counts are gone, with a byte of each heartbeat row; the ranking of delegates and the verdict of two property tests stand once. No assertion changed.

--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -56,8 +56,6 @@
     pub online_elsewhere: u32,
     /// Number of other VMs that have some there.
     pub users_elsewhere: u32,
-    /// Batch items at the endpoint, as its home last said.
-    pub batch: u32,
     pub report: Option<Report>,
     /// When the last report came, from whichever VM.
     pub reported_at: Duration,
@@ -81,7 +79,6 @@
             online_here: 0,
             online_elsewhere: 0,
             users_elsewhere: 0,
-            batch: 0,
             report: None,
             reported_at: Duration::ZERO,
             leaving: None,
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -41,8 +41,6 @@
     pub endpoint: EndpointId,
     /// Online requests of the sender there.
     pub online: u32,
-    /// Batch items of the sender there.
-    pub batch: u32,
     /// What the endpoint last said to a poller.
     pub report: Option<Told>,
 }
@@ -114,7 +112,7 @@
     /// Number of endpoints and configuration that `homes` and `polls` were made for.
     made_for: (usize, ConfigVersion),
     /// Use by other VMs: what each said, and when.
-    uses: HashMap<(VmId, EndpointId), (u32, u32, Duration)>,
+    uses: HashMap<(VmId, EndpointId), (u32, Duration)>,
 }
 
 impl Fleet {
@@ -203,7 +201,7 @@
         endpoints: &mut Endpoints,
     ) {
         let id = row.endpoint;
-        self.uses.insert((vm, id), (row.online, row.batch, now));
+        self.uses.insert((vm, id), (row.online, now));
         let Some(endpoint) = endpoints.get_mut(id) else {
             return;
         };
@@ -287,19 +285,17 @@
 
     fn sum_uses(&mut self, now: Duration, endpoints: &mut Endpoints) {
         let members = &self.members;
-        self.uses.retain(|(vm, _), (_, _, at)| {
+        self.uses.retain(|(vm, _), (_, at)| {
             now < *at + LOAD_LIFE && members.rows.get(vm).is_some_and(|row| row.alive(now))
         });
         for endpoint in &mut endpoints.rows {
             endpoint.online_elsewhere = 0;
             endpoint.users_elsewhere = 0;
-            endpoint.batch = 0;
         }
-        for ((_, id), (online, batch, _)) in &self.uses {
+        for ((_, id), (online, _)) in &self.uses {
             if let Some(endpoint) = endpoints.get_mut(*id) {
                 endpoint.online_elsewhere += online;
                 endpoint.users_elsewhere += u32::from(*online > 0);
-                endpoint.batch += batch;
             }
         }
     }
@@ -391,7 +387,6 @@
         Row {
             endpoint: endpoint.id,
             online: endpoint.online_here,
-            batch: 0,
             report,
         }
     }
@@ -439,18 +434,19 @@
 
     /// Whether this VM is the first of the delegates: the one that tries for the lease of orders.
     pub fn is_first_delegate(&self, now: Duration) -> bool {
-        let ranked = self
-            .members
-            .ranked_for(now, &self.card, self.card.domain, KEY_DELEGATE);
-        ranked.first() == Some(&self.card.vm)
+        self.delegate_rank(now) == Some(0)
     }
 
     /// Whether this VM watches the platform and speaks with other domains.
     pub fn is_delegate(&self, now: Duration) -> bool {
+        self.delegate_rank(now).is_some_and(|rank| rank < DELEGATES)
+    }
+
+    fn delegate_rank(&self, now: Duration) -> Option<usize> {
         let ranked = self
             .members
             .ranked_for(now, &self.card, self.card.domain, KEY_DELEGATE);
-        ranked.iter().take(DELEGATES).any(|vm| *vm == self.card.vm)
+        ranked.iter().position(|vm| *vm == self.card.vm)
     }
 
     /// The VM whose batch process may use an endpoint of the own domain.
--- a/src/entry/local.rs
+++ b/src/entry/local.rs
@@ -1,6 +1,5 @@
 //! The link to the batch process of the same VM.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver};
@@ -32,7 +31,6 @@
         links.to_batch = None;
         links.batch = 0;
         drop(links);
-        lock(&node.core).batch_here.clear();
     };
     thread::Builder::new().name("local".into()).spawn(accept)?;
     Ok(())
@@ -54,9 +52,6 @@
     loop {
         match read_frame::<ToEntry>(&mut reading, &node.key)? {
             ToEntry::Ready(batch) => lock(&node.links).batch = batch,
-            ToEntry::InFlight(counts) => {
-                lock(&node.core).batch_here = counts.into_iter().collect::<HashMap<_, _>>();
-            }
         }
     }
 }
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -42,8 +42,6 @@
     pub jobs: Jobs,
     /// When an online request was last at an endpoint.
     pub online_at: HashMap<EndpointId, Duration>,
-    /// Batch items of the own batch process at each endpoint.
-    pub batch_here: HashMap<EndpointId, u32>,
     callers: HashMap<RequestId, Sender<Action>>,
 }
 
@@ -106,7 +104,6 @@
             plan: None,
             jobs: Jobs::default(),
             online_at: HashMap::new(),
-            batch_here: HashMap::new(),
             callers: HashMap::new(),
         };
         Arc::new(Node {
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -78,7 +78,6 @@
             "limit": row.limit.slots(),
             "online_here": row.online_here,
             "online_elsewhere": row.online_elsewhere,
-            "batch_here": core.batch_here.get(&row.id).copied().unwrap_or(0),
             "home": core.fleet.home(row.id) == Some(core.fleet.card.vm),
             "first_token_ms": row.first_token_ms,
             "ejected_ms": row.ejected_until.saturating_sub(now).as_millis() as u64,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -99,8 +99,6 @@
 pub enum ToEntry {
     /// The process if it takes on work or holds some, else 0.
     Ready(OwnerId),
-    /// Items at each endpoint.
-    InFlight(Vec<(EndpointId, u32)>),
 }
 
 /// The key that authenticates messages.
--- a/tests/batch_machine.rs
+++ b/tests/batch_machine.rs
@@ -484,6 +484,14 @@
     Ok(())
 }
 
+/// A verdict that names the seed.
+fn judge(seed: u64, verdict: Result<(), String>) -> TestResult {
+    match verdict {
+        Ok(()) => TestResult::passed(),
+        Err(why) => TestResult::error(format!("seed {seed}: {why}")),
+    }
+}
+
 // VMs die, are paused past their takeover and wake, hide from each other; the platform is away or
 // its answers are lost; endpoints fail. The job still completes with one result for each item,
 // since only results in a record that was won by its epoch count.
@@ -494,10 +502,7 @@
         if !world.run_to_end(60_000) {
             return TestResult::error(format!("seed {seed}: the job did not end"));
         }
-        match each_item_once(&world) {
-            Ok(()) => TestResult::passed(),
-            Err(why) => TestResult::error(format!("seed {seed}: {why}")),
-        }
+        judge(seed, each_item_once(&world))
     }
     quickcheck::QuickCheck::new()
         .tests(1_000)
@@ -522,10 +527,7 @@
         if most > 1 {
             return TestResult::error(format!("seed {seed}: an item ran {most} times"));
         }
-        match each_item_once(&world) {
-            Ok(()) => TestResult::passed(),
-            Err(why) => TestResult::error(format!("seed {seed}: {why}")),
-        }
+        judge(seed, each_item_once(&world))
     }
     quickcheck::QuickCheck::new()
         .tests(1_000)
