--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,9 +5,11 @@
 
 pub mod batch;
 pub mod commit;
+pub mod discovery;
 pub mod endpoints;
 pub mod fleet;
 pub mod intents;
+pub mod items;
 pub mod jobs;
 pub mod limit;
 pub mod members;
@@ -15,5 +17,8 @@
 pub mod orders;
 pub mod refusal;
 pub mod retry;
+pub mod routes;
 pub mod routing;
+pub mod small_jobs;
+pub mod usage;
 pub mod window;
--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -56,6 +56,10 @@
     pub online_elsewhere: u32,
     /// Number of other VMs that have some there.
     pub users_elsewhere: u32,
+    /// Batch items there, of all VMs, as far as is known.
+    pub batch: u32,
+    /// When anything last came from it, on any connection of this VM.
+    pub heard_at: Duration,
     pub report: Option<Report>,
     /// When the last report came, from whichever VM.
     pub reported_at: Duration,
@@ -79,6 +83,8 @@
             online_here: 0,
             online_elsewhere: 0,
             users_elsewhere: 0,
+            batch: 0,
+            heard_at: Duration::ZERO,
             report: None,
             reported_at: Duration::ZERO,
             leaving: None,
@@ -152,6 +158,17 @@
         }
     }
 
+    /// No connection opened. Two in a row eject, since a process that listens would have taken them.
+    pub fn unreachable(&mut self, now: Duration) {
+        self.failures += 1;
+        self.failed(now);
+    }
+
+    /// Whether requests may have to wait there.
+    pub fn crowded(&self, now: Duration) -> bool {
+        f64::from(self.online() + self.batch) > self.slots(now)
+    }
+
     /// Takes it out for a while.
     pub fn eject(&mut self, now: Duration) {
         let pause = EJECT_MIN * 2u32.saturating_pow(self.ejections.min(8));
--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -21,6 +21,13 @@
 /// Part of the longest wait up to which a request is taken in. Estimates are sometimes too short,
 /// and a request that is taken in and given up later costs its caller more than a refusal at once.
 const ADMIT: f64 = 0.6;
+/// An endpoint that sends nothing on any connection for so long is out of use: many times the pause
+/// between two events, and short beside the seconds that a caller would wait for its deadline.
+pub const SILENCE: Duration = Duration::from_millis(400);
+/// The same while all its slots are taken and this VM's requests may stand in its queue.
+pub const SILENCE_CROWDED: Duration = Duration::from_millis(1500);
+/// Ticks this far apart mean that this process itself was paused.
+const PAUSE_SEEN: Duration = Duration::from_millis(250);
 /// Weight of the newest service time in the moving average.
 const AVERAGE_NEW: f64 = 0.1;
 
@@ -46,6 +53,10 @@
     /// Monotonic.
     pub deadline: Duration,
     pub idempotent: bool,
+    /// An answer that broke off can go on at another endpoint after the last event that came.
+    pub resumable: bool,
+    /// Endpoints that it may be sent to in all.
+    pub attempts_max: u32,
 }
 
 /// How a try ended.
@@ -84,6 +95,8 @@
         endpoint: EndpointId,
         attempt: u32,
     },
+    /// Close the connection to the endpoint and report the try as failed: nothing comes any more.
+    GiveUp { request: RequestId },
     /// Give the final answer now.
     Refuse {
         request: RequestId,
@@ -100,8 +113,12 @@
     sent_at: Duration,
     endpoint: Option<EndpointId>,
     attempts: u32,
-    /// The farthest that any try came.
-    reach: Reach,
+    /// Whether any try may have run.
+    may_have_run: bool,
+    /// Something of the answer has come from the endpoint of this try.
+    answering: bool,
+    /// The host was told to give this try up.
+    given_up: bool,
 }
 
 #[derive(Debug, Default, Clone)]
@@ -129,10 +146,16 @@
     pub endpoints: Endpoints,
     pub services: HashMap<ServiceId, Service>,
     pub policy: Policy,
+    /// Whether the host tells [`super::endpoints::Endpoint::heard_at`] and can act on
+    /// [`Action::GiveUp`].
+    pub watch_silence: bool,
     home: DomainId,
     rows: HashMap<RequestId, Row>,
     lanes: HashMap<ServiceId, Lane>,
     budget: Budget,
+    ticked_at: Duration,
+    /// When this process last ran on after a pause of its own; silence before that proves nothing.
+    awake_since: Duration,
     rng: SmallRng,
 }
 
@@ -143,10 +166,13 @@
             endpoints: Endpoints::default(),
             services: HashMap::new(),
             policy: Policy::Affinity,
+            watch_silence: false,
             home,
             rows: HashMap::new(),
             lanes: HashMap::new(),
             budget: Budget::default(),
+            ticked_at: Duration::ZERO,
+            awake_since: Duration::ZERO,
             rng,
         }
     }
@@ -162,7 +188,14 @@
 
     /// Sends what has room by now and gives up what cannot come in time.
     pub fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if now > self.ticked_at + PAUSE_SEEN {
+            self.awake_since = now;
+        }
+        self.ticked_at = now;
         self.endpoints.eject_slow(now);
+        if self.watch_silence {
+            self.give_up_silent(now, out);
+        }
         let services: Vec<ServiceId> = self.lanes.keys().copied().collect();
         for service in services {
             self.expire(now, service, out);
@@ -193,7 +226,9 @@
             sent_at: now,
             endpoint: None,
             attempts: 0,
-            reach: Reach::NotSent,
+            may_have_run: false,
+            answering: false,
+            given_up: false,
             arrival,
         };
         let Some(service) = self.services.get(&row.arrival.service) else {
@@ -242,6 +277,8 @@
         let request = row.arrival.request;
         row.endpoint = Some(to);
         row.attempts += 1;
+        row.answering = false;
+        row.given_up = false;
         if row.attempts == 1 {
             self.budget.earn();
         }
@@ -295,12 +332,7 @@
         };
         if let Some(kind) = kind {
             let after = self.spread(wait.max(RETRY_AFTER_MIN));
-            out.push(refusal(
-                request,
-                kind,
-                row.reach == Reach::NotSent,
-                Some(after),
-            ));
+            out.push(refusal(request, kind, !row.may_have_run, Some(after)));
             return;
         }
         let lane = self.lanes.entry(service).or_default();
@@ -356,9 +388,10 @@
     }
 
     fn first_token(&mut self, now: Duration, request: RequestId) {
-        let Some(row) = self.rows.get(&request) else {
+        let Some(row) = self.rows.get_mut(&request) else {
             return;
         };
+        row.answering = true;
         let Some(service) = self.services.get(&row.arrival.service) else {
             return;
         };
@@ -408,9 +441,12 @@
             Outcome::Abandoned => {}
             Outcome::Failed { reach, blame } => {
                 if let Some(endpoint) = endpoint.filter(|_| blame) {
-                    endpoint.failed(now);
+                    match reach {
+                        Reach::NotSent => endpoint.unreachable(now),
+                        _ => endpoint.failed(now),
+                    }
                 }
-                row.reach = row.reach.max(reach);
+                row.may_have_run |= matches!(reach, Reach::MaybeSent | Reach::Answering);
                 self.retry(now, row, reach, out);
             }
         }
@@ -419,23 +455,83 @@
 
     fn retry(&mut self, now: Duration, row: Row, reach: Reach, out: &mut Vec<Action>) {
         let request = row.arrival.request;
-        let may = retry::allowed(reach, row.arrival.idempotent, row.attempts);
-        if may && now < row.arrival.deadline && self.budget.spend(now) {
-            if let Ok(endpoint) = self.route(now, &row) {
-                self.send(now, row, endpoint, out);
-                return;
+        let arrival = &row.arrival;
+        let may = match reach {
+            Reach::Answering if arrival.resumable => true,
+            _ => retry::allowed(reach, arrival.idempotent),
+        };
+        let left = row.attempts < arrival.attempts_max && now < arrival.deadline;
+        if may && left && self.budget.spend(now) {
+            match self.route(now, &row) {
+                Ok(endpoint) => return self.send(now, row, endpoint, out),
+                Err(None_::Full) => return self.enqueue_again(now, row, out),
+                Err(None_::Away) => {}
             }
         }
-        let not_run = matches!(row.reach, Reach::NotSent);
-        let kind = match (row.reach, row.arrival.idempotent) {
-            (Reach::NotSent, _) => Kind::NoEndpoint,
-            (Reach::MaybeSent | Reach::Answering, false) => Kind::OutcomeUnknown,
-            _ => Kind::EndpointFailed,
+        let kind = match (row.may_have_run, row.arrival.idempotent) {
+            (false, _) => Kind::NoEndpoint,
+            (true, false) => Kind::OutcomeUnknown,
+            (true, true) => Kind::EndpointFailed,
         };
+        let not_run = !row.may_have_run;
         let after = self.spread(RETRY_AFTER_MIN * 2);
         out.push(refusal(request, kind, not_run, Some(after)));
     }
 
+    /// Waits for room once more after a try that failed.
+    fn enqueue_again(&mut self, now: Duration, row: Row, out: &mut Vec<Action>) {
+        let services = &self.services;
+        let limit = services
+            .get(&row.arrival.service)
+            .map_or(0, |s| s.queue_limit);
+        self.enqueue(now, row, limit, out);
+    }
+
+    /// Gives up tries at endpoints from which nothing comes any more.
+    ///
+    /// The failure: a machine loses its power or its network. Nothing resets the connections, and its
+    /// callers wait until their deadlines. An engine that runs anything sends an event every few
+    /// tens of milliseconds, so silence on all connections at once, while one of its requests is
+    /// past the queue, tells a dead engine from a busy one.
+    fn give_up_silent(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let mut waits: HashMap<EndpointId, (Duration, bool)> = HashMap::new();
+        for row in self.rows.values().filter(|row| !row.given_up) {
+            if let (Some(id), true) = (row.endpoint, row.attempts > 0) {
+                let (oldest, answering) = waits.entry(id).or_insert((row.sent_at, false));
+                *oldest = row.sent_at.min(*oldest);
+                *answering |= row.answering;
+            }
+        }
+        for (id, (oldest, answering)) in waits {
+            let awake_since = self.awake_since;
+            let Some(endpoint) = self.endpoints.get_mut(id) else {
+                continue;
+            };
+            let since = endpoint.heard_at.max(oldest).max(awake_since);
+            let bound = match answering || !endpoint.crowded(now) {
+                true => SILENCE,
+                false => SILENCE_CROWDED,
+            };
+            if now < since + bound {
+                continue;
+            }
+            endpoint.eject(now);
+            let stuck = |row: &&mut Row| row.endpoint == Some(id) && row.attempts > 0;
+            for row in self.rows.values_mut().filter(stuck) {
+                let again = match row.answering {
+                    true => row.arrival.resumable,
+                    false => row.arrival.idempotent,
+                };
+                if again && !row.given_up && row.attempts < row.arrival.attempts_max {
+                    row.given_up = true;
+                    out.push(Action::GiveUp {
+                        request: row.arrival.request,
+                    });
+                }
+            }
+        }
+    }
+
     fn unqueue(&mut self, row: &Row) {
         let request = row.arrival.request;
         let Some(lane) = self.lanes.get_mut(&row.arrival.service) else {
@@ -476,12 +572,7 @@
                 Kind::DeadlineUnreachable
             };
             let after = self.spread(RETRY_AFTER_MIN * 2);
-            out.push(refusal(
-                request,
-                kind,
-                row.reach == Reach::NotSent,
-                Some(after),
-            ));
+            out.push(refusal(request, kind, !row.may_have_run, Some(after)));
         }
     }
 
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -10,7 +10,7 @@
 pub const FLOOR: Duration = Duration::from_secs(1);
 /// Retries that may be saved up.
 pub const SAVED_MAX: f64 = 10.0;
-/// Tries of one request, the first included.
+/// Tries of one request, the first included, where its route sets no other bound.
 pub const TRIES_MAX: u32 = 3;
 
 /// How far a failed try came.
@@ -66,10 +66,7 @@
 }
 
 /// Whether one more try can do no harm; the budget is asked after that.
-pub fn allowed(reach: Reach, idempotent: bool, tries: u32) -> bool {
-    if tries >= TRIES_MAX {
-        return false;
-    }
+pub fn allowed(reach: Reach, idempotent: bool) -> bool {
     match reach {
         Reach::Answering => false,
         Reach::NotSent | Reach::Refused => true,
--- /dev/null
+++ b/src/decide/routes.rs
@@ -0,0 +1,143 @@
+//! The rules by which a request finds its service: host, longest path prefix, weighted split.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{ConfigVersion, Name, ServiceId};
+
+/// What a route carries, and so what may be repeated.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::IntoStaticStr,
+    strum::EnumString,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum RouteKind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once for each try of the caller.
+    NonIdempotent,
+    /// A stream of events; runs at most once unless it may be resumed.
+    Streaming,
+    /// Batch jobs and their items.
+    Batch,
+}
+
+/// One service among which a route divides its requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    pub service: ServiceId,
+    pub weight: f64,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    pub name: Name,
+    pub host: Name,
+    /// Begins and ends with a slash.
+    pub prefix: Name,
+    pub kind: RouteKind,
+    /// Longest time that a request may be kept.
+    pub timeout: Duration,
+    /// Time to the first byte within which an answer is of full use.
+    pub goal: Duration,
+    /// 0 is the most urgent.
+    pub priority: u32,
+    /// Not empty.
+    pub shares: Vec<Share>,
+    /// Endpoints that one try of the caller may be sent to.
+    pub attempts_max: u32,
+    /// A stream may go on at another endpoint after the last event that came.
+    pub resumable: bool,
+    /// Batch: how long after the first submission all results are due.
+    pub due: Duration,
+    /// Batch: how long after the first submission an item may be given up.
+    pub retention: Duration,
+}
+
+impl Route {
+    /// Whether a request that may have run can be sent once more.
+    pub fn repeatable(&self) -> bool {
+        match self.kind {
+            RouteKind::Idempotent | RouteKind::Batch => true,
+            RouteKind::NonIdempotent => false,
+            RouteKind::Streaming => self.resumable,
+        }
+    }
+
+    /// The service for a request; `draw` is uniform in 0 to 1.
+    pub fn pick(&self, draw: f64) -> ServiceId {
+        let total: f64 = self.shares.iter().map(|share| share.weight).sum();
+        let mut left = draw * total;
+        for share in &self.shares {
+            left -= share.weight;
+            if left < 0.0 {
+                return share.service;
+            }
+        }
+        self.shares.last().map_or(0, |share| share.service)
+    }
+}
+
+/// Bounds on what a caller may send.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    pub head_bytes: usize,
+    pub body_bytes: usize,
+    pub idle_timeout: Duration,
+}
+
+/// All rules of one version.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Rules {
+    pub version: ConfigVersion,
+    pub routes: Vec<Route>,
+    pub limits: CallerLimits,
+}
+
+/// Rules laid out for lookups.
+#[derive(Debug)]
+pub struct RouteTable {
+    pub rules: Rules,
+    /// Positions in `rules.routes` by host, the longest prefix first.
+    by_host: HashMap<Name, Vec<usize>>,
+}
+
+impl RouteTable {
+    /// Lays out rules.
+    pub fn new(rules: Rules) -> RouteTable {
+        let mut by_host: HashMap<Name, Vec<usize>> = HashMap::new();
+        for (at, route) in rules.routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(at);
+        }
+        for positions in by_host.values_mut() {
+            positions.sort_by_key(|at| std::cmp::Reverse(rules.routes[*at].prefix.len()));
+        }
+        RouteTable { rules, by_host }
+    }
+
+    /// The route of a request: of its host's, the one with the longest prefix of the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.by_host.get(host)?.iter();
+        routes
+            .map(|at| &self.rules.routes[*at])
+            .find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// The first batch route of a host that an earlier submission may have come by.
+    pub fn batch_of_host(&self, host: &str) -> Option<&Route> {
+        let routes = self.by_host.get(host)?.iter();
+        routes
+            .map(|at| &self.rules.routes[*at])
+            .find(|route| route.kind == RouteKind::Batch)
+    }
+}
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -219,7 +219,7 @@
                     self.note_online(now, core, *endpoint);
                     *request
                 }
-                Action::Refuse { request, .. } => *request,
+                Action::Refuse { request, .. } | Action::GiveUp { request } => *request,
             };
             if let Some(caller) = core.callers.get(&request) {
                 let _ = caller.send(action);
--- a/src/entry/online.rs
+++ b/src/entry/online.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::config::Service;
 use crate::decide::online::{Action, Arrival, Event, Outcome};
-use crate::decide::retry::Reach;
+use crate::decide::retry::{Reach, TRIES_MAX};
 use crate::engine::{self, Answer, Call, Events, Fault, Started};
 use crate::http::problem::{Kind, Problem};
 use crate::http::server::{Head, Responder};
@@ -100,6 +100,8 @@
             prefix,
             deadline,
             idempotent,
+            resumable: false,
+            attempts_max: TRIES_MAX,
         }));
         Ticket {
             node,
@@ -131,6 +133,8 @@
                     }
                 }
             }
+            // Its engine client has timeouts of its own.
+            Ok(Action::GiveUp { .. }) => self.next(),
             Ok(Action::Refuse {
                 kind,
                 not_run,
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,6 +1,10 @@
 //! Logs by `log` and `fern`: one JSON object a line, or readable text.
 
 use std::fmt::Arguments;
+use std::io::Write;
+use std::sync::{mpsc, Mutex};
+use std::thread;
+use std::time::Duration;
 
 use fern::FormatCallback;
 use log::kv::{Key, Value, VisitSource};
@@ -8,6 +12,7 @@
 
 use crate::clock;
 use crate::settings::{Log, LogFormat};
+use crate::util::lock;
 
 struct Fields(serde_json::Map<String, serde_json::Value>);
 
@@ -18,8 +23,91 @@
     }
 }
 
+/// Lines that may wait for the writer; a burst of some seconds at the highest rate met.
+const LINES_WAITING: usize = 4096;
+/// Lines of one second at the most; the rest of that second is counted and told in one line.
+const LINES_PER_S: u32 = 400;
+
 /// Starts logging to standard error.
 pub fn start(settings: &Log, vm: &str, failure_domain: &str) {
+    let dispatch = formatted(settings, vm, failure_domain).chain(std::io::stderr());
+    // A second start in one process keeps the first one's settings.
+    let _ = dispatch.apply();
+}
+
+/// Starts logging to standard output by a thread of its own.
+///
+/// The failure: whoever reads the output stops reading, the pipe fills, and the event loop stands
+/// still in the middle of a log line. Lines that don't fit into the buffer are dropped and counted.
+pub fn start_bounded(settings: &Log, vm: &str, failure_domain: &str) {
+    let (sender, lines) = mpsc::sync_channel::<String>(LINES_WAITING);
+    let gate = Mutex::new(Gate::default());
+    let output = fern::Output::call(move |record| {
+        let passed = lock(&gate).pass(clock::now());
+        let Passed::Line { dropped } = passed else {
+            return;
+        };
+        if dropped > 0 {
+            let told = format!("{{\"message\":\"log lines dropped\",\"lines\":{dropped}}}");
+            // Full: this count is lost with the lines.
+            let _ = sender.try_send(told);
+        }
+        if sender.try_send(record.args().to_string()).is_err() {
+            lock(&gate).dropped += 1;
+        }
+    });
+    let dispatch = formatted(settings, vm, failure_domain).chain(output);
+    // A second start in one process keeps the first one's settings.
+    let _ = dispatch.apply();
+    let writer = thread::Builder::new().name("log".into());
+    let spawned = writer.spawn(move || write_lines(&lines));
+    if let Err(error) = spawned {
+        eprintln!("logging has no thread: {error}");
+    }
+}
+
+fn write_lines(lines: &mpsc::Receiver<String>) {
+    let mut out = std::io::stdout().lock();
+    while let Ok(line) = lines.recv() {
+        // Nobody is left to tell when the output is closed.
+        let _ = writeln!(out, "{line}");
+    }
+}
+
+/// Bounds the lines of each second.
+#[derive(Default)]
+struct Gate {
+    second: u64,
+    passed: u32,
+    dropped: u32,
+}
+
+enum Passed {
+    /// With the number of lines that were dropped before it.
+    Line {
+        dropped: u32,
+    },
+    Dropped,
+}
+
+impl Gate {
+    fn pass(&mut self, now: Duration) -> Passed {
+        if now.as_secs() != self.second {
+            self.second = now.as_secs();
+            self.passed = 0;
+        }
+        if self.passed >= LINES_PER_S {
+            self.dropped += 1;
+            return Passed::Dropped;
+        }
+        self.passed += 1;
+        Passed::Line {
+            dropped: std::mem::take(&mut self.dropped),
+        }
+    }
+}
+
+fn formatted(settings: &Log, vm: &str, failure_domain: &str) -> fern::Dispatch {
     let level = settings.level.parse().unwrap_or(LevelFilter::Info);
     let (vm, failure_domain) = (vm.to_owned(), failure_domain.to_owned());
     let json = settings.format == LogFormat::Json;
@@ -41,10 +129,5 @@
         line.insert("message".into(), message.to_string().into());
         out.finish(format_args!("{}", serde_json::Value::Object(line)));
     };
-    let dispatch = fern::Dispatch::new()
-        .format(format)
-        .level(level)
-        .chain(std::io::stderr());
-    // A second start in one process keeps the first one's settings.
-    let _ = dispatch.apply();
+    fern::Dispatch::new().format(format).level(level)
 }
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,108 @@
+//! One serving process on one event loop: callers on one side, endpoints on the other.
+//!
+//! A deployment's adapter supplies the [`dialect::Dialect`] and the [`crate::store::Store`]; all else
+//! is the same everywhere. What decides is in [`crate::decide`].
+
+pub mod body;
+pub mod callers;
+pub mod counters;
+pub mod dialect;
+pub mod events;
+pub mod exchange;
+pub mod inside;
+pub mod jobs;
+pub mod node;
+pub mod online;
+pub mod parts;
+pub mod peers;
+pub mod pool;
+pub mod replies;
+pub mod runs;
+pub mod stop;
+pub mod watch;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::runtime;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
+
+use self::dialect::Dialect;
+use self::node::Node;
+use crate::settings;
+use crate::store::Store;
+
+/// Time between two looks at queues and timeouts: short beside the time to first token that callers
+/// are promised, and a hundredth of a core's work at most.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Runs a serving process until it is told to stop.
+pub fn run(
+    settings: settings::Serve,
+    dialect: Dialect,
+    store: impl FnOnce(&settings::Serve) -> Store,
+) -> std::io::Result<()> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        let store = store(&settings);
+        let node = Node::new(settings, dialect, store);
+        start(&node).await?;
+        stop::wait(node).await
+    })
+}
+
+/// Opens the listeners and starts everything that runs until the process ends.
+async fn start(node: &Rc<Node>) -> std::io::Result<()> {
+    let settings = &node.settings;
+    log::info!(
+        owner = node.owner,
+        caller_address:% = settings.caller_address,
+        store_address:% = settings.store_address;
+        "start"
+    );
+    let callers = callers::listen(settings.caller_address)?;
+    let ready = callers::listen(settings.ready_address)?;
+    let operators = callers::listen(settings.operators_address)?;
+    let peers = callers::listen(settings.peer_address)?;
+    let socket = Rc::new(UdpSocket::bind(settings.gossip_address).await?);
+    node.core.borrow_mut().peers.seeds = seeds(settings);
+    spawn_local(callers::serve(node.clone(), callers));
+    spawn_local(inside::serve(node.clone(), ready, inside::readiness));
+    spawn_local(inside::serve(node.clone(), operators, inside::operators));
+    spawn_local(inside::serve(node.clone(), peers, inside::peers));
+    spawn_local(peers::send(node.clone(), socket.clone()));
+    spawn_local(peers::receive(node.clone(), socket));
+    spawn_local(peers::fetch(node.clone()));
+    spawn_local(watch::operators(node.clone(), node.dialect.keys.operators));
+    spawn_local(watch::endpoints(node.clone()));
+    spawn_local(watch::jobs(node.clone()));
+    spawn_local(watch::vms(node.clone()));
+    spawn_local(watch::register(node.clone()));
+    spawn_local(runs::run(node.clone()));
+    spawn_local(tick(node.clone()));
+    Ok(())
+}
+
+/// Where the first heartbeats go: the other VMs listen on the same port.
+fn seeds(settings: &settings::Serve) -> Vec<SocketAddr> {
+    let port = settings.gossip_address.port();
+    let own = settings.gossip_address;
+    let seeds = settings
+        .peers
+        .iter()
+        .map(|seed| SocketAddr::new(seed.ip(), port));
+    seeds.filter(|seed| *seed != own).collect()
+}
+
+async fn tick(node: Rc<Node>) {
+    loop {
+        sleep(TICK).await;
+        node.tick();
+    }
+}
--- /dev/null
+++ b/src/serve/callers.rs
@@ -0,0 +1,162 @@
+//! Takes connections from callers and sorts what comes on them.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, HOST};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::Request;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rand::Rng;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+use super::dialect::Call;
+use super::exchange::{self, Outgoing};
+use super::jobs;
+use super::node::Node;
+use super::online;
+use super::replies::{self, Reply};
+use crate::decide::refusal::Kind;
+use crate::decide::routes::{RouteKind, RouteTable};
+use crate::pages;
+use crate::util;
+
+/// When to come back to a VM that knows no rules yet; it has read them within a second.
+const STARTING_RETRY: Duration = Duration::from_millis(500);
+/// Bounds before any rules are known.
+const HEAD_BYTES_DEFAULT: usize = 16 * 1024;
+const IDLE_DEFAULT: Duration = Duration::from_secs(15);
+/// The library takes no smaller buffer.
+const BUFFER_BYTES_MIN: usize = 8 * 1024;
+/// Time for a body to arrive once its head has; callers on a bad link send small bodies too.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a connection could not be taken, as when descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Opens a listener on this thread's event loop.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = pages::listen(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+/// Takes connections until the process ends.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(node.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "connections can't be taken");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(node: Rc<Node>, stream: TcpStream) {
+    let limits = node.routes().map(|table| table.rules.limits.clone());
+    let idle = limits
+        .as_ref()
+        .map_or(IDLE_DEFAULT, |limits| limits.idle_timeout);
+    let head_bytes = limits.map_or(HEAD_BYTES_DEFAULT, |limits| limits.head_bytes);
+    let service = service_fn(|request| {
+        let node = node.clone();
+        async move { Ok::<Reply, Infallible>(answer(node, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head_bytes.max(BUFFER_BYTES_MIN))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let closing = node.closing.notified();
+    // An error is a caller that broke off or sent what is no request; the library has answered.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = closing => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+    let mut reply = route(node.clone(), request).await;
+    if node.is_draining() {
+        // The caller's next request goes to another VM.
+        let close = HeaderValue::from_static("close");
+        reply.headers_mut().insert(CONNECTION, close);
+    }
+    reply
+}
+
+async fn route(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+    let (head, body) = request.into_parts();
+    let Some(routes) = node.routes() else {
+        log::info!(path = head.uri.path(); "refused: no rules are known yet");
+        return replies::refusal(Kind::NotReady, true, Some(STARTING_RETRY));
+    };
+    match (node.dialect.call)(&head) {
+        Call::Routed => routed(node, routes, head, body).await,
+        Call::Results { job, after, wait } => jobs::results(node, job, after, wait).await,
+        Call::ItemBody { job, item } => jobs::item_body(node, job, item).await,
+        Call::Cancel { job } => jobs::cancel(node, job).await,
+    }
+}
+
+async fn routed(
+    node: Rc<Node>,
+    routes: Rc<RouteTable>,
+    head: hyper::http::request::Parts,
+    body: Incoming,
+) -> Reply {
+    let ask = (node.dialect.ask)(&head);
+    let Some(route) = routes.find(&ask.host, head.uri.path()) else {
+        let version = routes.rules.version;
+        log::info!(host = ask.host, path = head.uri.path(), version; "refused: no such route");
+        return replies::refusal(Kind::NotFound, true, None);
+    };
+    let body = match read(body, routes.rules.limits.body_bytes).await {
+        Ok(body) => body,
+        Err(kind) => return replies::refusal(kind, true, None),
+    };
+    if route.kind == RouteKind::Batch {
+        return jobs::submit(node, route, ask, body).await;
+    }
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let mut headers = exchange::end_to_end(&head.headers);
+    if let Ok(host) = HeaderValue::from_str(&ask.host) {
+        headers.insert(HOST, host);
+    }
+    let out = Outgoing {
+        id: ask.id.clone().unwrap_or_default(),
+        method: head.method.clone(),
+        target: target.to_owned(),
+        headers,
+        body,
+        repeatable: route.repeatable(),
+    };
+    let service = route.pick(util::rng().random());
+    online::serve(node, route, ask, out, service).await
+}
+
+/// Reads a body whole.
+async fn read(body: Incoming, bytes_max: usize) -> Result<Bytes, Kind> {
+    let read = Limited::new(body, bytes_max).collect();
+    match timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Kind::TooLarge),
+        Ok(Err(_)) => Err(Kind::BadRequest),
+        Err(_) => Err(Kind::SlowRequest),
+    }
+}
--- /dev/null
+++ b/src/serve/counters.rs
@@ -0,0 +1,72 @@
+//! What a serving process counts and times.
+
+use prometheus::{Histogram, IntCounter, IntCounterVec};
+
+use crate::metrics::Metrics;
+
+/// Counters and histograms of one process.
+pub struct Counters {
+    pub metrics: Metrics,
+    /// Answers to callers, by route kind and outcome.
+    pub requests: IntCounterVec,
+    /// Tries at endpoints, by outcome.
+    pub attempts: IntCounterVec,
+    /// New connections to endpoints.
+    pub connections: IntCounter,
+    /// Calls on the metadata store, by kind and outcome.
+    pub store_calls: IntCounterVec,
+    /// Batch items, by what happened to them.
+    pub items: IntCounterVec,
+    /// Seconds from a request's arrival to the first event for its caller.
+    pub first_event: Histogram,
+    /// Seconds from a request's arrival to the end of its answer.
+    pub whole: Histogram,
+}
+
+impl Counters {
+    /// Counters at zero.
+    pub fn new() -> Counters {
+        let metrics = Metrics::default();
+        Counters {
+            requests: metrics.counters(
+                "bramley_requests_total",
+                "Answers to callers.",
+                &["kind", "outcome"],
+            ),
+            attempts: metrics.counters(
+                "bramley_attempts_total",
+                "Tries at endpoints.",
+                &["outcome"],
+            ),
+            connections: metrics.counter(
+                "bramley_endpoint_connections_total",
+                "New connections to endpoints.",
+            ),
+            store_calls: metrics.counters(
+                "bramley_store_calls_total",
+                "Calls on the metadata store.",
+                &["call", "outcome"],
+            ),
+            items: metrics.counters(
+                "bramley_batch_items_total",
+                "Batch items by what happened to them.",
+                &["what"],
+            ),
+            first_event: metrics.times(
+                "bramley_first_event_seconds",
+                "From arrival to the first event for the caller.",
+            ),
+            whole: metrics.times(
+                "bramley_answer_seconds",
+                "From arrival to the end of the answer.",
+            ),
+            metrics,
+        }
+    }
+}
+
+impl Default for Counters {
+    fn default() -> Counters {
+        Counters::new()
+    }
+}
--- /dev/null
+++ b/src/serve/exchange.rs
@@ -0,0 +1,231 @@
+//! One try of one request at one endpoint, up to the head of its answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap};
+use hyper::http::response;
+use hyper::{Method, Request, Uri};
+
+use super::dialect::{AnswerHead, Attempt};
+use super::node::Node;
+use super::pool::{self, Connection};
+use crate::decide::retry::Reach;
+use crate::id::EndpointId;
+
+/// Headers that concern one connection only, and those that the client library writes itself.
+const OF_CONNECTION: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// What is sent, the same at every try.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// Id of the caller's try, which the endpoint echoes.
+    pub id: String,
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub target: String,
+    /// Headers as the caller sent them, less those of its connection.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Whether it may run twice.
+    pub repeatable: bool,
+}
+
+/// Where a try goes.
+#[derive(Debug, Clone)]
+pub struct Target {
+    pub endpoint: EndpointId,
+    pub address: String,
+    pub instance: String,
+}
+
+/// The head of an answer and what is needed to read the rest.
+pub struct Answer {
+    pub head: response::Parts,
+    pub said: AnswerHead,
+    pub body: Incoming,
+    pub connection: Connection,
+}
+
+/// A try that brought no answer to pass on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Failure {
+    pub reach: Reach,
+    /// The endpoint is at fault.
+    pub blame: bool,
+    pub detail: String,
+}
+
+impl Failure {
+    /// A failure that is the endpoint's fault.
+    pub fn blamed(reach: Reach, detail: impl Into<String>) -> Failure {
+        Failure {
+            reach,
+            blame: true,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// Copies the headers that go on to the other side.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let dropped = OF_CONNECTION.contains(&name.as_str())
+            || named.iter().any(|dropped| dropped == name.as_str());
+        if !dropped {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Sends a request and checks that the head which comes back belongs to it.
+///
+/// A request that may not be repeated goes over a new connection: on a kept one the endpoint may be
+/// closing just then, and the lost request could not be told from one that ran.
+pub async fn send(
+    node: &Node,
+    target: &Target,
+    out: &Outgoing,
+    left: Option<Duration>,
+    last_event: Option<u64>,
+) -> Result<Answer, Failure> {
+    let kept = match out.repeatable {
+        true => node.pool.take(target.endpoint),
+        false => None,
+    };
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => open(node, target).await?,
+    };
+    let fresh = connection.fresh;
+    let request = request(node, target, out, left, last_event)?;
+    let response = match connection.send(request).await {
+        Ok(response) => response,
+        // The endpoint had closed the kept connection: nothing was sent, a new one may do.
+        Err(pool::Error::NotSent { .. }) if !fresh => {
+            connection = open(node, target).await?;
+            let request = self::request(node, target, out, left, last_event)?;
+            connection.send(request).await.map_err(failed)?
+        }
+        Err(error) => return Err(failed(error)),
+    };
+    node.heard(target.endpoint);
+    let (head, body) = response.into_parts();
+    let said = (node.dialect.answer)(head.status, &head.headers);
+    check(&out.id, fresh, &said)?;
+    Ok(Answer {
+        head,
+        said,
+        body,
+        connection,
+    })
+}
+
+async fn open(node: &Node, target: &Target) -> Result<Connection, Failure> {
+    node.counters.connections.inc();
+    Connection::open(&target.address).await.map_err(failed)
+}
+
+fn failed(error: pool::Error) -> Failure {
+    let reach = match error {
+        pool::Error::NotSent { .. } => Reach::NotSent,
+        pool::Error::NoAnswer { .. } => Reach::MaybeSent,
+    };
+    Failure::blamed(reach, error.to_string())
+}
+
+fn request(
+    node: &Node,
+    target: &Target,
+    out: &Outgoing,
+    left: Option<Duration>,
+    last_event: Option<u64>,
+) -> Result<Request<Full<Bytes>>, Failure> {
+    let unsendable = |detail: String| Failure {
+        reach: Reach::NotSent,
+        blame: false,
+        detail,
+    };
+    let uri: Uri = out
+        .target
+        .parse()
+        .map_err(|error: hyper::http::uri::InvalidUri| unsendable(error.to_string()))?;
+    let mut request = Request::new(Full::new(out.body.clone()));
+    *request.method_mut() = out.method.clone();
+    *request.uri_mut() = uri;
+    *request.headers_mut() = out.headers.clone();
+    let attempt = Attempt {
+        instance: &target.instance,
+        left,
+        last_event,
+    };
+    (node.dialect.attempt)(request.headers_mut(), &attempt);
+    Ok(request)
+}
+
+/// Checks whose answer it is.
+///
+/// The failure: an endpoint sends an answer twice, and the second copy stands where the answer to the
+/// next request on this connection is due. The id tells; an answer without one is believed only on a
+/// connection that carried nothing before.
+fn check(id: &str, fresh: bool, said: &AnswerHead) -> Result<(), Failure> {
+    match &said.attempt {
+        Some(echoed) if echoed != id => {
+            let detail = format!("the answer is to {echoed}");
+            return Err(Failure::blamed(Reach::MaybeSent, detail));
+        }
+        None if !fresh => {
+            return Err(Failure::blamed(
+                Reach::MaybeSent,
+                "the answer names no request",
+            ));
+        }
+        _ => {}
+    }
+    if said.not_run {
+        return Err(Failure {
+            reach: Reach::Refused,
+            blame: said.elsewhere,
+            detail: "refused".into(),
+        });
+    }
+    Ok(())
+}
+
+/// How long the endpoint keeps the connection, when the answer leaves it usable at all.
+pub fn keep_alive(head: &response::Parts) -> Option<Option<Duration>> {
+    let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let closes = text(header::CONNECTION.as_str())
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    if closes {
+        return None;
+    }
+    let seconds = text("keep-alive")
+        .and_then(|value| {
+            value
+                .split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
+        .and_then(|seconds| seconds.trim().parse().ok());
+    Some(seconds.map(Duration::from_secs))
+}
--- /dev/null
+++ b/src/serve/inside.rs
@@ -0,0 +1,142 @@
+//! The pages for the balancer, for operators and for other VMs.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+use super::node::Node;
+use super::peers;
+use super::replies::{self, Reply};
+use crate::clock;
+use crate::decide::online::Waiting;
+
+/// What answers a path.
+pub type Pages = fn(&Node, &str) -> Reply;
+
+/// What the process knows and does, for operators.
+#[derive(Serialize)]
+struct Dump {
+    vm: String,
+    stage: &'static str,
+    ready: bool,
+    rules: Option<u64>,
+    endpoints_revision: u64,
+    living_vms: usize,
+    requests: usize,
+    items: usize,
+    items_running: usize,
+    waiting: Vec<Waiting>,
+    endpoints: Vec<EndpointRow>,
+    jobs: Vec<JobRow>,
+}
+
+#[derive(Serialize)]
+struct EndpointRow {
+    name: String,
+    usable: bool,
+    online_here: u32,
+    online_elsewhere: u32,
+    batch: u32,
+    ejected_for_ms: u64,
+}
+
+#[derive(Serialize)]
+struct JobRow {
+    id: String,
+    items: usize,
+    listed: usize,
+    cancelled: bool,
+    runs_here: bool,
+}
+
+/// Serves pages on one listener until the process ends.
+pub async fn serve(node: Rc<Node>, listener: TcpListener, pages: Pages) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "connections to the pages can't be taken");
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let reply = pages(&node, request.uri().path());
+                async move { Ok::<Reply, Infallible>(reply) }
+            });
+            // An error is an asker that broke off.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// Whether new callers may be sent here.
+pub fn readiness(node: &Node, _path: &str) -> Reply {
+    match node.ready() {
+        true => replies::empty(200),
+        false => replies::empty(503),
+    }
+}
+
+/// Metrics and the dump.
+pub fn operators(node: &Node, path: &str) -> Reply {
+    match path {
+        "/metrics" => replies::bytes(Bytes::from(node.counters.metrics.page().body)),
+        "/dump" => replies::json(200, Bytes::from(dump(node))),
+        _ => replies::empty(404),
+    }
+}
+
+/// What other VMs ask for.
+pub fn peers(node: &Node, path: &str) -> Reply {
+    peers::answer(node, path)
+}
+
+fn dump(node: &Node) -> Vec<u8> {
+    let now = clock::now();
+    let core = node.core.borrow();
+    let (items, items_running) = core.items.counts();
+    let endpoint = |row: &crate::decide::endpoints::Endpoint| EndpointRow {
+        name: row.declared.name.to_string(),
+        usable: row.usable(now),
+        online_here: row.online_here,
+        online_elsewhere: row.online_elsewhere,
+        batch: row.batch,
+        ejected_for_ms: row.ejected_until.saturating_sub(now).as_millis() as u64,
+    };
+    let job = |job: &super::jobs::Job| JobRow {
+        id: job.record.id.to_string(),
+        items: job.record.items.len(),
+        listed: job.record.listed.len(),
+        cancelled: job.record.cancelled,
+        runs_here: job.record.owner == node.owner,
+    };
+    let dump = Dump {
+        vm: node.settings.name.to_string(),
+        stage: core.stage.into(),
+        ready: core.routes.is_some() && core.discovery.known(),
+        rules: core.routes.as_ref().map(|table| table.rules.version),
+        endpoints_revision: core.discovery.revision,
+        living_vms: core.peers.living(now),
+        requests: node.busy.get(),
+        items,
+        items_running,
+        waiting: core.online.waiting(now),
+        endpoints: core.online.endpoints.rows.iter().map(endpoint).collect(),
+        jobs: core.jobs.rows.values().map(job).collect(),
+    };
+    // Plain numbers and strings: there is nothing that JSON can't hold.
+    serde_json::to_vec_pretty(&dump).unwrap_or_default()
+}
--- /dev/null
+++ b/src/serve/jobs.rs
@@ -0,0 +1,448 @@
+//! Batch jobs as this process knows them, and the callers' calls on them.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use bytes::Bytes;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use super::dialect::{Ask, ResultRow};
+use super::node::Node;
+use super::parts::{self, Parts};
+use super::replies::{self, Reply};
+use super::runs;
+use crate::clock;
+use crate::decide::refusal::Kind;
+use crate::decide::routes::Route;
+use crate::decide::small_jobs::{self, body_key, record_key, Item, Record};
+use crate::id::{JobId, Name, Revision};
+use crate::store::{self, Settled, Txn, Write};
+use crate::util;
+
+/// How long a submission or an end may take to be settled at the store; callers wait 4 s at most.
+const SETTLE_MAX: Duration = Duration::from_millis(2500);
+/// When to come back after the store could not be reached; outages last for seconds.
+const STORE_AWAY_RETRY: Duration = Duration::from_millis(900);
+/// A reader that sees nothing new is told so only on the word of the store that is no older: another
+/// VM may have shown the next result already.
+const READ_FRESH: Duration = Duration::from_millis(600);
+/// Longest that a reader is kept waiting; it waits for 1.5 s more than it allows.
+const WAIT_MAX: Duration = Duration::from_millis(2000);
+/// Bytes of texts in one page of results; quoting in JSON stays within the page's 1 MB.
+const PAGE_BYTES_MAX: usize = 600 * 1024;
+/// Tries to end a job against other writers of its record.
+const CANCEL_TRIES: usize = 5;
+
+/// One job as the store last told of it.
+pub struct Job {
+    pub record: Rc<Record>,
+    pub revision: Revision,
+    /// When this process first saw it; steady, so that jumps of the time of day end nothing.
+    pub first_seen: Duration,
+    /// When the store last confirmed the record.
+    pub confirmed_at: Duration,
+    /// Wakes readers.
+    pub changed: Rc<Notify>,
+}
+
+/// All jobs that are known.
+#[derive(Default)]
+pub struct Jobs {
+    pub rows: HashMap<JobId, Job>,
+    pub parts: Parts,
+    /// When the watch last answered; what it had not told by then did not exist.
+    pub watched_at: Option<Duration>,
+}
+
+impl Jobs {
+    /// Takes a record unless a newer one is known.
+    pub fn take(&mut self, now: Duration, record: Record, revision: Revision) {
+        let id = record.id.clone();
+        match self.rows.get_mut(&id) {
+            Some(job) if revision < job.revision => {}
+            Some(job) => {
+                job.record = Rc::new(record);
+                job.revision = revision;
+                job.confirmed_at = now;
+                job.changed.notify_waiters();
+            }
+            None => {
+                let job = Job {
+                    record: Rc::new(record),
+                    revision,
+                    first_seen: now,
+                    confirmed_at: now,
+                    changed: Rc::default(),
+                };
+                self.rows.insert(id, job);
+            }
+        }
+    }
+
+    /// Whether the store has confirmed the record lately.
+    fn fresh(&self, now: Duration, job: &Job) -> bool {
+        let watched = self.watched_at.unwrap_or_default();
+        now < watched.max(job.confirmed_at) + READ_FRESH
+    }
+}
+
+/// Reads a record; `None` when it can't be understood, which is logged.
+pub fn decode(key: &str, value: &[u8]) -> Option<Record> {
+    match serde_json::from_slice(value) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log::error!(key, error:% = error; "a job's record can't be read");
+            None
+        }
+    }
+}
+
+/// Encodes what is written to the store.
+pub fn encode(value: &impl serde::Serialize) -> Bytes {
+    // Plain structs with string keys: there is nothing that JSON can't hold.
+    Bytes::from(serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// Takes a submitted job.
+pub async fn submit(node: Rc<Node>, route: &Route, ask: Ask, body: Bytes) -> Reply {
+    let Some(id) = ask.id else {
+        return replies::refusal(Kind::BadRequest, true, None);
+    };
+    let id: JobId = id.into();
+    if node.core.borrow().jobs.rows.contains_key(&id) {
+        log::info!(job = *id; "job submitted again");
+        return replies::empty(202);
+    }
+    let items = match (node.dialect.submission)(&body) {
+        Ok(items) => items,
+        Err(error) => {
+            log::info!(job = *id, error; "job can't be read");
+            return replies::refusal(Kind::BadRequest, true, None);
+        }
+    };
+    let parts = match small_jobs::body_parts(&items) {
+        Some(parts) if items.len() <= small_jobs::ITEMS_MAX && !items.is_empty() => parts,
+        _ => return replies::refusal(Kind::TooLarge, true, None),
+    };
+    let record = new_record(&node, id.clone(), &ask.host, route, &items, &parts);
+    // A task of its own: a caller that leaves must not keep the write from being settled.
+    let settled = tokio::task::spawn_local(accept(node.clone(), record, parts)).await;
+    settled.unwrap_or_else(|_| replies::refusal(Kind::PlatformAway, false, None))
+}
+
+fn new_record(
+    node: &Node,
+    id: JobId,
+    host: &str,
+    route: &Route,
+    items: &[Item],
+    parts: &[Vec<Item>],
+) -> Record {
+    let mut first = 0;
+    let mut body_parts = Vec::new();
+    for part in parts {
+        body_parts.push(first);
+        first += part.len() as u32;
+    }
+    let created_ms = clock::unix_ms();
+    Record {
+        id,
+        host: host.into(),
+        // A VM that drains accepts for the others.
+        owner: if node.is_draining() { 0 } else { node.owner },
+        epoch: 1,
+        created_ms,
+        due_ms: created_ms + route.due.as_millis() as u64,
+        retention_ms: route.retention.as_millis() as u64,
+        items: items.iter().map(|item| item.id.clone()).collect(),
+        body_parts,
+        listed: Vec::new(),
+        text_parts: 0,
+        failures: Vec::new(),
+        cancelled: false,
+        nonce: util::nonce(),
+    }
+}
+
+/// Writes record and items in one transaction, and answers by how that ended.
+async fn accept(node: Rc<Node>, record: Record, parts: Vec<Vec<Item>>) -> Reply {
+    let id = record.id.clone();
+    let key = record_key(&id);
+    let mut writes = vec![write(key.clone(), encode(&record))];
+    for (number, part) in parts.iter().enumerate() {
+        writes.push(write(body_key(&id, number as u32), encode(part)));
+    }
+    let txn = Txn {
+        expect: vec![(key.clone(), 0)],
+        writes: writes.clone(),
+        deletes: Vec::new(),
+    };
+    let started = clock::now();
+    let settled = node.store.commit(txn, SETTLE_MAX).await;
+    let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
+    let items = record.items.len();
+    match settled {
+        Settled::Won(revision) => {
+            log::info!(job = *id, items, revision, took_ms; "job accepted");
+            let mut core = node.core.borrow_mut();
+            for part in writes.into_iter().skip(1) {
+                core.jobs.parts.keep(part.key, part.value);
+            }
+            core.jobs.take(clock::now(), record, revision);
+            drop(core);
+            runs::adopt(&node, &id);
+            replies::empty(202)
+        }
+        Settled::Lost(found) => {
+            log::info!(job = *id, took_ms; "job had been accepted before");
+            if let Some((item, record)) = found.and_then(|i| decode(&key, &i.value).map(|r| (i, r)))
+            {
+                let mut core = node.core.borrow_mut();
+                core.jobs.take(clock::now(), record, item.revision);
+            }
+            replies::empty(202)
+        }
+        Settled::Away(detail) => {
+            log::warn!(job = *id, took_ms, detail; "job refused: the store is away");
+            node.store_failed();
+            replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY))
+        }
+        Settled::Unknown(detail) => {
+            log::warn!(job = *id, took_ms, detail; "job in doubt: the store's answer was lost");
+            node.store_failed();
+            replies::refusal(Kind::PlatformAway, false, None)
+        }
+    }
+}
+
+/// A write without a lease.
+pub fn write(key: String, value: Bytes) -> Write {
+    Write {
+        key,
+        value,
+        lease: 0,
+    }
+}
+
+/// The job's record from the table, else from the store.
+async fn find(node: &Rc<Node>, job: &JobId) -> Result<Option<Rc<Record>>, store::Error> {
+    let known = node
+        .core
+        .borrow()
+        .jobs
+        .rows
+        .get(job)
+        .map(|job| job.record.clone());
+    match known {
+        Some(record) => Ok(Some(record)),
+        None => reread(node, job).await,
+    }
+}
+
+/// The job's record from the store.
+async fn reread(node: &Rc<Node>, job: &JobId) -> Result<Option<Rc<Record>>, store::Error> {
+    let key = record_key(job);
+    let Some(item) = node.store.get(&key).await? else {
+        return Ok(None);
+    };
+    let Some(record) = decode(&key, &item.value) else {
+        let detail = "a record that can't be read".into();
+        return Err(store::Error::Away { detail });
+    };
+    let mut core = node.core.borrow_mut();
+    core.jobs.take(clock::now(), record, item.revision);
+    Ok(core.jobs.rows.get(job).map(|job| job.record.clone()))
+}
+
+fn away(node: &Node, job: &str, error: &store::Error) -> Reply {
+    log::warn!(job, error:% = error; "job can't be read: the store is away");
+    node.store_failed();
+    replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY))
+}
+
+/// Answers with the results from a position on.
+pub async fn results(node: Rc<Node>, job: JobId, after: usize, wait: Duration) -> Reply {
+    let until = clock::now() + wait.min(WAIT_MAX);
+    let record = loop {
+        let record = match find(&node, &job).await {
+            Ok(Some(record)) => record,
+            Ok(None) => return replies::refusal(Kind::NotFound, true, None),
+            Err(error) => return away(&node, &job, &error),
+        };
+        let listed = record.listed.len();
+        if listed > after || (record.ended() && listed == after) {
+            break record;
+        }
+        // The caller has seen more than this VM: it is behind.
+        let behind = after > listed;
+        let now = clock::now();
+        if now < until && !behind {
+            wait_for_change(&node, &job, until - now).await;
+            continue;
+        }
+        let fresh = {
+            let core = node.core.borrow();
+            let row = core.jobs.rows.get(&job);
+            row.is_some_and(|row| core.jobs.fresh(now, row))
+        };
+        if fresh && !behind {
+            break record;
+        }
+        match reread(&node, &job).await {
+            Ok(Some(record)) => break record,
+            Ok(None) => return replies::refusal(Kind::NotFound, true, None),
+            Err(error) => return away(&node, &job, &error),
+        }
+    };
+    page(&node, &record, after).await
+}
+
+async fn wait_for_change(node: &Node, job: &JobId, wait: Duration) {
+    let row = node
+        .core
+        .borrow()
+        .jobs
+        .rows
+        .get(job)
+        .map(|job| job.changed.clone());
+    match row {
+        // Time out is as good as a change: the caller of this looks again.
+        Some(changed) => drop(timeout(wait, changed.notified()).await),
+        None => sleep(wait).await,
+    }
+}
+
+async fn page(node: &Rc<Node>, record: &Record, after: usize) -> Reply {
+    let mut rows = Vec::new();
+    let mut bytes = 0;
+    for position in after..record.listed.len() {
+        let Some((part, place)) = record.text_place(position) else {
+            break;
+        };
+        let key = small_jobs::text_key(&record.id, part);
+        let texts: Vec<String> = match parts::read(node, key).await {
+            Ok(texts) => texts,
+            Err(error) => {
+                log::warn!(job = *record.id, error:% = error; "results can't be read");
+                return replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY));
+            }
+        };
+        let listed = &record.listed[position];
+        let text = texts.get(place).cloned().unwrap_or_default();
+        bytes += text.len();
+        if bytes > PAGE_BYTES_MAX && !rows.is_empty() {
+            break;
+        }
+        rows.push(ResultRow {
+            item: record.items[listed.item as usize].clone(),
+            outcome: listed.outcome,
+            text,
+        });
+    }
+    let next = after + rows.len();
+    let body = (node.dialect.results)(record.items.len(), &rows, next);
+    replies::json(200, body)
+}
+
+/// Answers with the body of an item.
+pub async fn item_body(node: Rc<Node>, job: JobId, item: Name) -> Reply {
+    let record = match find(&node, &job).await {
+        Ok(Some(record)) => record,
+        Ok(None) => return replies::refusal(Kind::NotFound, true, None),
+        Err(error) => return away(&node, &job, &error),
+    };
+    let index = record.items.iter().position(|known| *known == item);
+    let place = index.and_then(|index| record.body_place(index as u32));
+    let Some((part, place)) = place.filter(|_| !record.cancelled) else {
+        return replies::refusal(Kind::NotFound, true, None);
+    };
+    let read = parts::read::<Vec<Item>>(&node, body_key(&job, part)).await;
+    let body = match &read {
+        Ok(items) => items
+            .get(place)
+            .map(|item| BASE64_STANDARD.decode(&item.body)),
+        Err(error) => {
+            log::warn!(job = *job, error:% = error; "an item's body can't be read");
+            None
+        }
+    };
+    match body {
+        Some(Ok(body)) => replies::bytes(body.into()),
+        _ => replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY)),
+    }
+}
+
+/// Ends a job.
+pub async fn cancel(node: Rc<Node>, job: JobId) -> Reply {
+    for _ in 0..CANCEL_TRIES {
+        let record = match find(&node, &job).await {
+            Ok(Some(record)) => record,
+            Ok(None) => return replies::refusal(Kind::NotFound, true, None),
+            Err(error) => return away(&node, &job, &error),
+        };
+        let Some(ended) = record.cancel(util::nonce()) else {
+            return replies::empty(200);
+        };
+        let revision = node
+            .core
+            .borrow()
+            .jobs
+            .rows
+            .get(&job)
+            .map_or(0, |job| job.revision);
+        match replace(&node, &ended, revision).await {
+            Settled::Won(_) => {
+                log::info!(job = *job, listed = ended.listed.len(); "job ended by its caller");
+                runs::forget(&node, &job);
+                return replies::empty(200);
+            }
+            // Another writer came first; its record is in the table now.
+            Settled::Lost(_) => {}
+            Settled::Away(detail) | Settled::Unknown(detail) => {
+                return away(&node, &job, &store::Error::Away { detail })
+            }
+        }
+    }
+    replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY))
+}
+
+/// Writes a record in the place of the one at `revision`, and keeps whichever stands then.
+pub async fn replace(node: &Rc<Node>, record: &Record, revision: Revision) -> Settled {
+    replace_with(node, record, revision, Vec::new()).await
+}
+
+/// Like [`replace`], with parts in the same transaction.
+pub async fn replace_with(
+    node: &Rc<Node>,
+    record: &Record,
+    revision: Revision,
+    parts: Vec<Write>,
+) -> Settled {
+    let key = record_key(&record.id);
+    let mut writes = vec![write(key.clone(), encode(record))];
+    writes.extend(parts);
+    let txn = Txn {
+        expect: vec![(key.clone(), revision)],
+        writes,
+        deletes: Vec::new(),
+    };
+    let settled = node.store.commit(txn, SETTLE_MAX).await;
+    let now = clock::now();
+    let mut core = node.core.borrow_mut();
+    match &settled {
+        Settled::Won(revision) => core.jobs.take(now, record.clone(), *revision),
+        Settled::Lost(Some(found)) => {
+            if let Some(other) = decode(&key, &found.value) {
+                core.jobs.take(now, other, found.revision);
+            }
+        }
+        Settled::Lost(None) => {
+            core.jobs.rows.remove(&record.id);
+        }
+        Settled::Away(_) | Settled::Unknown(_) => core.discovery.store_failed(now),
+    }
+    settled
+}
--- /dev/null
+++ b/src/serve/node.rs
@@ -0,0 +1,313 @@
+//! The state of one serving process, and the ways into it.
+//!
+//! Everything runs on one thread. What decides is in [`Core`]; it is borrowed for the length of one
+//! call and never across a wait.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, Notify};
+
+use super::counters::Counters;
+use super::dialect::Dialect;
+use super::exchange::Target;
+use super::jobs::Jobs;
+use super::peers::Peers;
+use super::pool::Pool;
+use super::runs::Runs;
+use crate::clock;
+use crate::decide::discovery::Discovery;
+use crate::decide::items::Items;
+use crate::decide::online::{Action, Event, Online, Service};
+use crate::decide::routes::{RouteKind, RouteTable, Rules};
+use crate::decide::usage::Usage;
+use crate::id::{self, DomainId, EndpointId, OwnerId, RequestId, ServiceId, VmId};
+use crate::settings;
+use crate::store::Store;
+use crate::util;
+
+/// Requests that may wait at one VM for each service. A queue that long lasts for well over the
+/// time to first token that any route asks for; admission by expected wait closes far earlier.
+const QUEUE_LIMIT: usize = 256;
+/// Requests in flight of one VM for each service; bounds its memory, not its endpoints.
+const IN_FLIGHT_MAX: usize = 2000;
+/// The only workspace there is: the platform's routes name none.
+const WORKSPACE: u64 = 0;
+
+/// Where a process stands in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Stage {
+    Serving,
+    /// Told to stop: still takes requests until callers are sent elsewhere.
+    Draining,
+}
+
+/// What decides.
+pub struct Core {
+    pub online: Online,
+    pub items: Items,
+    pub usage: Usage,
+    pub discovery: Discovery,
+    pub routes: Option<Rc<RouteTable>>,
+    pub jobs: Jobs,
+    pub peers: Peers,
+    pub stage: Stage,
+    callers: HashMap<RequestId, mpsc::UnboundedSender<Action>>,
+    next_request: RequestId,
+}
+
+/// One serving process.
+pub struct Node {
+    pub settings: settings::Serve,
+    pub dialect: Dialect,
+    pub store: Store,
+    pub pool: Pool,
+    pub counters: Counters,
+    pub core: RefCell<Core>,
+    pub runs: Runs,
+    pub vm: VmId,
+    pub domain: DomainId,
+    /// Drawn at each start.
+    pub owner: OwnerId,
+    /// Callers' requests in hand.
+    pub busy: Cell<usize>,
+    /// The VM has to tell the others what it has in flight.
+    pub tell_peers: Notify,
+    /// Batch items may have to be placed or taken back.
+    pub plan_items: Notify,
+    /// Callers' connections are to close once they are idle.
+    pub closing: Notify,
+}
+
+impl Node {
+    /// A process that knows nothing yet.
+    pub fn new(settings: settings::Serve, dialect: Dialect, store: Store) -> Rc<Node> {
+        let domain = id::of(&settings.failure_domain);
+        let mut online = Online::new(domain, util::rng());
+        online.watch_silence = true;
+        let core = Core {
+            online,
+            items: Items::default(),
+            usage: Usage::default(),
+            discovery: Discovery::default(),
+            routes: None,
+            jobs: Jobs::default(),
+            peers: Peers::default(),
+            stage: Stage::Serving,
+            callers: HashMap::new(),
+            next_request: 1,
+        };
+        Rc::new(Node {
+            vm: id::of(&settings.name),
+            domain,
+            owner: util::nonce() | 1,
+            dialect,
+            store,
+            pool: Pool::default(),
+            counters: Counters::new(),
+            core: RefCell::new(core),
+            runs: Runs::default(),
+            busy: Cell::new(0),
+            tell_peers: Notify::new(),
+            plan_items: Notify::new(),
+            closing: Notify::new(),
+            settings,
+        })
+    }
+
+    /// Whether callers can be served: it knows rules and endpoints, and does not drain.
+    pub fn ready(&self) -> bool {
+        let core = self.core.borrow();
+        core.stage == Stage::Serving && core.routes.is_some() && core.discovery.known()
+    }
+
+    /// Whether the process was told to stop.
+    pub fn is_draining(&self) -> bool {
+        self.core.borrow().stage == Stage::Draining
+    }
+
+    /// The rules in force.
+    pub fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.core.borrow().routes.clone()
+    }
+
+    /// Takes rules unless they are older than those in force: a process never goes back.
+    pub fn take_rules(&self, rules: Rules, from: &str) -> bool {
+        let mut core = self.core.borrow_mut();
+        let known = core.routes.as_ref().map(|table| table.rules.version);
+        if known.is_some_and(|known| rules.version <= known) {
+            return false;
+        }
+        log::info!(version = rules.version, before = known.unwrap_or(0), from; "rules taken");
+        core.online.services = services(&rules);
+        core.routes = Some(Rc::new(RouteTable::new(rules)));
+        drop(core);
+        self.tell_peers.notify_one();
+        self.plan_items.notify_one();
+        true
+    }
+
+    /// Lays out the endpoints anew after a change.
+    pub fn take_endpoints(&self, from: &str) {
+        let mut guard = self.core.borrow_mut();
+        let core = &mut *guard;
+        let declared = core.discovery.declared();
+        let draining: Vec<EndpointId> = declared
+            .iter()
+            .filter(|(.., draining)| *draining)
+            .map(|(id, ..)| *id)
+            .collect();
+        log::info!(
+            endpoints = declared.len(),
+            draining = draining.len(),
+            revision = core.discovery.revision,
+            from;
+            "endpoints taken"
+        );
+        let endpoints = &mut core.online.endpoints;
+        endpoints.declare(declared.into_iter().map(|(id, declared, _)| (id, declared)));
+        for id in draining {
+            if let Some(row) = endpoints.get_mut(id) {
+                // An instance never comes back from draining.
+                row.leaving = Some(u64::MAX);
+            }
+        }
+        drop(guard);
+        self.tell_peers.notify_one();
+        self.plan_items.notify_one();
+    }
+
+    /// Registers a request; the receiver brings what is to be done for it.
+    pub fn register(&self) -> (RequestId, mpsc::UnboundedReceiver<Action>) {
+        let mut core = self.core.borrow_mut();
+        let request = core.next_request;
+        core.next_request += 1;
+        let (sender, receiver) = mpsc::unbounded_channel();
+        core.callers.insert(request, sender);
+        (request, receiver)
+    }
+
+    /// Forgets a request.
+    pub fn unregister(&self, request: RequestId) {
+        self.core.borrow_mut().callers.remove(&request);
+    }
+
+    /// Tells the deciding part what happened to a request.
+    pub fn tell(&self, event: Event) {
+        let mut core = self.core.borrow_mut();
+        let mut out = Vec::new();
+        core.online.handle(clock::now(), event, &mut out);
+        self.pass_on(&mut core, out);
+    }
+
+    /// Something came from an endpoint.
+    pub fn heard(&self, endpoint: EndpointId) {
+        let mut core = self.core.borrow_mut();
+        if let Some(row) = core.online.endpoints.get_mut(endpoint) {
+            row.heard_at = clock::now();
+        }
+    }
+
+    /// Where an endpoint is; `None` when it is gone by now.
+    pub fn target(&self, endpoint: EndpointId) -> Option<Target> {
+        let core = self.core.borrow();
+        let row = core.online.endpoints.get(endpoint)?;
+        Some(Target {
+            endpoint,
+            address: row.declared.address.to_string(),
+            instance: row.declared.name.to_string(),
+        })
+    }
+
+    /// A call on the metadata store failed.
+    pub fn store_failed(&self) {
+        self.core.borrow_mut().discovery.store_failed(clock::now());
+    }
+
+    /// Looks at everything that time alone changes.
+    pub fn tick(&self) {
+        let now = clock::now();
+        let mut guard = self.core.borrow_mut();
+        let core = &mut *guard;
+        core.usage.tick(now);
+        let changed = core.discovery.tick(now);
+        note_uses(core);
+        let mut out = Vec::new();
+        core.online.tick(now, &mut out);
+        self.pass_on(core, out);
+        drop(guard);
+        if changed {
+            self.take_endpoints("lapsed entries");
+        }
+        self.pool.tick(now);
+    }
+
+    fn pass_on(&self, core: &mut Core, actions: Vec<Action>) {
+        for action in actions {
+            let request = match &action {
+                Action::Send {
+                    request, endpoint, ..
+                } => {
+                    self.note_pressure(core, *endpoint);
+                    *request
+                }
+                Action::Refuse { request, .. } | Action::GiveUp { request } => *request,
+            };
+            if let Some(caller) = core.callers.get(&request) {
+                // A caller that has left meanwhile has told so by itself.
+                let _ = caller.send(action);
+            }
+        }
+    }
+
+    /// Batch work makes way at once when an endpoint has more than it runs.
+    fn note_pressure(&self, core: &mut Core, endpoint: EndpointId) {
+        let now = clock::now();
+        let batch_here = core.items.at(endpoint);
+        let elsewhere = core.usage.of(endpoint);
+        let Some(row) = core.online.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        row.batch = batch_here + elsewhere.batch;
+        if !row.crowded(now) {
+            return;
+        }
+        if batch_here > 0 {
+            self.plan_items.notify_one();
+        }
+        if elsewhere.batch > 0 {
+            self.tell_peers.notify_one();
+        }
+    }
+}
+
+/// Writes into the endpoints' rows what the other VMs last said.
+pub fn note_uses(core: &mut Core) {
+    for row in &mut core.online.endpoints.rows {
+        let elsewhere = core.usage.of(row.id);
+        row.online_elsewhere = elsewhere.online;
+        row.users_elsewhere = elsewhere.online_users;
+        row.batch = elsewhere.batch + core.items.at(row.id);
+    }
+}
+
+/// The services as admission takes them: the tightest goal of the routes that lead there.
+fn services(rules: &Rules) -> HashMap<ServiceId, Service> {
+    let mut services: HashMap<ServiceId, Service> = HashMap::new();
+    for route in rules.routes.iter().filter(|r| r.kind != RouteKind::Batch) {
+        for share in &route.shares {
+            let service = services.entry(share.service).or_insert_with(|| Service {
+                first_token_goal: Duration::MAX,
+                queue_limit: QUEUE_LIMIT,
+                max_in_flight: IN_FLIGHT_MAX,
+                learn: false,
+                shares: HashMap::from([(WORKSPACE, 1.0)]),
+            });
+            service.first_token_goal = service.first_token_goal.min(route.goal);
+        }
+    }
+    services
+}
--- /dev/null
+++ b/src/serve/online.rs
@@ -0,0 +1,544 @@
+//! The life of one online request: admission, tries, relay of the answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::http::response;
+use hyper::{Response, StatusCode};
+use tokio::sync::mpsc::{self, Receiver, Sender, UnboundedReceiver};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+use super::body::{BrokenOff, Piece, ReplyBody};
+use super::dialect::{Ask, PromptPart};
+use super::events::Splitter;
+use super::exchange::{self, Answer, Failure, Outgoing, Target};
+use super::node::Node;
+use super::replies::{self, Reply};
+use crate::clock;
+use crate::decide::online::{Action, Arrival, Event, Outcome};
+use crate::decide::refusal::Kind;
+use crate::decide::retry::Reach;
+use crate::decide::routes::{Route, RouteKind};
+use crate::id::{EndpointId, RequestId, ServiceId};
+
+/// Pieces that may wait for a slow caller; beyond that the endpoint's connection is read no faster.
+const PIECES_WAITING: usize = 32;
+/// The only workspace: routes name none.
+const WORKSPACE: u64 = 0;
+/// Bytes of a plain answer that are held until it is whole.
+const WHOLE_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Serves one request to its end.
+///
+/// The work is a task of its own: it sees the caller leave by the receiver's end, closes the
+/// endpoint's connection, and gives back what admission had counted.
+pub async fn serve(
+    node: Rc<Node>,
+    route: &Route,
+    ask: Ask,
+    out: Outgoing,
+    service: ServiceId,
+) -> Reply {
+    let (head_sender, head) = oneshot::channel();
+    let (pieces_sender, pieces) = mpsc::channel(PIECES_WAITING);
+    let now = clock::now();
+    let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+    let (request, actions) = node.register();
+    let work = Work {
+        node: node.clone(),
+        request,
+        actions,
+        kind: route.kind,
+        resumable: route.kind == RouteKind::Streaming && route.resumable,
+        last_event: ask.last_event,
+        out,
+        arrived_at: now,
+        deadline: now + patience,
+        head: Some(head_sender),
+        pieces: pieces_sender,
+        kept: None,
+        attempts: 0,
+    };
+    let arrival = Arrival {
+        request,
+        workspace: WORKSPACE,
+        service,
+        prefix: shared_prefix(&ask.prompt),
+        deadline: now + patience,
+        idempotent: route.repeatable(),
+        resumable: work.resumable,
+        attempts_max: route.attempts_max,
+    };
+    node.busy.set(node.busy.get() + 1);
+    node.tell(Event::Arrived(arrival));
+    tokio::task::spawn_local(work.run());
+    match head.await {
+        Ok(Head::Own(reply)) => reply,
+        Ok(Head::Relayed(parts, whole)) => relay(parts, whole, pieces),
+        // The task ended without an answer, which it never does while the caller waits.
+        Err(_) => replies::refusal(Kind::EndpointFailed, false, None),
+    }
+}
+
+/// The part of the prompt that other requests are likeliest to share, as a key: the last part but
+/// one stands for all before it, since parts are kept only after the same parts. 0 for none.
+fn shared_prefix(prompt: &[PromptPart]) -> u64 {
+    match prompt {
+        [] => 0,
+        [only] => only.id,
+        [.., shared, _] => shared.id,
+    }
+}
+
+fn relay(parts: response::Parts, whole: Option<Bytes>, pieces: Receiver<Piece>) -> Reply {
+    let body = match whole {
+        Some(bytes) => ReplyBody::Whole(Some(bytes)),
+        None => ReplyBody::Pieces(pieces),
+    };
+    Response::from_parts(parts, body)
+}
+
+/// What the caller's handler gets.
+enum Head {
+    /// This system's own answer.
+    Own(Reply),
+    /// An endpoint's answer, with its body when it is whole.
+    Relayed(response::Parts, Option<Bytes>),
+}
+
+/// How a try went.
+enum Tried {
+    Done,
+    Failed(Failure),
+    CallerLeft,
+    /// The deadline passed.
+    Late,
+}
+
+/// What came first.
+enum Woken<T> {
+    Value(T),
+    CallerLeft,
+    Late,
+    /// Nothing comes from the endpoint any more.
+    GivenUp,
+}
+
+struct Work {
+    node: Rc<Node>,
+    request: RequestId,
+    actions: UnboundedReceiver<Action>,
+    kind: RouteKind,
+    resumable: bool,
+    /// The last event that the caller has.
+    last_event: Option<u64>,
+    out: Outgoing,
+    arrived_at: Duration,
+    deadline: Duration,
+    /// Taken once an answer began.
+    head: Option<oneshot::Sender<Head>>,
+    pieces: Sender<Piece>,
+    /// A failure that an endpoint answered, to pass on when no other try does better.
+    kept: Option<(response::Parts, Bytes)>,
+    attempts: u32,
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.node.unregister(self.request);
+        self.node.busy.set(self.node.busy.get().saturating_sub(1));
+    }
+}
+
+impl Work {
+    async fn run(mut self) {
+        loop {
+            let left = self.left();
+            let next = tokio::select! {
+                biased;
+                action = self.actions.recv() => Woken::Value(action),
+                () = self.pieces.closed() => Woken::CallerLeft,
+                () = sleep(left) => Woken::Late,
+            };
+            match next {
+                Woken::Value(Some(Action::Send { endpoint, .. })) => {
+                    if self.send(endpoint).await {
+                        return;
+                    }
+                }
+                Woken::Value(Some(Action::Refuse {
+                    kind,
+                    not_run,
+                    retry_after,
+                    ..
+                })) => return self.refuse(kind, not_run, retry_after).await,
+                Woken::Value(Some(Action::GiveUp { .. })) | Woken::GivenUp => {}
+                Woken::Value(None) | Woken::CallerLeft => {
+                    self.tell_ended(Outcome::Abandoned);
+                    self.log("caller_left", "waiting");
+                    return;
+                }
+                Woken::Late => {
+                    self.tell_ended(Outcome::Abandoned);
+                    let not_run = self.attempts == 0;
+                    return self.refuse(Kind::DeadlinePassed, not_run, None).await;
+                }
+            }
+        }
+    }
+
+    /// Makes one try; true when the request has ended.
+    async fn send(&mut self, endpoint: EndpointId) -> bool {
+        self.attempts += 1;
+        let tried = match self.node.target(endpoint) {
+            Some(target) => self.attempt(&target).await,
+            None => Tried::Failed(Failure {
+                reach: Reach::NotSent,
+                blame: false,
+                detail: "the endpoint is gone".into(),
+            }),
+        };
+        match tried {
+            Tried::Done => {
+                self.node
+                    .counters
+                    .attempts
+                    .with_label_values(&["done"])
+                    .inc();
+                self.node.counters.whole.observe(self.age().as_secs_f64());
+                self.tell_ended(Outcome::Done);
+                self.log("done", "answered");
+                true
+            }
+            Tried::CallerLeft => {
+                self.tell_ended(Outcome::Abandoned);
+                self.log("caller_left", "answering");
+                true
+            }
+            Tried::Late => {
+                self.tell_ended(Outcome::Abandoned);
+                self.refuse(Kind::DeadlinePassed, false, None).await;
+                true
+            }
+            Tried::Failed(failure) => {
+                let reach: &'static str = failure.reach.into();
+                self.node
+                    .counters
+                    .attempts
+                    .with_label_values(&[reach])
+                    .inc();
+                log::info!(
+                    request = self.out.id,
+                    endpoint = self.name_of(endpoint),
+                    attempt = self.attempts,
+                    reach,
+                    detail = failure.detail,
+                    age_ms = self.age().as_millis() as u64;
+                    "try failed"
+                );
+                let Failure { reach, blame, .. } = failure;
+                self.tell_ended(Outcome::Failed { reach, blame });
+                false
+            }
+        }
+    }
+
+    async fn attempt(&mut self, target: &Target) -> Tried {
+        let node = self.node.clone();
+        let out = self.out.clone();
+        let (left, last_event) = (self.left(), self.last_event);
+        let sent = exchange::send(&node, target, &out, Some(left), last_event);
+        let answer = match self.wait(sent).await {
+            Woken::Value(Ok(answer)) => answer,
+            Woken::Value(Err(failure)) => return Tried::Failed(failure),
+            Woken::CallerLeft => return Tried::CallerLeft,
+            Woken::Late => return Tried::Late,
+            Woken::GivenUp => return Tried::Failed(silent(Reach::MaybeSent)),
+        };
+        let streams = is_events(&answer.head.headers) && answer.head.status == StatusCode::OK;
+        match streams {
+            true => self.relay_events(target, answer).await,
+            false => self.relay_whole(target, answer).await,
+        }
+    }
+
+    /// Waits for something of a try, or for what ends it.
+    async fn wait<T>(&mut self, what: impl std::future::Future<Output = T>) -> Woken<T> {
+        let left = self.left();
+        tokio::select! {
+            biased;
+            value = what => Woken::Value(value),
+            () = self.pieces.closed() => Woken::CallerLeft,
+            () = sleep(left) => Woken::Late,
+            _ = self.actions.recv() => Woken::GivenUp,
+        }
+    }
+
+    /// Passes an answer on once it is whole.
+    async fn relay_whole(&mut self, target: &Target, answer: Answer) -> Tried {
+        let Answer {
+            head,
+            said,
+            body,
+            connection,
+        } = answer;
+        let bytes = match self.wait(collect(body)).await {
+            Woken::Value(Some(bytes)) => bytes,
+            Woken::Value(None) => {
+                return Tried::Failed(Failure::blamed(Reach::MaybeSent, "the answer broke off"))
+            }
+            Woken::CallerLeft => return Tried::CallerLeft,
+            Woken::Late => return Tried::Late,
+            Woken::GivenUp => return Tried::Failed(silent(Reach::MaybeSent)),
+        };
+        self.node.heard(target.endpoint);
+        if let Some(keep_alive) = exchange::keep_alive(&head) {
+            self.node.pool.give(target.endpoint, connection, keep_alive);
+        }
+        if head.status.is_success() && !said.signed {
+            return Tried::Failed(Failure::blamed(
+                Reach::MaybeSent,
+                "the answer is not signed",
+            ));
+        }
+        let again = self.out.repeatable && head.status.is_server_error();
+        if again || self.head.is_none() {
+            let detail = format!("answered {}", head.status.as_u16());
+            self.kept = Some((head, bytes));
+            let reach = match self.head {
+                Some(_) => Reach::MaybeSent,
+                None => Reach::Answering,
+            };
+            return Tried::Failed(Failure::blamed(reach, detail));
+        }
+        self.node.tell(Event::FirstToken {
+            request: self.request,
+        });
+        self.begin(head, Some(bytes));
+        Tried::Done
+    }
+
+    /// Passes events on as they come. The caller sees nothing before the first whole event, so that a
+    /// try which fails earlier can still be made again or refused with a status.
+    async fn relay_events(&mut self, target: &Target, answer: Answer) -> Tried {
+        let Answer {
+            head,
+            said,
+            mut body,
+            connection,
+        } = answer;
+        if !said.signed {
+            return Tried::Failed(Failure::blamed(
+                Reach::MaybeSent,
+                "the answer is not signed",
+            ));
+        }
+        let keep_alive = exchange::keep_alive(&head);
+        let mut head = Some(head);
+        let mut splitter = Splitter::default();
+        loop {
+            let frame = match self.wait(body.frame()).await {
+                Woken::Value(frame) => frame,
+                Woken::CallerLeft => return Tried::CallerLeft,
+                Woken::Late => return Tried::Late,
+                Woken::GivenUp => return Tried::Failed(silent(self.reach())),
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    self.node.heard(target.endpoint);
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    if let Some(ended) = self.pass(&mut splitter, &data, &mut head).await {
+                        return ended;
+                    }
+                }
+                Some(Err(error)) => {
+                    let detail = format!("the stream broke off: {error}");
+                    return Tried::Failed(Failure::blamed(self.reach(), detail));
+                }
+                None if splitter.partial() => {
+                    let detail = "the stream ended within an event";
+                    return Tried::Failed(Failure::blamed(self.reach(), detail));
+                }
+                None => break,
+            }
+        }
+        if let Some(keep_alive) = keep_alive {
+            self.node.pool.give(target.endpoint, connection, keep_alive);
+        }
+        self.begin_once(&mut head);
+        Tried::Done
+    }
+
+    /// Passes the whole events in `data` on.
+    async fn pass(
+        &mut self,
+        splitter: &mut Splitter,
+        data: &[u8],
+        head: &mut Option<response::Parts>,
+    ) -> Option<Tried> {
+        let events = splitter.push(data);
+        if splitter.overlong() {
+            let detail = "an event without an end";
+            return Some(Tried::Failed(Failure::blamed(self.reach(), detail)));
+        }
+        if events.is_empty() {
+            return None;
+        }
+        let expected = self.last_event.map(|last| last + 1);
+        if let (Some(expected), Some(first)) = (expected, events[0].id) {
+            if first != expected {
+                let detail = format!("event {first} came in place of {expected}");
+                return Some(Tried::Failed(Failure::blamed(self.reach(), detail)));
+            }
+        }
+        let mut raw = BytesMut::new();
+        for event in &events {
+            raw.extend_from_slice(&event.raw);
+            self.last_event = event.id.or(self.last_event);
+        }
+        self.begin_once(head);
+        let sent = self.pieces.send(Ok(raw.freeze()));
+        match timeout(self.deadline.saturating_sub(clock::now()), sent).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(Tried::CallerLeft),
+            Err(_) => Some(Tried::Late),
+        }
+    }
+
+    /// Sends the head when the caller has none yet. After a resumption the first one stands.
+    fn begin_once(&mut self, head: &mut Option<response::Parts>) {
+        let Some(parts) = head.take() else {
+            return;
+        };
+        self.node.tell(Event::FirstToken {
+            request: self.request,
+        });
+        if self.head.is_some() {
+            self.node
+                .counters
+                .first_event
+                .observe(self.age().as_secs_f64());
+            self.begin(parts, None);
+        }
+    }
+
+    fn begin(&mut self, mut parts: response::Parts, whole: Option<Bytes>) {
+        parts.headers = exchange::end_to_end(&parts.headers);
+        parts.headers.remove(CONTENT_LENGTH);
+        if let Some(head) = self.head.take() {
+            // A caller that has left is seen by `pieces`.
+            let _ = head.send(Head::Relayed(parts, whole));
+        }
+    }
+
+    /// How far a try has come that fails now.
+    fn reach(&self) -> Reach {
+        match self.head {
+            Some(_) => Reach::MaybeSent,
+            None => Reach::Answering,
+        }
+    }
+
+    /// Gives the final answer, or breaks off an answer that has begun.
+    async fn refuse(&mut self, kind: Kind, not_run: bool, after: Option<Duration>) {
+        let name: &'static str = kind.into();
+        self.log("refused", name);
+        let Some(head) = self.head.take() else {
+            // The connection is closed without the end of the body, so that it can't look whole.
+            let _ = self.pieces.send(Err(BrokenOff)).await;
+            return;
+        };
+        let reply = match self.kept.take() {
+            Some((mut parts, bytes)) => {
+                parts.headers = exchange::end_to_end(&parts.headers);
+                Head::Relayed(parts, Some(bytes))
+            }
+            None => Head::Own(replies::refusal(kind, not_run, after)),
+        };
+        let _ = head.send(reply);
+    }
+
+    fn tell_ended(&self, outcome: Outcome) {
+        self.node.tell(Event::Ended {
+            request: self.request,
+            outcome,
+        });
+        self.node.plan_items.notify_one();
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_sub(clock::now())
+    }
+
+    fn age(&self) -> Duration {
+        clock::now().saturating_sub(self.arrived_at)
+    }
+
+    fn name_of(&self, endpoint: EndpointId) -> String {
+        self.node
+            .target(endpoint)
+            .map_or_else(String::new, |target| target.instance)
+    }
+
+    fn log(&self, outcome: &str, detail: &str) {
+        let kind: &'static str = self.kind.into();
+        let counters = &self.node.counters;
+        counters.requests.with_label_values(&[kind, outcome]).inc();
+        let routes = self.node.routes();
+        log::info!(
+            request = self.out.id,
+            kind,
+            outcome,
+            detail,
+            attempts = self.attempts,
+            last_event = self.last_event.unwrap_or(0),
+            age_ms = self.age().as_millis() as u64,
+            left_ms = self.left().as_millis() as u64,
+            rules = routes.map_or(0, |table| table.rules.version);
+            "request ended"
+        );
+    }
+}
+
+fn silent(reach: Reach) -> Failure {
+    // The silence was seen by the deciding part, which has counted it against the endpoint.
+    Failure {
+        reach,
+        blame: false,
+        detail: "the endpoint went silent".into(),
+    }
+}
+
+fn is_events(headers: &HeaderMap) -> bool {
+    let kind = headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+/// Reads a body to its end; `None` when it breaks off or is too long.
+async fn collect(mut body: Incoming) -> Option<Bytes> {
+    let mut whole = BytesMut::new();
+    while !body.is_end_stream() {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    whole.extend_from_slice(&data);
+                }
+            }
+            Some(Err(_)) => return None,
+            None => break,
+        }
+        if whole.len() > WHOLE_BYTES_MAX {
+            return None;
+        }
+    }
+    Some(whole.freeze())
+}
--- /dev/null
+++ b/src/serve/parts.rs
@@ -0,0 +1,75 @@
+//! Write-once parts of batch jobs, kept in memory after they were read or written.
+
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+
+use super::node::Node;
+use crate::store::Error;
+
+/// Bytes of parts that one process keeps. Jobs of one minute at the present load take a quarter of
+/// it, and what has been dropped is read again from the store.
+const BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Parts by key, the oldest dropped first.
+#[derive(Debug, Default)]
+pub struct Parts {
+    rows: HashMap<String, Bytes>,
+    order: VecDeque<String>,
+    bytes: usize,
+}
+
+impl Parts {
+    /// Keeps a part.
+    pub fn keep(&mut self, key: String, value: Bytes) {
+        if self.rows.contains_key(&key) {
+            return;
+        }
+        self.bytes += value.len();
+        self.rows.insert(key.clone(), value);
+        self.order.push_back(key);
+        while self.bytes > BYTES_MAX {
+            let Some(oldest) = self.order.pop_front() else {
+                return;
+            };
+            self.bytes -= self.rows.remove(&oldest).map_or(0, |value| value.len());
+        }
+    }
+
+    fn get(&self, key: &str) -> Option<Bytes> {
+        self.rows.get(key).cloned()
+    }
+}
+
+/// Why a part could not be had.
+#[derive(Debug, snafu::Snafu)]
+pub enum PartError {
+    #[snafu(display("{source}"), context(false))]
+    Store { source: Error },
+    #[snafu(display("part {key} is missing"))]
+    Missing { key: String },
+    #[snafu(display("part {key} can't be read: {source}"))]
+    Broken {
+        key: String,
+        source: serde_json::Error,
+    },
+}
+
+/// Reads a part from memory, else from the store.
+pub async fn read<T: DeserializeOwned>(node: &Rc<Node>, key: String) -> Result<T, PartError> {
+    let kept = node.core.borrow().jobs.parts.get(&key);
+    let value = match kept {
+        Some(value) => value,
+        None => {
+            let Some(item) = node.store.get(&key).await? else {
+                return MissingSnafu { key }.fail();
+            };
+            let mut core = node.core.borrow_mut();
+            core.jobs.parts.keep(key.clone(), item.value.clone());
+            item.value
+        }
+    };
+    serde_json::from_slice(&value).map_err(|source| PartError::Broken { key, source })
+}
--- /dev/null
+++ b/src/serve/peers.rs
@@ -0,0 +1,435 @@
+//! What serving processes tell each other: by UDP what they have in flight and which versions they
+//! know, by TCP the rules and endpoints that another one lacks.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout};
+
+use super::dialect::VmRecord;
+use super::node::Node;
+use super::pool::Connection;
+use super::replies::{self, Reply};
+use crate::clock;
+use crate::decide::discovery::Registration;
+use crate::decide::routes::Rules;
+use crate::decide::usage::Use;
+use crate::id::{self, ranked, ConfigVersion, EndpointId, Name, OwnerId, Revision, VmId};
+use crate::wire::{Key, DATAGRAM_BYTES};
+
+/// Time between two heartbeats while nothing changes.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Changes are told at most this often: as long as a datagram and its handling take, so that the
+/// others' counts are one step behind at most.
+const TOLD_AGAIN: Duration = Duration::from_millis(10);
+/// Changes that press nobody wait so long for others to be told with them.
+const CALM: Duration = Duration::from_millis(100);
+/// A VM heard within this time lives: three heartbeats.
+const HEARD_LIFE: Duration = Duration::from_millis(1700);
+/// A VM that is neither registered nor heard for so long is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Before a newer version is fetched from another VM, the store's own watch may bring it.
+const FETCH_AFTER: Duration = Duration::from_millis(150);
+/// Time for one fetch.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Endpoints in one heartbeat; keeps the datagram within one packet.
+const ROWS_MAX: usize = 96;
+
+/// Path under which another VM is asked for the rules.
+pub const RULES_PATH: &str = "/rules";
+/// Path under which another VM is asked for the endpoints.
+pub const ENDPOINTS_PATH: &str = "/endpoints";
+
+/// One VM's use of one endpoint.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub endpoint: EndpointId,
+    pub uses: Use,
+}
+
+/// What a VM says of itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    pub name: Name,
+    pub owner: OwnerId,
+    /// Grows with each heartbeat of this process; late datagrams carry lower ones.
+    pub sequence: u64,
+    pub draining: bool,
+    /// 0 while it knows none.
+    pub rules: ConfigVersion,
+    pub endpoints: Revision,
+    pub peer_port: u16,
+    pub rows: Vec<Row>,
+}
+
+/// All endpoints that a VM knows, for one that can't reach the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Endpoints {
+    pub entries: Vec<(EndpointId, Registration, Revision)>,
+    pub at: Revision,
+}
+
+/// One other VM.
+#[derive(Debug, Clone)]
+struct Peer {
+    gossip_address: SocketAddr,
+    /// Known once it was heard.
+    peer_address: Option<SocketAddr>,
+    owner: OwnerId,
+    sequence: u64,
+    heard_at: Option<Duration>,
+    seen_at: Duration,
+    /// In the store under its lease.
+    registered: bool,
+    draining: bool,
+    rules: ConfigVersion,
+    endpoints: Revision,
+}
+
+/// The other VMs.
+#[derive(Debug, Default)]
+pub struct Peers {
+    rows: HashMap<VmId, Peer>,
+    /// Addresses from the settings, spoken to until their VMs are known.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Peers {
+    /// Takes all VMs that are registered in the store.
+    pub fn registered(&mut self, now: Duration, own: VmId, records: &[VmRecord]) {
+        self.rows
+            .values_mut()
+            .for_each(|peer| peer.registered = false);
+        for record in records {
+            let vm = id::of(&record.name);
+            if vm == own {
+                continue;
+            }
+            let peer = self.rows.entry(vm).or_insert_with(|| Peer {
+                gossip_address: record.gossip_address,
+                peer_address: None,
+                owner: record.owner,
+                sequence: 0,
+                heard_at: None,
+                seen_at: now,
+                registered: true,
+                draining: false,
+                rules: 0,
+                endpoints: 0,
+            });
+            peer.registered = true;
+            peer.seen_at = now;
+            if peer.heard_at.is_none_or(|at| now >= at + HEARD_LIFE) {
+                peer.owner = record.owner;
+                peer.gossip_address = record.gossip_address;
+            }
+        }
+    }
+
+    /// Takes a heartbeat; false when it is late or doubled.
+    pub fn heard(&mut self, now: Duration, from: SocketAddr, beat: &Heartbeat) -> bool {
+        let vm = id::of(&beat.name);
+        let known = self.rows.get(&vm);
+        let stale = known.is_some_and(|p| p.owner == beat.owner && beat.sequence <= p.sequence);
+        if stale {
+            return false;
+        }
+        let peer = Peer {
+            gossip_address: from,
+            peer_address: Some(SocketAddr::new(from.ip(), beat.peer_port)),
+            owner: beat.owner,
+            sequence: beat.sequence,
+            heard_at: Some(now),
+            seen_at: now,
+            registered: known.is_some_and(|peer| peer.registered),
+            draining: beat.draining,
+            rules: beat.rules,
+            endpoints: beat.endpoints,
+        };
+        self.rows.insert(vm, peer);
+        true
+    }
+
+    /// Whether the process that owns something lives, as far as can be told.
+    pub fn alive(&self, now: Duration, own: OwnerId, owner: OwnerId) -> bool {
+        if owner == own {
+            return true;
+        }
+        let peer = self
+            .rows
+            .values()
+            .find(|peer| peer.owner == owner && owner != 0);
+        peer.is_some_and(|peer| peer.registered || peer.lives(now))
+    }
+
+    /// Place of `own` in the order of all VMs that take on work, for a key.
+    pub fn rank(&self, now: Duration, own: VmId, key: u64) -> usize {
+        let others = self.rows.iter();
+        let working = others.filter(|(_, peer)| peer.lives(now) && !peer.draining);
+        let vms = working.map(|(vm, _)| *vm).chain([own]);
+        let order = ranked(key, vms);
+        order.iter().position(|vm| *vm == own).unwrap_or(0)
+    }
+
+    /// Drops VMs that are gone.
+    pub fn tick(&mut self, now: Duration) {
+        self.rows
+            .retain(|_, peer| peer.registered || now < peer.seen_at + FORGET_AFTER);
+    }
+
+    /// Where heartbeats go.
+    fn targets(&self) -> Vec<SocketAddr> {
+        let known: Vec<SocketAddr> = self.rows.values().map(|p| p.gossip_address).collect();
+        let fresh = self
+            .seeds
+            .iter()
+            .filter(|seed| !known.contains(seed))
+            .copied();
+        fresh.chain(known.iter().copied()).collect()
+    }
+
+    /// A living VM that knows newer rules or endpoints than these.
+    fn ahead(&self, now: Duration, rules: ConfigVersion, endpoints: Revision) -> Ahead {
+        let living = || self.rows.values().filter(|peer| peer.lives(now));
+        let newest = living().max_by_key(|peer| peer.rules);
+        let latest = living().max_by_key(|peer| peer.endpoints);
+        Ahead {
+            rules: newest
+                .filter(|peer| peer.rules > rules)
+                .and_then(|peer| peer.peer_address),
+            endpoints: latest
+                .filter(|peer| peer.endpoints > endpoints)
+                .and_then(|peer| peer.peer_address),
+        }
+    }
+
+    /// VMs that live, for the dump.
+    pub fn living(&self, now: Duration) -> usize {
+        self.rows.values().filter(|peer| peer.lives(now)).count()
+    }
+}
+
+impl Peer {
+    fn lives(&self, now: Duration) -> bool {
+        self.heard_at.is_some_and(|at| now < at + HEARD_LIFE)
+    }
+}
+
+/// Whom to ask for what.
+struct Ahead {
+    rules: Option<SocketAddr>,
+    endpoints: Option<SocketAddr>,
+}
+
+/// Sends heartbeats until the process ends.
+pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let key = Key::new(&node.settings.cluster_key);
+    let mut sequence = 0;
+    let mut last: Vec<Row> = Vec::new();
+    loop {
+        sequence += 1;
+        let beat = heartbeat(&node, sequence);
+        last.clone_from(&beat.rows);
+        match key.seal(&beat) {
+            Ok(sealed) if sealed.len() <= DATAGRAM_BYTES => {
+                let targets = node.core.borrow().peers.targets();
+                for to in targets {
+                    // A datagram that can't be sent is a datagram lost: the next one says it again.
+                    let _ = socket.try_send_to(&sealed, to);
+                }
+            }
+            Ok(sealed) => log::error!(bytes = sealed.len(); "a heartbeat is too long"),
+            Err(error) => log::error!(error:% = error; "a heartbeat can't be encoded"),
+        }
+        let told = clock::now();
+        let _ = timeout(HEARTBEAT, node.tell_peers.notified()).await;
+        let pause = if pressed(&node) { TOLD_AGAIN } else { CALM };
+        sleep((told + pause).saturating_sub(clock::now())).await;
+    }
+}
+
+/// Whether an endpoint has more than it runs, and other VMs have batch items there.
+fn pressed(node: &Node) -> bool {
+    let now = clock::now();
+    let core = node.core.borrow();
+    let rows = &core.online.endpoints.rows;
+    rows.iter()
+        .any(|row| row.crowded(now) && core.usage.of(row.id).batch > 0)
+}
+
+fn heartbeat(node: &Node, sequence: u64) -> Heartbeat {
+    let core = node.core.borrow();
+    let row = |row: &crate::decide::endpoints::Endpoint| Row {
+        endpoint: row.id,
+        uses: Use {
+            online: row.online_here.min(u32::from(u16::MAX)) as u16,
+            batch: core.items.at(row.id).min(u32::from(u16::MAX)) as u16,
+        },
+    };
+    let rows = core.online.endpoints.rows.iter().map(row);
+    Heartbeat {
+        name: node.settings.name.clone(),
+        owner: node.owner,
+        sequence,
+        draining: core.stage == super::node::Stage::Draining,
+        rules: core.routes.as_ref().map_or(0, |table| table.rules.version),
+        endpoints: core.discovery.revision,
+        peer_port: node.settings.peer_address.port(),
+        rows: rows
+            .filter(|row| row.uses != Use::default())
+            .take(ROWS_MAX)
+            .collect(),
+    }
+}
+
+/// Takes heartbeats until the process ends.
+pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let key = Key::new(&node.settings.cluster_key);
+    let mut buffer = [0; DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::warn!(error:% = error; "datagrams can't be received");
+                sleep(CALM).await;
+                continue;
+            }
+        };
+        match key.open::<Heartbeat>(&buffer[..length]) {
+            Ok(beat) => heard(&node, from, beat),
+            Err(error) => log::warn!(from:% = from, error:% = error; "a datagram was not taken"),
+        }
+    }
+}
+
+fn heard(node: &Node, from: SocketAddr, beat: Heartbeat) {
+    if beat.name == node.settings.name {
+        return;
+    }
+    let now = clock::now();
+    let mut guard = node.core.borrow_mut();
+    let core = &mut *guard;
+    if !core.peers.heard(now, from, &beat) {
+        return;
+    }
+    let rows = beat.rows.into_iter().map(|row| (row.endpoint, row.uses));
+    core.usage.said(now, id::of(&beat.name), rows);
+    super::node::note_uses(core);
+    let crowded = core.online.endpoints.rows.iter();
+    let yields = crowded
+        .filter(|row| row.crowded(now))
+        .any(|row| core.items.at(row.id) > 0);
+    drop(guard);
+    if yields {
+        node.plan_items.notify_one();
+    }
+}
+
+/// Fetches what other VMs know and this one does not, until the process ends.
+///
+/// The failure: the store turns this VM away, or its watch has gone silent, while the others have
+/// new rules. Its callers would be served by old ones for as long as that lasts.
+pub async fn fetch(node: Rc<Node>) {
+    loop {
+        sleep(FETCH_AFTER).await;
+        let behind = ahead(&node);
+        if behind.rules.is_none() && behind.endpoints.is_none() {
+            continue;
+        }
+        sleep(FETCH_AFTER).await;
+        let ahead = ahead(&node);
+        if let Some(from) = ahead.rules {
+            fetch_rules(&node, from).await;
+        }
+        if let Some(from) = ahead.endpoints {
+            fetch_endpoints(&node, from).await;
+        }
+    }
+}
+
+fn ahead(node: &Node) -> Ahead {
+    let core = node.core.borrow();
+    let rules = core.routes.as_ref().map_or(0, |table| table.rules.version);
+    core.peers
+        .ahead(clock::now(), rules, core.discovery.revision)
+}
+
+async fn fetch_rules(node: &Rc<Node>, from: SocketAddr) {
+    if let Some(rules) = ask::<Rules>(node, from, RULES_PATH).await {
+        node.take_rules(rules, "peer");
+    }
+}
+
+async fn fetch_endpoints(node: &Rc<Node>, from: SocketAddr) {
+    let Some(told) = ask::<Endpoints>(node, from, ENDPOINTS_PATH).await else {
+        return;
+    };
+    let changed = {
+        let mut core = node.core.borrow_mut();
+        if told.at <= core.discovery.revision {
+            return;
+        }
+        core.discovery.replaced(clock::now(), told.entries, told.at)
+    };
+    if changed {
+        node.take_endpoints("peer");
+    }
+}
+
+async fn ask<T: serde::de::DeserializeOwned>(
+    node: &Node,
+    from: SocketAddr,
+    path: &'static str,
+) -> Option<T> {
+    let key = Key::new(&node.settings.cluster_key);
+    let answer = timeout(FETCH_TIMEOUT, async {
+        let mut connection = Connection::open(&from.to_string()).await.ok()?;
+        let request = Request::get(path).body(Full::new(Bytes::new())).ok()?;
+        let response = connection.send(request).await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        Some(response.into_body().collect().await.ok()?.to_bytes())
+    });
+    let opened = match answer.await {
+        Ok(Some(sealed)) => key.open(&sealed).map_err(|error| error.to_string()),
+        Ok(None) => Err("no answer".into()),
+        Err(_) => Err("no answer in time".into()),
+    };
+    match opened {
+        Ok(told) => Some(told),
+        Err(error) => {
+            log::info!(from:% = from, path, error; "another VM could not be asked");
+            None
+        }
+    }
+}
+
+/// Answers another VM.
+pub fn answer(node: &Node, path: &str) -> Reply {
+    let core = node.core.borrow();
+    let key = Key::new(&node.settings.cluster_key);
+    let sealed = match path {
+        RULES_PATH => core.routes.as_ref().map(|table| key.seal(&table.rules)),
+        ENDPOINTS_PATH => Some(key.seal(&Endpoints {
+            entries: core.discovery.export(),
+            at: core.discovery.revision,
+        })),
+        _ => None,
+    };
+    match sealed {
+        Some(Ok(sealed)) => replies::bytes(sealed.into()),
+        Some(Err(error)) => {
+            log::error!(path, error:% = error; "another VM can't be answered");
+            replies::empty(500)
+        }
+        None => replies::empty(404),
+    }
+}
--- /dev/null
+++ b/src/serve/pool.rs
@@ -0,0 +1,145 @@
+//! Connections to endpoints.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use crate::clock;
+use crate::id::EndpointId;
+
+/// A listening process takes a connection within a round trip, milliseconds between failure domains;
+/// one that takes longer is dark or cut off.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a connection is kept whose endpoint names no timeout.
+const IDLE_DEFAULT: Duration = Duration::from_secs(2);
+/// Part of the endpoint's own idle timeout after which a connection is not used again: a request
+/// that crosses the endpoint's close is lost, and may not be repeated.
+const IDLE_SHARE: f64 = 0.6;
+/// Idle connections kept to one endpoint; as many as its slots is what is used at once.
+const IDLE_MAX: usize = 8;
+
+/// Why a try brought no head.
+#[derive(Debug, Snafu, Clone, PartialEq)]
+pub enum Error {
+    /// No byte reached the endpoint.
+    #[snafu(display("not sent: {detail}"))]
+    NotSent { detail: String },
+    /// It may have got the request.
+    #[snafu(display("no answer: {detail}"))]
+    NoAnswer { detail: String },
+}
+
+/// One connection. Dropping it closes the socket at once, which tells the endpoint to stop.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    /// No request was sent on it before, so no stray answer can be on its way.
+    pub fresh: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(address: &str) -> Result<Connection, Error> {
+        let not_sent = |detail: String| Error::NotSent { detail };
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = match connect {
+            Ok(stream) => stream.map_err(|error| not_sent(error.to_string()))?,
+            Err(_) => return Err(not_sent("the connection did not open in time".into())),
+        };
+        let nodelay = stream.set_nodelay(true);
+        nodelay.map_err(|error| not_sent(error.to_string()))?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        let task = tokio::task::spawn_local(async move {
+            // Its error also reaches whoever waits for the answer.
+            let _ = connection.await;
+        });
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+            fresh: true,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let sent = self.sender.try_send_request(request).await;
+        self.fresh = false;
+        sent.map_err(|mut error| {
+            let detail = error.error().to_string();
+            match error.take_message() {
+                Some(_) => Error::NotSent { detail },
+                None => Error::NoAnswer { detail },
+            }
+        })
+    }
+
+    fn usable(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    until: Duration,
+}
+
+/// Idle connections by endpoint.
+#[derive(Default)]
+pub struct Pool {
+    idle: RefCell<HashMap<EndpointId, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// An idle connection to an endpoint, the one used last.
+    pub fn take(&self, endpoint: EndpointId) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let rows = idle.get_mut(&endpoint)?;
+        let now = clock::now();
+        while let Some(row) = rows.pop() {
+            if now < row.until && row.connection.usable() {
+                return Some(row.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read to its end. `keep_alive` is the endpoint's timeout.
+    pub fn give(&self, endpoint: EndpointId, connection: Connection, keep_alive: Option<Duration>) {
+        let life = keep_alive.map_or(IDLE_DEFAULT, |life| life.mul_f64(IDLE_SHARE));
+        let mut idle = self.idle.borrow_mut();
+        let rows = idle.entry(endpoint).or_default();
+        if rows.len() < IDLE_MAX {
+            let until = clock::now() + life;
+            rows.push(Idle { connection, until });
+        }
+    }
+
+    /// Closes what has been idle too long, or is closed by the endpoint.
+    pub fn tick(&self, now: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        for rows in idle.values_mut() {
+            rows.retain(|row| now < row.until && !row.connection.sender.is_closed());
+        }
+        idle.retain(|_, rows| !rows.is_empty());
+    }
+}
--- /dev/null
+++ b/src/serve/replies.rs
@@ -0,0 +1,64 @@
+//! Answers of this system's own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use strum::EnumMessage;
+
+use super::body::ReplyBody;
+use crate::decide::refusal::Kind;
+
+/// An answer to a caller.
+pub type Reply = Response<ReplyBody>;
+
+/// A refusal. The status says "not run" (503) only where that is true; `after` is when to come back.
+pub fn refusal(kind: Kind, not_run: bool, after: Option<Duration>) -> Reply {
+    let status = match (kind.status(), not_run) {
+        // Nothing ran, and the same request may do later: say so.
+        (502 | 504, true) => 503,
+        // These two promise "not run".
+        (429 | 503, false) => 502,
+        // The outcome of a try is not known: the caller's own pages decide what to do then.
+        (409, false) => 502,
+        (status, _) => status,
+    };
+    let name: &'static str = kind.into();
+    let message = kind.get_message().unwrap_or(name);
+    let body = serde_json::json!({ "error": name, "message": message, "not_run": not_run });
+    let mut reply = json(status, Bytes::from(body.to_string()));
+    let promises = matches!(status, 429 | 503);
+    if let Some(after) = after.filter(|_| promises) {
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            reply.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    reply
+}
+
+/// A body of JSON.
+pub fn json(status: u16, body: Bytes) -> Reply {
+    let mut reply = empty(status);
+    let json = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, json);
+    *reply.body_mut() = ReplyBody::Whole(Some(body));
+    reply
+}
+
+/// A body of bytes.
+pub fn bytes(body: Bytes) -> Reply {
+    let mut reply = empty(200);
+    let octets = HeaderValue::from_static("application/octet-stream");
+    reply.headers_mut().insert(CONTENT_TYPE, octets);
+    *reply.body_mut() = ReplyBody::Whole(Some(body));
+    reply
+}
+
+/// A status alone.
+pub fn empty(status: u16) -> Reply {
+    let mut reply = Response::new(ReplyBody::Whole(None));
+    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    reply
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -97,6 +97,50 @@
     pub address: SocketAddr,
 }
 
+/// Settings of a serving process that an adapter starts.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Serve {
+    pub name: Name,
+    pub failure_domain: Name,
+    pub caller_address: SocketAddr,
+    /// Where the balancer asks whether callers may be sent here.
+    pub ready_address: SocketAddr,
+    /// Metrics and the dump.
+    pub operators_address: SocketAddr,
+    /// TCP, towards other VMs.
+    pub peer_address: SocketAddr,
+    /// UDP, towards other VMs; the same port on all of them.
+    pub gossip_address: SocketAddr,
+    pub store_address: SocketAddr,
+    /// Peer addresses to try first, before the store has told who is there.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// All VMs share it; keeps messages of other deployments out.
+    pub cluster_key: String,
+    /// Time between "not ready" and the closing of idle connections, at a planned stop.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+    /// Time after which a planned stop cuts what is left.
+    #[serde(default = "default_stop_limit_ms")]
+    pub stop_limit_ms: u64,
+    /// Batch results are kept for so long after their submission.
+    #[serde(default = "default_retention_s")]
+    pub results_kept_s: u64,
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Settings of a process on a VM whose disk a deployment doesn't need.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Idle {
+    pub name: Name,
+    pub failure_domain: Name,
+    #[serde(default)]
+    pub log: Log,
+}
+
 /// Settings of `bramley-batch`.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -289,6 +333,34 @@
     found
 }
 
+/// Checks settings of a serving process.
+pub fn check_serve(settings: &Serve) -> Vec<Found> {
+    let mut found = common(&settings.cluster_key, &settings.log);
+    found.extend(between(
+        "drain_ms",
+        settings.drain_ms,
+        0,
+        600_000,
+        "0 to 600000",
+    ));
+    found.extend(between(
+        "stop_limit_ms",
+        settings.stop_limit_ms,
+        1,
+        3_600_000,
+        "1 to 3600000",
+    ));
+    if settings.gossip_address.ip().is_unspecified() {
+        let address = settings.gossip_address.to_string();
+        found.push((
+            "gossip_address",
+            address,
+            "the IP number that the other VMs send to",
+        ));
+    }
+    found
+}
+
 /// Checks settings of `bramley-batch`.
 pub fn check_batch(settings: &Batch) -> Vec<Found> {
     let mut found = common(&settings.cluster_key, &settings.log);
--- a/tests/online_rules.rs
+++ b/tests/online_rules.rs
@@ -6,7 +6,7 @@
 use bramleyseam::decide::endpoints::{Declared, Report};
 use bramleyseam::decide::online::{Action, Arrival, Event, Online, Outcome, Service};
 use bramleyseam::decide::refusal::Kind;
-use bramleyseam::decide::retry::Reach;
+use bramleyseam::decide::retry::{Reach, TRIES_MAX};
 use bramleyseam::decide::routing::{choose, Ask, Policy};
 use bramleyseam::id;
 use quickcheck::quickcheck;
@@ -53,6 +53,8 @@
         prefix: request % 7,
         deadline: now + ms(2_000),
         idempotent,
+        resumable: false,
+        attempts_max: TRIES_MAX,
     }
 }
 
