--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -24,6 +24,9 @@
 const AVERAGE_NEW: f64 = 0.1;
 /// Pause after a run that failed through its endpoint.
 pub const FAILED_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after an item made way. What the other VMs do shows within this time; without it items are
+/// started and taken back many times a second while a burst lasts.
+pub const YIELDED_PAUSE: Duration = Duration::from_millis(400);
 
 /// One item of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -152,7 +155,7 @@
         if let (Stage::Running { endpoint, .. }, true) = (row.stage, failed) {
             row.avoid = Some(endpoint);
         }
-        let pause = if failed { FAILED_PAUSE } else { Duration::ZERO };
+        let pause = if failed { FAILED_PAUSE } else { YIELDED_PAUSE };
         row.stage = Stage::Waiting {
             not_before: now + pause,
         };
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -19,6 +19,7 @@
 pub mod replies;
 pub mod runs;
 pub mod stop;
+pub mod summary;
 pub mod watch;
 
 use std::net::SocketAddr;
@@ -85,6 +86,7 @@
     spawn_local(watch::vms(node.clone()));
     spawn_local(watch::register(node.clone()));
     spawn_local(runs::run(node.clone()));
+    spawn_local(summary::run(node.clone()));
     spawn_local(tick(node.clone()));
     Ok(())
 }
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -28,6 +28,9 @@
 const STORE_AWAY_RETRY: Duration = Duration::from_millis(900);
 /// The store's word on a record counts for so long where the other VMs can't be heard.
 const READ_FRESH: Duration = Duration::from_millis(600);
+/// A watch that works is behind the other VMs by no more than its pace and an answer of the store.
+const WATCH_LAG: Duration = Duration::from_millis(500);
+const CATCH_UP_LOOK: Duration = Duration::from_millis(40);
 /// Longest that a reader is kept waiting; it waits for 1.5 s more than it allows.
 const WAIT_MAX: Duration = Duration::from_millis(2000);
 /// Bytes of texts in one page of results; quoting in JSON stays within the page's 1 MB.
@@ -280,7 +283,7 @@
             wait_for_change(&node, &job, until - now).await;
             continue;
         }
-        if is_fresh(&node, &job, now) && !behind {
+        if !behind && caught_up(&node, &job).await {
             break record;
         }
         match reread(&node, &job).await {
@@ -304,6 +307,18 @@
     confirmed || core.peers.none_ahead(now, core.jobs.revision)
 }
 
+/// Waits a little for this VM's own watch; whether a reader can be told then that there is nothing new.
+async fn caught_up(node: &Node, job: &JobId) -> bool {
+    let until = clock::now() + WATCH_LAG;
+    while !is_fresh(node, job, clock::now()) {
+        if clock::now() >= until {
+            return false;
+        }
+        sleep(CATCH_UP_LOOK).await;
+    }
+    true
+}
+
 async fn wait_for_change(node: &Node, job: &JobId, wait: Duration) {
     node.core.borrow_mut().jobs.readers += 1;
     let _reader = Reader { node };
--- a/src/serve/runs.rs
+++ b/src/serve/runs.rs
@@ -289,6 +289,7 @@
         run.abort();
     }
     node.counters.items.with_label_values(&["yielded"]).inc();
+    log::info!(job = *key.job, item = key.item; "item made way");
     node.core.borrow_mut().items.paused(now, key, false);
 }
 
