Read again what a watch in doubt may have missed

Logs: 'the store is away' at 2.201 s, 'history dropped' for op/ only at 6.822 s. Ruled out: the other VMs' news (none of the six had the version). Change: after any failure a watch begins with a full reading. Test deaf_watches failed before and passes.

--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -75,8 +75,9 @@
                     sleep(pace(&node)).await;
                 }
             }
-            // Set anew on another connection, from where it stood.
-            Err(Error::Away { detail }) if detail == DOUBTED => {}
+            // What changed meanwhile may be missing from what a new watch is told: a store that is
+            // about to drop its history tells waiting watches nothing of it.
+            Err(Error::Away { detail }) if detail == DOUBTED => at = None,
             Err(Error::Compacted) => {
                 log::info!(prefix; "the store has dropped its history: reading all again");
                 at = None;
@@ -86,6 +87,7 @@
                     log::warn!(prefix, error:% = error; "the store is away");
                     away = true;
                 }
+                at = None;
                 node.store_failed();
                 let pause = FAILED_PAUSE.mul_f64(util::rng().random_range(1.0..3.0));
                 sleep(pause).await;
