Keep files without a disk as several values of the store

Cause: on a deployment without VMs with disks a file above half of a value's size was refused (413), since only files that are small as a whole went inline, piece by piece. Ruled out: larger values (the service's limit is 1 MiB). Change: content that no value holds is cut into values under its digest; it is read back whole and checked against the digest. Test diskless_jobs many_small_items failed before.

--- a/src/decide/jobs.rs
+++ b/src/decide/jobs.rs
@@ -23,6 +23,8 @@
 pub enum Place {
     /// In the key-value service, under its digest.
     Inline,
+    /// In the key-value service, in so many values under its digest.
+    Parts(u32),
     /// On the disks of these VMs.
     Bulk(Vec<Name>),
 }
@@ -298,6 +300,11 @@
     format!("segment/{digest}")
 }
 
+/// Key of one part of a segment that no value holds.
+pub fn part_key(digest: &str, part: u32) -> String {
+    format!("segment/{digest}/{part:04}")
+}
+
 /// Items a chunk of a job with `lines` items holds.
 pub fn chunk_items(lines: usize) -> usize {
     lines
--- a/src/segments.rs
+++ b/src/segments.rs
@@ -6,7 +6,7 @@
 use snafu::Snafu;
 
 use crate::clock;
-use crate::decide::jobs::{segment_key, Place, Segment};
+use crate::decide::jobs::{part_key, segment_key, Place, Segment};
 use crate::id::{self, ranked, Name};
 use crate::peer;
 use crate::platform::{Platform, Settled, VALUE_BYTES};
@@ -15,6 +15,8 @@
 
 /// Content up to this size may go inline.
 pub const INLINE_BYTES: usize = VALUE_BYTES / 2;
+/// Parts of one piece of content at the most: a chunk of a job has 4 MiB, and one line more.
+const PARTS_MAX: usize = 16;
 const PATIENCE: Duration = Duration::from_secs(3);
 const BULK_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -47,10 +49,7 @@
         let place = if inline && content.len() <= INLINE_BYTES {
             self.store_inline(&digest, content)?
         } else if self.bulk.is_empty() {
-            return TooLargeSnafu {
-                bytes: content.len(),
-            }
-            .fail();
+            self.store_parts(&digest, content)?
         } else {
             self.store_bulk(&digest, content)?
         };
@@ -72,6 +71,33 @@
         }
     }
 
+    /// Keeps content that no value holds, where no VM has a disk, as several values.
+    fn store_parts(&self, digest: &str, content: &Bytes) -> Result<Place, Error> {
+        let Ok(text) = std::str::from_utf8(content) else {
+            return TooLargeSnafu {
+                bytes: content.len(),
+            }
+            .fail();
+        };
+        let parts = split(text, INLINE_BYTES);
+        if parts.len() > PARTS_MAX {
+            return TooLargeSnafu {
+                bytes: content.len(),
+            }
+            .fail();
+        }
+        for (number, part) in parts.iter().enumerate() {
+            let until = clock::now() + PATIENCE;
+            let key = part_key(digest, number as u32);
+            match self.platform.commit(&key, 0, part, until) {
+                // The same digest is the same content, cut alike, whoever wrote it.
+                Settled::Won(_) | Settled::Lost(Some(_)) => {}
+                _ => return PlatformSnafu.fail(),
+            }
+        }
+        Ok(Place::Parts(parts.len() as u32))
+    }
+
     fn store_bulk(&self, digest: &str, content: &Bytes) -> Result<Place, Error> {
         let mut domains: Vec<&Name> = Vec::new();
         let mut names = Vec::new();
@@ -117,6 +143,7 @@
         let digest = &segment.digest;
         let names = match &segment.place {
             Place::Inline => return self.load_inline(digest),
+            Place::Parts(count) => return self.load_parts(digest, *count),
             Place::Bulk(names) => names,
         };
         // Repair may have moved copies since the record was written: ask those named first.
@@ -145,4 +172,33 @@
             Err(_) => PlatformSnafu.fail(),
         }
     }
+
+    fn load_parts(&self, digest: &str, count: u32) -> Result<Bytes, Error> {
+        let mut content = String::new();
+        for number in 0..count {
+            match self.platform.get(&part_key(digest, number)) {
+                Ok(Some(entry)) => content.push_str(&entry.value),
+                Ok(None) => return MissingSnafu { digest }.fail(),
+                Err(_) => return PlatformSnafu.fail(),
+            }
+        }
+        match id::digest(content.as_bytes()) == *digest {
+            true => Ok(content.into()),
+            false => MissingSnafu { digest }.fail(),
+        }
+    }
+}
+
+/// Cuts text into parts of at most so many bytes, between characters.
+fn split(text: &str, bytes_max: usize) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut rest = text;
+    while rest.len() > bytes_max {
+        let at = (0..=bytes_max).rev().find(|at| rest.is_char_boundary(*at));
+        let (part, left) = rest.split_at(at.unwrap_or(rest.len()));
+        parts.push(part);
+        rest = left;
+    }
+    parts.push(rest);
+    parts
 }
