--- a/src/batch.rs
+++ b/src/batch.rs
@@ -3,6 +3,7 @@
 pub mod host;
 pub mod items;
 pub mod link;
+pub mod message;
 
 use std::sync::mpsc;
 use std::time::Duration;
@@ -14,7 +15,8 @@
 use snafu::{ResultExt, Snafu};
 use std::io;
 
-use self::host::{Host, Message};
+use self::host::Host;
+use self::message::Message;
 use crate::clock;
 use crate::logging;
 use crate::metrics::{self, Metrics};
--- a/src/batch/host.rs
+++ b/src/batch/host.rs
@@ -13,6 +13,7 @@
 
 use super::items::{self, Lines};
 use super::link;
+use super::message::Message;
 use crate::clock;
 use crate::config::{State, Versioned};
 use crate::decide::batch::{Action, Batch, ChunkKey, End, Event, FlightId, JobView, Totals};
@@ -38,22 +39,6 @@
 /// What a clerk does next.
 type Work = Box<dyn FnOnce() + Send>;
 
-/// What the host's loop takes.
-#[derive(Debug)]
-pub enum Message {
-    Linked,
-    Unlinked,
-    Entry(ToBatch),
-    Event(Event),
-    /// The lines of a chunk were read, for [`Event::Loaded`].
-    Lines {
-        key: ChunkKey,
-        run: u64,
-        lines: Arc<Lines>,
-    },
-    Stop,
-}
-
 /// What the pages show.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Shown {
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -9,7 +9,7 @@
 
 use log::{info, warn};
 
-use super::host::Message;
+use super::message::Message;
 use crate::clock;
 use crate::util::lock;
 use crate::wire::{read_frame, write_frame, Key, ToEntry};
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
 //! `bramley-entry`: callers' requests, membership, configuration, the table of endpoints.
 
 pub mod counters;
+pub mod feed;
 pub mod files;
 pub mod gossip;
 pub mod intent;
@@ -13,6 +14,7 @@
 pub mod orders;
 pub mod plain;
 pub mod plan;
+pub mod question;
 pub mod table;
 pub mod watch;
 
--- a/src/entry/intent.rs
+++ b/src/entry/intent.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::node::Node;
+use super::question::Question;
 use crate::clock;
 use crate::decide::intents::{
     page_key, range_of, range_prefix, Action, Ask, IntentKey, Page, Range, Ticket, Verdict, RANGES,
@@ -22,13 +23,6 @@
 const PATIENCE: Duration = Duration::from_secs(4);
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A question to the thread of a range.
-pub struct Event {
-    key: IntentKey,
-    ask: Ask,
-    answer: Sender<Verdict>,
-}
-
 /// Starts a thread a range.
 pub fn start(node: &Arc<Node>) -> io::Result<()> {
     let mut senders = Vec::new();
@@ -85,7 +79,7 @@
         return Verdict::Away;
     };
     let range = &ranges[range_of(&key) as usize];
-    if range.send(Event { key, ask, answer }).is_err() {
+    if range.send(Question { key, ask, answer }).is_err() {
         return Verdict::Away;
     }
     verdict.recv_timeout(PATIENCE).unwrap_or(Verdict::Away)
@@ -99,7 +93,7 @@
     next_ticket: Ticket,
 }
 
-fn run(node: &Node, number: u64, events: &Receiver<Event>) {
+fn run(node: &Node, number: u64, events: &Receiver<Question>) {
     let range = Range::new(util::nonce());
     let mut host = Host {
         node,
@@ -125,7 +119,7 @@
 }
 
 impl Host<'_> {
-    fn take(&mut self, event: Event, out: &mut Vec<Action>) {
+    fn take(&mut self, event: Question, out: &mut Vec<Action>) {
         self.next_ticket += 1;
         self.askers.insert(self.next_ticket, event.answer);
         self.range
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -13,6 +13,7 @@
 use super::counters::Counters;
 use super::links::Links;
 use super::plan::Plan;
+use super::question::Question;
 use super::table::Jobs;
 use crate::clock;
 use crate::config::Versioned;
@@ -66,7 +67,7 @@
     pub counters: Counters,
     pub errands: Sender<Errand>,
     errands_out: Mutex<Option<Receiver<Errand>>>,
-    pub ranges: OnceLock<Vec<Sender<super::intent::Event>>>,
+    pub ranges: OnceLock<Vec<Sender<Question>>>,
     gossip: OnceLock<UdpSocket>,
     next_request: AtomicU64,
     leaving: AtomicBool,
--- /dev/null
+++ b/src/entry/question.rs
@@ -0,0 +1,12 @@
+//! A question to the owner of a range of intents, on its way to the owner's thread.
+
+use std::sync::mpsc::Sender;
+
+use crate::decide::intents::{Ask, IntentKey, Verdict};
+
+/// A question to the thread of a range.
+pub struct Question {
+    pub key: IntentKey,
+    pub ask: Ask,
+    pub answer: Sender<Verdict>,
+}
--- /dev/null
+++ b/src/serve/runs/claims.rs
@@ -0,0 +1,208 @@
+//! Jobs come into the hands of this VM, and old ones go.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::{assign_services, Owned, Progress, RETENTION_MARGIN, WRITE_PAUSE};
+use crate::clock;
+use crate::decide::items::ItemKey;
+use crate::decide::small_jobs::{body_key, record_key, text_key, Item, ItemIndex, Record};
+use crate::id::{self, JobId, Revision};
+use crate::serve::jobs;
+use crate::serve::node::{Node, Stage};
+use crate::serve::parts;
+use crate::store::{Call, Settled, Txn};
+use crate::util;
+
+/// The first VM in line claims an orphan at once; each further one waits so much longer, by which
+/// time the first one's claim has been seen.
+const CLAIM_STEP: Duration = Duration::from_millis(700);
+/// An owner counts as gone only after so long without any sign: its lease may have been taken away
+/// while it lives, and it registers again within a second.
+const OWNER_GONE: Duration = Duration::from_millis(1500);
+/// Keys in one transaction; the store takes 32 entries.
+const DELETES_MAX: usize = 24;
+
+/// Takes a job on whose record names this process.
+pub fn adopt(node: &Rc<Node>, job: &JobId) {
+    let record = {
+        let core = node.core.borrow();
+        let Some(row) = core.jobs.rows.get(job) else {
+            return;
+        };
+        row.record.clone()
+    };
+    let runs = &node.runs;
+    let mine = record.owner == node.owner && !record.ended();
+    let known = runs
+        .owned
+        .borrow()
+        .get(job)
+        .is_some_and(|owned| owned.epoch == record.epoch);
+    if !mine || known || !runs.loading.borrow_mut().insert(job.clone()) {
+        return;
+    }
+    let (node, job) = (node.clone(), job.clone());
+    tokio::task::spawn_local(async move {
+        let loaded = load(&node, &record).await;
+        node.runs.loading.borrow_mut().remove(&job);
+        match loaded {
+            Ok(items) => take_on(&node, &record, items),
+            // The next look tries again.
+            Err(error) => log::warn!(job = *job, error:% = error; "a job's items can't be read"),
+        }
+    });
+}
+
+async fn load(node: &Rc<Node>, record: &Record) -> Result<Vec<Item>, parts::PartError> {
+    let mut items = Vec::new();
+    for part in 0..record.body_parts.len() {
+        let key = body_key(&record.id, part as u32);
+        items.extend(parts::read::<Vec<Item>>(node, key, record.owner).await?);
+    }
+    Ok(items)
+}
+
+fn take_on(node: &Rc<Node>, record: &Record, items: Vec<Item>) {
+    let now = clock::now();
+    let counts: HashMap<ItemIndex, u32> = record.failures.iter().copied().collect();
+    let open = record.open_items();
+    let progress = open.iter().map(|item| {
+        let failures = counts.get(item).copied().unwrap_or(0);
+        let progress = Progress {
+            failures,
+            ..Progress::default()
+        };
+        (*item, progress)
+    });
+    let due = now + time_left(record);
+    let owned = Owned {
+        epoch: record.epoch,
+        progress: progress.collect(),
+        items: Rc::new(items),
+        finished: Vec::new(),
+        uncounted: false,
+        finished_at: None,
+        writing: false,
+        write_after: now,
+        due,
+    };
+    let mut core = node.core.borrow_mut();
+    for item in open {
+        let key = ItemKey {
+            job: record.id.clone(),
+            item,
+        };
+        // Its service follows from the routes at the next look.
+        core.items.add(now, key, 0, due);
+    }
+    drop(core);
+    node.runs
+        .owned
+        .borrow_mut()
+        .insert(record.id.clone(), owned);
+    assign_services(node);
+    node.plan_items.notify_one();
+}
+
+/// Time until a job is due by the time of day, within what it was given at first: a clock that
+/// jumped can only change the order of jobs.
+fn time_left(record: &Record) -> Duration {
+    let all_ms = record.due_ms.saturating_sub(record.created_ms);
+    let left_ms = record.due_ms.saturating_sub(clock::unix_ms());
+    Duration::from_millis(left_ms.min(all_ms))
+}
+
+/// Claims a job whose owner is gone, in the order that all VMs work out alike.
+pub(super) fn consider_claim(node: &Rc<Node>, now: Duration, record: &Record) {
+    let mut orphans = node.runs.orphans.borrow_mut();
+    let core = node.core.borrow();
+    let cared_for = record.ended() || core.peers.alive(now, node.owner, record.owner);
+    if cared_for || core.stage != Stage::Serving {
+        orphans.remove(&record.id);
+        return;
+    }
+    let since = *orphans.entry(record.id.clone()).or_insert(now);
+    let grace = if record.owner == 0 {
+        Duration::ZERO
+    } else {
+        OWNER_GONE
+    };
+    let rank = core.peers.rank(now, node.vm, id::of(&record.id));
+    if now < since + grace + CLAIM_STEP * rank as u32 {
+        return;
+    }
+    let Some(revision) = core.jobs.rows.get(&record.id).map(|job| job.revision) else {
+        return;
+    };
+    let Some(claim) = record.claim(node.owner, util::nonce()) else {
+        return;
+    };
+    // The next try, should this one not get through.
+    orphans.insert(record.id.clone(), now);
+    drop(core);
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        let settled = jobs::replace(&node, &claim, revision).await;
+        let won = matches!(settled, Settled::Won(_));
+        log::info!(job = *claim.id, epoch = claim.epoch, rank, won; "job claimed");
+        adopt(&node, &claim.id);
+    });
+}
+
+/// Removes jobs whose results need not be kept any longer: by the VM that is first in line.
+pub(super) fn remove_old(node: &Rc<Node>, now: Duration) {
+    let kept = Duration::from_secs(node.settings.results_kept_s) + RETENTION_MARGIN;
+    let core = node.core.borrow();
+    let old = core.jobs.rows.values().find(|job| {
+        let first = core.peers.rank(now, node.vm, id::of(&job.record.id)) == 0;
+        first && job.record.ended() && now >= job.first_seen + kept
+    });
+    let Some((record, revision)) = old.map(|job| (job.record.clone(), job.revision)) else {
+        return;
+    };
+    drop(core);
+    if !node.runs.loading.borrow_mut().insert(record.id.clone()) {
+        return;
+    }
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        remove(&node, &record, revision).await;
+        node.runs.loading.borrow_mut().remove(&record.id);
+    });
+}
+
+/// Removes the record last, so that what is left after a failure is found again.
+async fn remove(node: &Rc<Node>, record: &Record, revision: Revision) {
+    let bodies = (0..record.body_parts.len() as u32).map(|part| body_key(&record.id, part));
+    let texts = (0..record.text_parts).map(|part| text_key(&record.id, part));
+    let keys: Vec<String> = bodies.chain(texts).collect();
+    let key = record_key(&record.id);
+    for deletes in keys.chunks(DELETES_MAX) {
+        let txn = Txn {
+            expect: vec![(key.clone(), revision)],
+            writes: Vec::new(),
+            deletes: deletes.to_vec(),
+        };
+        if let Err(error) = node.store.call(Call::Commit(txn)).await {
+            log::info!(job = *record.id, error:% = error; "an old job could not be removed yet");
+            sleep(WRITE_PAUSE).await;
+            return;
+        }
+    }
+    let txn = Txn {
+        expect: vec![(key.clone(), revision)],
+        writes: Vec::new(),
+        deletes: vec![key],
+    };
+    match node.store.call(Call::Commit(txn)).await {
+        Ok(_) => {
+            node.core.borrow_mut().jobs.rows.remove(&record.id);
+            log::info!(job = *record.id; "old job removed");
+        }
+        Err(error) => log::info!(job = *record.id, error:% = error; "an old job stays for now"),
+    }
+}
--- /dev/null
+++ b/src/serve/runs/item.rs
@@ -0,0 +1,281 @@
+//! One run of one item at one endpoint.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
+use hyper::{Method, StatusCode};
+use tokio::time::timeout;
+
+use super::finish;
+use crate::clock;
+use crate::decide::items::ItemKey;
+use crate::decide::retry::{Reach, TRIES_MAX};
+use crate::decide::small_jobs::{Item, Outcome};
+use crate::id::EndpointId;
+use crate::serve::events::Splitter;
+use crate::serve::exchange::{self, Failure, Outgoing};
+use crate::serve::node::Node;
+
+/// An item is started only where a slot is free, so its first event comes soon; engines that are
+/// slowed many times over still send one within this time.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// How a run of an item ended.
+enum End {
+    Complete,
+    /// The endpoint says that the item can never be done.
+    Rejected,
+    /// The endpoint tried and failed.
+    ItemFailed,
+    Failed(Failure),
+}
+
+pub(super) fn start(node: &Rc<Node>, key: ItemKey, endpoint: EndpointId) {
+    let mut guard = node.runs.owned.borrow_mut();
+    let found = guard.get_mut(&key.job).and_then(|job| {
+        let items = job.items.clone();
+        let progress = job.progress.get_mut(&key.item)?;
+        Some((items, progress))
+    });
+    let Some((items, progress)) = found else {
+        node.core.borrow_mut().items.remove(&key);
+        return;
+    };
+    let task = tokio::task::spawn_local(run_item(node.clone(), key, endpoint, items));
+    progress.run = Some(task.abort_handle());
+}
+
+async fn run_item(node: Rc<Node>, key: ItemKey, endpoint: EndpointId, items: Rc<Vec<Item>>) {
+    let end = match items.get(key.item as usize) {
+        Some(item) => exchange_item(&node, &key, endpoint, item).await,
+        None => End::Rejected,
+    };
+    let now = clock::now();
+    ended(&node, &key);
+    let what = match &end {
+        End::Complete => "completed",
+        End::Rejected => "rejected",
+        End::ItemFailed => "failed",
+        End::Failed(_) => "broken_off",
+    };
+    node.counters.items.with_label_values(&[what]).inc();
+    log::info!(
+        job = *key.job,
+        item = items.get(key.item as usize).map_or("", |item| &*item.id),
+        endpoint = node.target(endpoint).map_or_else(String::new, |t| t.instance),
+        what,
+        detail = match &end {
+            End::Failed(failure) => failure.detail.as_str(),
+            _ => "",
+        };
+        "item ran"
+    );
+    match end {
+        End::Complete => {
+            node.core.borrow_mut().items.completed(now, &key);
+            finish(&node, &key, Outcome::Completed);
+        }
+        End::Rejected => finish(&node, &key, Outcome::Errored),
+        End::ItemFailed => item_failed(&node, &key, now),
+        End::Failed(failure) => {
+            let mut core = node.core.borrow_mut();
+            if let Some(row) = core
+                .online
+                .endpoints
+                .get_mut(endpoint)
+                .filter(|_| failure.blame)
+            {
+                match failure.reach {
+                    Reach::NotSent => row.unreachable(now),
+                    _ => row.failed(now),
+                }
+            }
+            core.items.paused(now, &key, true);
+        }
+    }
+    node.plan_items.notify_one();
+    node.tell_peers.notify_one();
+}
+
+/// The run is over, whatever it brought.
+fn ended(node: &Node, key: &ItemKey) {
+    let mut owned = node.runs.owned.borrow_mut();
+    let progress = owned
+        .get_mut(&key.job)
+        .and_then(|job| job.progress.get_mut(&key.item));
+    if let Some(progress) = progress {
+        progress.run = None;
+    }
+}
+
+/// The endpoint answered that it failed: counted, and after the route's number given up.
+fn item_failed(node: &Node, key: &ItemKey, now: Duration) {
+    let attempts_max = attempts_max(node, key);
+    let failures = {
+        let mut guard = node.runs.owned.borrow_mut();
+        let Some(job) = guard.get_mut(&key.job) else {
+            return;
+        };
+        job.uncounted = true;
+        job.finished_at.get_or_insert(now);
+        let Some(progress) = job.progress.get_mut(&key.item) else {
+            return;
+        };
+        progress.failures += 1;
+        progress.failures
+    };
+    if failures >= attempts_max {
+        finish(node, key, Outcome::Errored);
+        return;
+    }
+    node.core.borrow_mut().items.paused(now, key, true);
+}
+
+fn attempts_max(node: &Node, key: &ItemKey) -> u32 {
+    let owned = node.runs.owned.borrow();
+    let item = owned
+        .get(&key.job)
+        .and_then(|job| job.items.get(key.item as usize));
+    let core = node.core.borrow();
+    let host = core
+        .jobs
+        .rows
+        .get(&key.job)
+        .map(|job| job.record.host.clone());
+    let route = core.routes.as_ref().zip(host).zip(item);
+    route
+        .and_then(|((routes, host), item)| routes.find(&host, &item.path))
+        .map_or(TRIES_MAX, |route| route.attempts_max)
+}
+
+/// Sends an item and reads its events. Each whole event is kept at once, so that a run which is
+/// stopped or breaks off goes on after it.
+async fn exchange_item(node: &Rc<Node>, key: &ItemKey, endpoint: EndpointId, item: &Item) -> End {
+    let failed = |reach, blame, detail: &str| {
+        End::Failed(Failure {
+            reach,
+            blame,
+            detail: detail.into(),
+        })
+    };
+    let Some(target) = node.target(endpoint) else {
+        return failed(Reach::NotSent, false, "the endpoint is gone");
+    };
+    let host = {
+        let core = node.core.borrow();
+        core.jobs
+            .rows
+            .get(&key.job)
+            .map(|job| job.record.host.clone())
+    };
+    let Some(out) = host.and_then(|host| outgoing(node, &host, item)) else {
+        return End::Rejected;
+    };
+    let last_event = last_event(node, key);
+    let sent = exchange::send(node, &target, &out, None, last_event);
+    let answer = match timeout(EVENT_TIMEOUT, sent).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(failure)) => return End::Failed(failure),
+        Err(_) => return failed(Reach::MaybeSent, true, "no answer in time"),
+    };
+    match answer.head.status {
+        StatusCode::OK if answer.said.signed => {}
+        StatusCode::UNPROCESSABLE_ENTITY => return End::Rejected,
+        StatusCode::INTERNAL_SERVER_ERROR => return End::ItemFailed,
+        status => return failed(Reach::MaybeSent, true, &format!("answered {status}")),
+    }
+    let keep_alive = exchange::keep_alive(&answer.head);
+    let read = read_events(node, key, endpoint, answer.body).await;
+    if let (End::Complete, Some(keep_alive)) = (&read, keep_alive) {
+        node.pool.give(endpoint, answer.connection, keep_alive);
+    }
+    read
+}
+
+async fn read_events(
+    node: &Rc<Node>,
+    key: &ItemKey,
+    endpoint: EndpointId,
+    mut body: Incoming,
+) -> End {
+    let broken = |detail: String| End::Failed(Failure::blamed(Reach::Answering, detail));
+    let mut splitter = Splitter::default();
+    loop {
+        let frame = match timeout(EVENT_TIMEOUT, body.frame()).await {
+            Ok(frame) => frame,
+            Err(_) => return broken("no event in time".into()),
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                node.heard(endpoint);
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
+                for event in splitter.push(&data) {
+                    if let Err(detail) = keep_event(node, key, event.id, event.data()) {
+                        return broken(detail);
+                    }
+                }
+                if splitter.overlong() {
+                    return broken("an event without an end".into());
+                }
+            }
+            Some(Err(error)) => return broken(format!("the stream broke off: {error}")),
+            None if splitter.partial() => return broken("the stream ended within an event".into()),
+            None => return End::Complete,
+        }
+    }
+}
+
+fn keep_event(node: &Node, key: &ItemKey, event: Option<u64>, text: String) -> Result<(), String> {
+    let mut owned = node.runs.owned.borrow_mut();
+    let progress = owned
+        .get_mut(&key.job)
+        .and_then(|job| job.progress.get_mut(&key.item));
+    let Some(progress) = progress else {
+        return Err("the job is no longer run here".into());
+    };
+    let expected = progress.last_event.map(|last| last + 1);
+    match (expected, event) {
+        (Some(expected), Some(event)) if event != expected => {
+            return Err(format!("event {event} came in place of {expected}"));
+        }
+        (_, None) => return Err("an event without an id".into()),
+        _ => {}
+    }
+    progress.last_event = event;
+    progress.texts.push(text);
+    Ok(())
+}
+
+fn last_event(node: &Node, key: &ItemKey) -> Option<u64> {
+    let owned = node.runs.owned.borrow();
+    let progress = owned
+        .get(&key.job)
+        .and_then(|job| job.progress.get(&key.item));
+    progress.and_then(|progress| progress.last_event)
+}
+
+/// The item as a request; `None` when it can't be one.
+fn outgoing(node: &Node, host: &str, item: &Item) -> Option<Outgoing> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let name: HeaderName = name.parse().ok()?;
+        headers.append(name, HeaderValue::from_str(value).ok()?);
+    }
+    let id_header: HeaderName = node.dialect.id_header.parse().ok()?;
+    headers.insert(id_header, HeaderValue::from_str(&item.id).ok()?);
+    headers.insert(HOST, HeaderValue::from_str(host).ok()?);
+    Some(Outgoing {
+        id: item.id.to_string(),
+        method: Method::POST,
+        target: item.path.clone(),
+        headers,
+        body: BASE64_STANDARD.decode(&item.body).ok()?.into(),
+        repeatable: true,
+    })
+}
--- /dev/null
+++ b/src/serve/runs/listing.rs
@@ -0,0 +1,142 @@
+//! Results go into the job's record; a job that is left goes to another VM.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::{forget, WRITE_PAUSE};
+use crate::clock;
+use crate::decide::small_jobs::{text_key, Finished, ItemIndex, Listing, Record};
+use crate::id::{JobId, Revision};
+use crate::serve::jobs::{self, encode, write};
+use crate::serve::node::Node;
+use crate::store::Settled;
+use crate::util;
+
+/// Results that come within this time are listed by one write; readers ask twice a second.
+const GROUP: Duration = Duration::from_millis(1000);
+/// The same for results that are due soon.
+const GROUP_DUE: Duration = Duration::from_millis(100);
+/// Results of a job with less time than this are due soon.
+const DUE_SOON: Duration = Duration::from_millis(2500);
+
+/// Lists what is finished, by one write at a time for each job; hands over while draining.
+pub(super) fn write_results(node: &Rc<Node>, now: Duration, job: &JobId) {
+    let found = {
+        let core = node.core.borrow();
+        core.jobs
+            .rows
+            .get(job)
+            .map(|row| (row.record.clone(), row.revision))
+    };
+    let Some((record, revision)) = found else {
+        return;
+    };
+    let mut guard = node.runs.owned.borrow_mut();
+    let Some(owned) = guard.get_mut(job) else {
+        return;
+    };
+    if owned.writing || now < owned.write_after {
+        return;
+    }
+    let waiting = !owned.finished.is_empty() || owned.uncounted;
+    if !waiting {
+        let runs = owned
+            .progress
+            .values()
+            .any(|progress| progress.run.is_some());
+        if node.is_draining() && !runs {
+            owned.writing = true;
+            drop(guard);
+            tokio::task::spawn_local(hand_over(node.clone(), record, revision));
+        }
+        return;
+    }
+    let last = owned.progress.is_empty();
+    let group = match now + DUE_SOON < owned.due {
+        true => GROUP,
+        false => GROUP_DUE,
+    };
+    if !last && owned.finished_at.is_some_and(|at| now < at + group) {
+        return;
+    }
+    let failures: Vec<(ItemIndex, u32)> = owned
+        .progress
+        .iter()
+        .filter(|(_, progress)| progress.failures > 0)
+        .map(|(item, progress)| (*item, progress.failures))
+        .collect();
+    let (finished, epoch) = (owned.finished.clone(), owned.epoch);
+    let listing = record.list(node.owner, epoch, &finished, &failures, util::nonce());
+    let Some(listing) = listing else {
+        // All of it is listed, or the job belongs to another by now; the next look finds out.
+        let listed = |result: &Finished| !record.is_listed(result.item);
+        owned.finished.retain(listed);
+        owned.uncounted = false;
+        owned.finished_at = None;
+        return;
+    };
+    owned.writing = true;
+    owned.uncounted = false;
+    drop(guard);
+    tokio::task::spawn_local(list(node.clone(), listing, revision));
+}
+
+async fn list(node: Rc<Node>, listing: Listing, revision: Revision) {
+    let record = &listing.record;
+    let parts = listing.parts.iter();
+    let writes: Vec<_> = parts
+        .map(|(part, texts)| write(text_key(&record.id, *part), encode(texts)))
+        .collect();
+    let settled = jobs::replace_with(&node, record, revision, writes.clone()).await;
+    let won = matches!(settled, Settled::Won(_));
+    if won {
+        let mut core = node.core.borrow_mut();
+        for part in writes {
+            core.jobs.parts.keep(part.key, part.value);
+        }
+    }
+    let (listed, total) = (record.listed.len(), record.items.len());
+    log::info!(job = *record.id, won, listed, total; "results listed");
+    written(&node, record, &settled);
+}
+
+/// Takes note of how a write of a job's record ended.
+fn written(node: &Node, record: &Record, settled: &Settled) {
+    let now = clock::now();
+    let mut guard = node.runs.owned.borrow_mut();
+    let Some(owned) = guard.get_mut(&record.id) else {
+        return;
+    };
+    owned.writing = false;
+    match settled {
+        Settled::Won(_) => {
+            owned
+                .finished
+                .retain(|result| !record.is_listed(result.item));
+            owned.finished_at = (!owned.finished.is_empty()).then_some(now);
+            if owned.finished.is_empty() && owned.progress.is_empty() {
+                guard.remove(&record.id);
+            }
+        }
+        // Another writer came first: once more, on what it left.
+        Settled::Lost(_) => owned.uncounted = true,
+        Settled::Away(_) | Settled::Unknown(_) => {
+            owned.uncounted = true;
+            owned.write_after = now + WRITE_PAUSE;
+        }
+    }
+}
+
+async fn hand_over(node: Rc<Node>, record: Rc<Record>, revision: Revision) {
+    let Some(without) = record.hand_over(node.owner, util::nonce()) else {
+        return;
+    };
+    let settled = jobs::replace(&node, &without, revision).await;
+    let won = matches!(settled, Settled::Won(_));
+    log::info!(job = *without.id, won, open = without.open_items().len(); "job handed over");
+    if won {
+        forget(&node, &without.id);
+    } else {
+        written(&node, &without, &settled);
+    }
+}
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -1,5 +1,8 @@
 //! A small fleet on loopback, as processes, for tests, benchmarks and the demo.
 
+pub mod answer;
+pub mod process;
+
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -11,6 +14,9 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 
+pub use self::answer::{call, Answer};
+use self::process::standin;
+pub use self::process::Process;
 use super::relay::Relay;
 use crate::clock;
 use crate::config::{load, store};
@@ -60,18 +66,6 @@
     }
 }
 
-/// One process.
-pub struct Process {
-    pub name: String,
-    pub failure_domain: usize,
-    /// Towards callers, or towards the system for a stand-in.
-    pub address: SocketAddr,
-    pub operators: Option<SocketAddr>,
-    binary: &'static str,
-    arguments: Vec<String>,
-    child: Child,
-}
-
 /// All processes; dropped, it ends them.
 pub struct Fleet {
     pub folder: PathBuf,
@@ -105,15 +99,6 @@
     }
 }
 
-fn binary_folder() -> PathBuf {
-    let mut folder = std::env::current_exe().unwrap_or_default();
-    folder.pop();
-    if folder.ends_with("deps") {
-        folder.pop();
-    }
-    folder
-}
-
 fn merge(base: Value, change: &Value) -> Value {
     let mut base = base;
     for (field, value) in change.as_object().into_iter().flatten() {
@@ -122,228 +107,6 @@
     base
 }
 
-fn standin(name: &str, domain: usize, arguments: &[&str]) -> io::Result<Process> {
-    let arguments: Vec<String> = arguments.iter().map(|a| (*a).to_owned()).collect();
-    let mut child = Command::new(binary_folder().join("bramley-standin"))
-        .args(&arguments)
-        .stdout(Stdio::piped())
-        .stderr(Stdio::inherit())
-        .spawn()?;
-    let mut line = String::new();
-    if let Some(out) = child.stdout.take() {
-        BufReader::new(out).read_line(&mut line)?;
-    }
-    let address = line
-        .trim()
-        .strip_prefix("address ")
-        .and_then(|text| text.parse().ok());
-    let address = address.ok_or_else(|| io::Error::other(format!("{name} said {line:?}")))?;
-    Ok(Process {
-        name: name.to_owned(),
-        failure_domain: domain,
-        address,
-        operators: None,
-        binary: "bramley-standin",
-        arguments,
-        child,
-    })
-}
-
-impl Process {
-    fn start(
-        folder: &Path,
-        name: &str,
-        domain: usize,
-        binary: &'static str,
-        settings: &Value,
-        address: SocketAddr,
-    ) -> io::Result<Process> {
-        let file = folder.join(format!("{name}.json"));
-        fs::write(&file, settings.to_string())?;
-        let operators = settings["operators_address"]
-            .as_str()
-            .and_then(|a| a.parse().ok());
-        let arguments = vec![file.display().to_string()];
-        let child = spawn(folder, name, binary, &arguments)?;
-        let name = name.to_owned();
-        Ok(Process {
-            name,
-            failure_domain: domain,
-            address,
-            operators,
-            binary,
-            arguments,
-            child,
-        })
-    }
-
-    /// Its process id.
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    fn signal(&self, signal: Signal) {
-        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
-            let _ = kill_process(pid, signal);
-        }
-    }
-
-    /// Ends it at once, as a crash would.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Asks it to stop in order.
-    pub fn terminate(&self) {
-        self.signal(Signal::TERM);
-    }
-
-    /// Freezes it.
-    pub fn pause(&self) {
-        self.signal(Signal::STOP);
-    }
-
-    /// Lets it go on.
-    pub fn resume(&self) {
-        self.signal(Signal::CONT);
-    }
-
-    /// Waits for its end; the exit code, or `None` when it was killed or goes on.
-    pub fn wait(&mut self, patience: Duration) -> Option<i32> {
-        let until = clock::now() + patience;
-        while clock::now() < until {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return status.code();
-            }
-            clock::sleep(LOOK);
-        }
-        None
-    }
-
-    /// Whether it runs.
-    pub fn runs(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
-    /// Starts it again after its end, with the same settings.
-    pub fn restart(&mut self, folder: &Path) -> io::Result<()> {
-        self.child = spawn(folder, &self.name, self.binary, &self.arguments)?;
-        Ok(())
-    }
-
-    /// A page of its operators' address.
-    pub fn page(&self, path: &str) -> Value {
-        let Some(address) = self.operators else {
-            return Value::Null;
-        };
-        let text = call(address, "GET", path, "", &[], b"").map(|answer| answer.text());
-        serde_json::from_str(&text.unwrap_or_default()).unwrap_or(Value::Null)
-    }
-
-    /// Changes a stand-in's behaviour.
-    pub fn control(&self, change: Value) {
-        let path = if self.name == "platform" {
-            "/control/fault"
-        } else {
-            "/control"
-        };
-        let body = change.to_string();
-        let _ = call(self.address, "POST", path, "", &[], body.as_bytes());
-    }
-
-    /// A stand-in's counters.
-    pub fn stats(&self) -> Value {
-        let text = call(self.address, "GET", "/stats", "", &[], b"").map(|answer| answer.text());
-        serde_json::from_str(&text.unwrap_or_default()).unwrap_or(Value::Null)
-    }
-}
-
-fn spawn(folder: &Path, name: &str, binary: &str, arguments: &[String]) -> io::Result<Child> {
-    let log = File::options()
-        .create(true)
-        .append(true)
-        .open(folder.join(format!("{name}.log")))?;
-    let quiet = File::options().append(true).open("/dev/null")?;
-    Command::new(binary_folder().join(binary))
-        .args(arguments)
-        .stderr(log)
-        .stdout(quiet)
-        .spawn()
-}
-
-/// An answer to [`call`].
-#[derive(Debug, Clone)]
-pub struct Answer {
-    pub status: u16,
-    pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
-    /// The body ended before its end.
-    pub cut: bool,
-}
-
-impl Answer {
-    /// The body as text.
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
-
-    /// The body as JSON.
-    pub fn json(&self) -> Value {
-        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
-    }
-
-    /// A header's value.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self
-            .headers
-            .iter()
-            .find(|(key, _)| key.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.as_str())
-    }
-}
-
-/// Calls a process as an outside client would.
-pub fn call(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    key: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-) -> io::Result<Answer> {
-    let agent = ureq::AgentBuilder::new()
-        .max_idle_connections(0)
-        .redirects(0)
-        .build();
-    let url = format!("http://{address}{path}");
-    let mut request = agent.request(method, &url).timeout(CALL_TIMEOUT);
-    if !key.is_empty() {
-        request = request.set("Authorization", &format!("Bearer {key}"));
-    }
-    for (name, value) in headers {
-        request = request.set(name, value);
-    }
-    let response = match request.send_bytes(body) {
-        Ok(response) | Err(ureq::Error::Status(_, response)) => response,
-        Err(error) => return Err(io::Error::other(error.to_string())),
-    };
-    let status = response.status();
-    let names = response.headers_names();
-    let headers = names
-        .iter()
-        .filter_map(|name| Some((name.clone(), response.header(name)?.to_owned())))
-        .collect();
-    let mut body = Vec::new();
-    let cut = response.into_reader().read_to_end(&mut body).is_err();
-    Ok(Answer {
-        status,
-        headers,
-        body,
-        cut,
-    })
-}
-
 impl Fleet {
     /// Starts everything and waits until all entry VMs are ready.
     pub fn start(name: &str, plan: &Plan) -> io::Result<Fleet> {
--- /dev/null
+++ b/src/standin/fleet/process.rs
@@ -0,0 +1,174 @@
+//! One process of a fleet.
+
+use super::*;
+
+/// One process.
+pub struct Process {
+    pub name: String,
+    pub failure_domain: usize,
+    /// Towards callers, or towards the system for a stand-in.
+    pub address: SocketAddr,
+    pub operators: Option<SocketAddr>,
+    binary: &'static str,
+    arguments: Vec<String>,
+    child: Child,
+}
+
+impl Process {
+    pub(super) fn start(
+        folder: &Path,
+        name: &str,
+        domain: usize,
+        binary: &'static str,
+        settings: &Value,
+        address: SocketAddr,
+    ) -> io::Result<Process> {
+        let file = folder.join(format!("{name}.json"));
+        fs::write(&file, settings.to_string())?;
+        let operators = settings["operators_address"]
+            .as_str()
+            .and_then(|a| a.parse().ok());
+        let arguments = vec![file.display().to_string()];
+        let child = spawn(folder, name, binary, &arguments)?;
+        let name = name.to_owned();
+        Ok(Process {
+            name,
+            failure_domain: domain,
+            address,
+            operators,
+            binary,
+            arguments,
+            child,
+        })
+    }
+
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Ends it at once, as a crash would.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks it to stop in order.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Freezes it.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Waits for its end; the exit code, or `None` when it was killed or goes on.
+    pub fn wait(&mut self, patience: Duration) -> Option<i32> {
+        let until = clock::now() + patience;
+        while clock::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            clock::sleep(LOOK);
+        }
+        None
+    }
+
+    /// Whether it runs.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Starts it again after its end, with the same settings.
+    pub fn restart(&mut self, folder: &Path) -> io::Result<()> {
+        self.child = spawn(folder, &self.name, self.binary, &self.arguments)?;
+        Ok(())
+    }
+
+    /// A page of its operators' address.
+    pub fn page(&self, path: &str) -> Value {
+        let Some(address) = self.operators else {
+            return Value::Null;
+        };
+        let text = call(address, "GET", path, "", &[], b"").map(|answer| answer.text());
+        serde_json::from_str(&text.unwrap_or_default()).unwrap_or(Value::Null)
+    }
+
+    /// Changes a stand-in's behaviour.
+    pub fn control(&self, change: Value) {
+        let path = if self.name == "platform" {
+            "/control/fault"
+        } else {
+            "/control"
+        };
+        let body = change.to_string();
+        let _ = call(self.address, "POST", path, "", &[], body.as_bytes());
+    }
+
+    /// A stand-in's counters.
+    pub fn stats(&self) -> Value {
+        let text = call(self.address, "GET", "/stats", "", &[], b"").map(|answer| answer.text());
+        serde_json::from_str(&text.unwrap_or_default()).unwrap_or(Value::Null)
+    }
+}
+
+fn binary_folder() -> PathBuf {
+    let mut folder = std::env::current_exe().unwrap_or_default();
+    folder.pop();
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    folder
+}
+
+pub(super) fn standin(name: &str, domain: usize, arguments: &[&str]) -> io::Result<Process> {
+    let arguments: Vec<String> = arguments.iter().map(|a| (*a).to_owned()).collect();
+    let mut child = Command::new(binary_folder().join("bramley-standin"))
+        .args(&arguments)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::inherit())
+        .spawn()?;
+    let mut line = String::new();
+    if let Some(out) = child.stdout.take() {
+        BufReader::new(out).read_line(&mut line)?;
+    }
+    let address = line
+        .trim()
+        .strip_prefix("address ")
+        .and_then(|text| text.parse().ok());
+    let address = address.ok_or_else(|| io::Error::other(format!("{name} said {line:?}")))?;
+    Ok(Process {
+        name: name.to_owned(),
+        failure_domain: domain,
+        address,
+        operators: None,
+        binary: "bramley-standin",
+        arguments,
+        child,
+    })
+}
+
+fn spawn(folder: &Path, name: &str, binary: &str, arguments: &[String]) -> io::Result<Child> {
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(folder.join(format!("{name}.log")))?;
+    let quiet = File::options().append(true).open("/dev/null")?;
+    Command::new(binary_folder().join(binary))
+        .args(arguments)
+        .stderr(log)
+        .stdout(quiet)
+        .spawn()
+}
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -148,6 +148,15 @@
     assert!(gave_up(&world.pass(ms(4_000), None)).is_empty());
 }
 
+// The same when its stream has begun: it can't go on elsewhere, and its engine may yet.
+#[test]
+fn unrepeatable_in_stream() {
+    let mut world = World::new(2);
+    world.arrive(1, false, 2);
+    world.event(Event::FirstToken { request: 1 });
+    assert!(gave_up(&world.pass(ms(4_000), None)).is_empty());
+}
+
 // Requests in the queue of a busy engine hear nothing for long, while its other requests are other
 // VMs'. That is no sign of its death.
 #[test]
