Make store calls by way of another VM when this one is turned away

Ruled out: the store as a whole being away (other VMs' summaries show answered calls). Change: heartbeats say whether the store answers their sender; a call that is refused or lost is made by such a VM; transactions are conditional, so a doubled one is settled as before.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -16,6 +16,7 @@
 pub mod parts;
 pub mod peers;
 pub mod pool;
+pub mod relay;
 pub mod replies;
 pub mod runs;
 pub mod stop;
@@ -76,7 +77,7 @@
     spawn_local(callers::serve(node.clone(), callers));
     spawn_local(inside::serve(node.clone(), ready, inside::readiness));
     spawn_local(inside::serve(node.clone(), operators, inside::operators));
-    spawn_local(inside::serve(node.clone(), peers, inside::peers));
+    spawn_local(inside::serve_peers(node.clone(), peers));
     spawn_local(peers::send(node.clone(), socket.clone()));
     spawn_local(peers::receive(node.clone(), socket));
     spawn_local(peers::fetch(node.clone()));
--- a/src/serve/inside.rs
+++ b/src/serve/inside.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -10,10 +11,13 @@
 use hyper::Request;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use super::node::Node;
 use super::peers;
+use super::relay;
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::online::Waiting;
@@ -57,19 +61,43 @@
     runs_here: bool,
 }
 
+/// Time between two tries to take a connection, as when descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => log::warn!(error:% = error; "connections to the pages can't be taken"),
+        }
+        sleep(ACCEPT_PAUSE).await;
+    }
+}
+
+/// Serves other VMs until the process ends.
+pub async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        let node = node.clone();
+        spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let node = node.clone();
+                async move { Ok::<Reply, Infallible>(peers(&node, request).await) }
+            });
+            // An error is an asker that broke off.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
 /// Serves pages on one listener until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener, pages: Pages) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(error:% = error; "connections to the pages can't be taken");
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let node = node.clone();
-        tokio::task::spawn_local(async move {
+        spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
                 let reply = pages(&node, request.uri().path());
                 async move { Ok::<Reply, Infallible>(reply) }
@@ -100,8 +128,12 @@
 }
 
 /// What other VMs ask for.
-pub fn peers(node: &Node, path: &str) -> Reply {
-    peers::answer(node, path)
+async fn peers(node: &Node, request: Request<Incoming>) -> Reply {
+    let path = request.uri().path().to_owned();
+    match path.as_str() {
+        relay::PATH => relay::answer(node, request.into_body()).await,
+        path => peers::answer(node, path),
+    }
 }
 
 fn dump(node: &Node) -> Vec<u8> {
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -5,7 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use tokio::sync::{mpsc, Notify};
@@ -16,6 +16,7 @@
 use super::jobs::Jobs;
 use super::peers::Peers;
 use super::pool::Pool;
+use super::relay::relayed;
 use super::runs::Runs;
 use crate::clock;
 use crate::decide::discovery::Discovery;
@@ -63,7 +64,12 @@
 pub struct Node {
     pub settings: settings::Serve,
     pub dialect: Dialect,
+    /// The metadata store, by way of another VM when this one is turned away.
     pub store: Store,
+    /// The same by the own way only.
+    pub own_store: Store,
+    /// Whether the last call by the own way was answered.
+    pub store_answers: Rc<Cell<bool>>,
     pub pool: Pool,
     pub counters: Counters,
     pub core: RefCell<Core>,
@@ -107,16 +113,24 @@
         };
         let counters = Counters::new();
         let calls = counters.store_calls.clone();
-        let store = store.observed(move |call, answered| {
+        let store_answers = Rc::new(Cell::new(false));
+        let answers = store_answers.clone();
+        let own_store = store.observed(move |call, answered| {
             let outcome = if answered { "answered" } else { "failed" };
             calls.with_label_values(&[call, outcome]).inc();
+            answers.set(answered);
         });
-        Rc::new(Node {
+        Rc::new_cyclic(|node: &Weak<Node>| Node {
             vm: id::of(&settings.name),
             domain,
             owner: util::nonce() | 1,
             dialect,
-            store,
+            store: relayed(own_store.clone(), {
+                let node = node.clone();
+                move || node.upgrade()
+            }),
+            own_store,
+            store_answers,
             pool: Pool::default(),
             counters,
             core: RefCell::new(core),
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -68,6 +68,8 @@
     /// Grows with each heartbeat of this process; late datagrams carry lower ones.
     pub sequence: u64,
     pub draining: bool,
+    /// Whether the metadata store answers it.
+    pub store: bool,
     /// 0 while it knows none.
     pub rules: ConfigVersion,
     pub endpoints: Revision,
@@ -97,6 +99,7 @@
     /// In the store under its lease.
     registered: bool,
     draining: bool,
+    store: bool,
     rules: ConfigVersion,
     endpoints: Revision,
     jobs: Revision,
@@ -130,6 +133,7 @@
                 seen_at: now,
                 registered: true,
                 draining: false,
+                store: false,
                 rules: 0,
                 endpoints: 0,
                 jobs: 0,
@@ -160,6 +164,7 @@
             seen_at: now,
             registered: known.is_some_and(|peer| peer.registered),
             draining: beat.draining,
+            store: beat.store,
             rules: beat.rules,
             endpoints: beat.endpoints,
             jobs: beat.jobs,
@@ -221,6 +226,15 @@
         }
     }
 
+    /// A living VM that the metadata store answers: of those, the one heard last.
+    pub fn with_store(&self, now: Duration) -> Option<SocketAddr> {
+        let living = self.rows.values().filter(|peer| peer.lives(now));
+        let reaching = living.filter(|peer| peer.store && !peer.draining);
+        reaching
+            .max_by_key(|peer| peer.heard_at)
+            .and_then(|peer| peer.peer_address)
+    }
+
     /// The newest job record that a living VM has told of.
     pub fn newest_job(&self, now: Duration) -> Revision {
         let living = self.rows.values().filter(|peer| peer.lives(now));
@@ -320,6 +334,7 @@
         owner: node.owner,
         sequence,
         draining: core.stage == super::node::Stage::Draining,
+        store: node.store_answers.get(),
         rules: core.routes.as_ref().map_or(0, |table| table.rules.version),
         endpoints: core.discovery.revision,
         jobs: core.jobs.revision,
--- /dev/null
+++ b/src/serve/relay.rs
@@ -0,0 +1,132 @@
+//! Calls on the metadata store by way of another VM.
+//!
+//! The failure: the store turns this VM away, or the way to it is cut, while it serves the others. Jobs
+//! that callers submit here are refused although they could be kept, its registration lapses, and its
+//! jobs are taken over and run again. Another VM that reaches the store makes the call instead.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::Request;
+use snafu::Snafu;
+use tokio::time::timeout;
+
+use super::node::Node;
+use super::pool::{self, Connection};
+use super::replies::{self, Reply};
+use crate::clock;
+use crate::store::{self, Call, Error, Store};
+use crate::wire::{self, Key};
+
+/// Path under which another VM is asked to make a call.
+pub const PATH: &str = "/store";
+/// Time for the other VM's own call and the way there and back.
+const TIMEOUT: Duration = Duration::from_millis(1500);
+/// Largest call: a transaction with the parts of a job.
+const CALL_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Why another VM brought no answer.
+#[derive(Debug, Snafu)]
+enum RelayError {
+    #[snafu(display("{source}"), context(false))]
+    Connection { source: pool::Error },
+    #[snafu(display("{source}"), context(false))]
+    Message { source: wire::Error },
+    #[snafu(display("{source}"), context(false))]
+    Http { source: hyper::Error },
+    #[snafu(display("no answer in time"), context(false))]
+    Late { source: tokio::time::error::Elapsed },
+}
+
+/// A store that asks another VM when `own` doesn't answer.
+pub fn relayed(own: Store, node: impl Fn() -> Option<Rc<Node>> + 'static) -> Store {
+    let node = Rc::new(node);
+    Store::new(move |call| {
+        let (own, node) = (own.clone(), node.clone());
+        Box::pin(async move {
+            let first = own.call(call.clone()).await;
+            let failed = matches!(first, Err(Error::Away { .. } | Error::Unknown { .. }));
+            match node().filter(|_| failed && may_be_relayed(&call)) {
+                Some(node) => relay(&node, call, first).await,
+                None => first,
+            }
+        })
+    })
+}
+
+/// Watches and full readings are not: what they would tell comes with the other VMs' heartbeats.
+fn may_be_relayed(call: &Call) -> bool {
+    !matches!(call, Call::Range { .. } | Call::Watch { .. })
+}
+
+/// Asks another VM. A transaction that may have taken effect can be sent once more: its condition
+/// holds for one of the two at most, and whoever settles it reads back.
+async fn relay(
+    node: &Node,
+    call: Call,
+    first: Result<store::Reply, Error>,
+) -> Result<store::Reply, Error> {
+    let to = node.core.borrow().peers.with_store(clock::now());
+    let Some(to) = to else {
+        return first;
+    };
+    let kind: &'static str = (&call).into();
+    match ask(node, &to.to_string(), &call).await {
+        // What the first try left in doubt stays in doubt.
+        Ok(Err(Error::Away { .. })) => first,
+        Ok(reply) => {
+            log::info!(call = kind, by:% = to; "store call made by another VM");
+            reply
+        }
+        Err(error) => {
+            let detail = format!("{to} did not make the call: {error}");
+            log::info!(call = kind, detail; "store call not made by another VM");
+            Err(Error::Unknown { detail })
+        }
+    }
+}
+
+async fn ask(
+    node: &Node,
+    to: &str,
+    call: &Call,
+) -> Result<Result<store::Reply, Error>, RelayError> {
+    let key = Key::new(&node.settings.cluster_key);
+    let sealed = key.seal(call)?;
+    let exchanged = async {
+        let mut connection = Connection::open(to).await?;
+        let mut request = Request::new(Full::new(Bytes::from(sealed)));
+        *request.uri_mut() = hyper::Uri::from_static(PATH);
+        let answer = connection.send(request).await?;
+        let body = answer.into_body().collect().await?.to_bytes();
+        Ok::<Bytes, RelayError>(body)
+    };
+    let sealed = timeout(TIMEOUT, exchanged).await??;
+    Ok(key.open(&sealed)?)
+}
+
+/// Makes a call for another VM, by the own way only.
+pub async fn answer(node: &Node, body: Incoming) -> Reply {
+    let key = Key::new(&node.settings.cluster_key);
+    let Ok(body) = Limited::new(body, CALL_BYTES_MAX).collect().await else {
+        return replies::empty(400);
+    };
+    let call = match key.open::<Call>(&body.to_bytes()) {
+        Ok(call) => call,
+        Err(error) => {
+            log::warn!(error:% = error; "another VM's store call can't be read");
+            return replies::empty(400);
+        }
+    };
+    let outcome = node.own_store.call(call).await;
+    match key.seal(&outcome) {
+        Ok(sealed) => replies::bytes(sealed.into()),
+        Err(error) => {
+            log::error!(error:% = error; "another VM can't be answered");
+            replies::empty(500)
+        }
+    }
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 use crate::decide::commit::{Answer, Commit, Step};
@@ -22,7 +23,7 @@
 const SETTLE_PAUSE: Duration = Duration::from_millis(30);
 
 /// Why a call brought nothing.
-#[derive(Debug, Snafu, Clone, PartialEq)]
+#[derive(Debug, Snafu, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Error {
     /// The store did nothing: it refused, or the connection never opened.
     #[snafu(display("the store is away: {detail}"))]
@@ -39,7 +40,7 @@
 }
 
 /// One key as it stands.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Item {
     pub key: String,
     pub value: Bytes,
@@ -48,14 +49,14 @@
 }
 
 /// One change under a watched prefix.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     Written(Item),
     Deleted { key: String, revision: Revision },
 }
 
 /// One write of a transaction.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Write {
     pub key: String,
     pub value: Bytes,
@@ -63,7 +64,7 @@
 }
 
 /// All or nothing: applies if each key of `expect` stands at its revision; 0 for "does not exist".
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Txn {
     pub expect: Vec<(String, Revision)>,
     pub writes: Vec<Write>,
@@ -71,7 +72,7 @@
 }
 
 /// A call on the store.
-#[derive(Debug, Clone, PartialEq, strum::IntoStaticStr)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Call {
     Get {
@@ -96,7 +97,7 @@
 }
 
 /// The reply to a [`Call`] of the same kind.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     Item(Option<Item>),
     Page {
