Read as a newcomer: peers' table into decide, registration and retirement of their own, typed doubt

Found on reading: Peers::tick was never called, so VMs that are gone were never forgotten; priority of routes was decoded and used nowhere; a watch given up in doubt was told by the text of an error.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,6 +15,7 @@
 pub mod members;
 pub mod online;
 pub mod orders;
+pub mod peers;
 pub mod refusal;
 pub mod retry;
 pub mod routes;
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -50,8 +50,6 @@
     pub timeout: Duration,
     /// Time to the first byte within which an answer is of full use.
     pub goal: Duration,
-    /// 0 is the most urgent.
-    pub priority: u32,
     /// Not empty.
     pub shares: Vec<Share>,
     /// Endpoints that one try of the caller may be sent to.
@@ -132,12 +130,4 @@
             .map(|at| &self.rules.routes[*at])
             .find(|route| path.starts_with(&*route.prefix))
     }
-
-    /// The first batch route of a host that an earlier submission may have come by.
-    pub fn batch_of_host(&self, host: &str) -> Option<&Route> {
-        let routes = self.by_host.get(host)?.iter();
-        routes
-            .map(|at| &self.rules.routes[*at])
-            .find(|route| route.kind == RouteKind::Batch)
-    }
 }
--- a/src/serve/dialect.rs
+++ b/src/serve/dialect.rs
@@ -2,7 +2,6 @@
 //!
 //! The adapter decodes each message once into the types here. Nothing in it decides.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -85,15 +84,6 @@
     pub text: String,
 }
 
-/// A process of this system as it registers itself.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct VmRecord {
-    pub name: Name,
-    /// Differs with each start of the process.
-    pub owner: crate::id::OwnerId,
-    pub gossip_address: SocketAddr,
-}
-
 /// Where the deployment keeps its records in the metadata store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Keys {
--- a/src/serve/inside.rs
+++ b/src/serve/inside.rs
@@ -15,11 +15,13 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::jobs::Job;
 use super::node::Node;
 use super::peers;
 use super::relay;
 use super::replies::{self, Reply};
 use crate::clock;
+use crate::decide::endpoints::Endpoint;
 use crate::decide::online::Waiting;
 
 /// What answers a path.
@@ -140,7 +142,7 @@
     let now = clock::now();
     let core = node.core.borrow();
     let (items, items_running) = core.items.counts();
-    let endpoint = |row: &crate::decide::endpoints::Endpoint| EndpointRow {
+    let endpoint = |row: &Endpoint| EndpointRow {
         name: row.declared.name.to_string(),
         usable: row.usable(now),
         online_here: row.online_here,
@@ -148,7 +150,7 @@
         batch: row.batch,
         ejected_for_ms: row.ejected_until.saturating_sub(now).as_millis() as u64,
     };
-    let job = |job: &super::jobs::Job| JobRow {
+    let job = |job: &Job| JobRow {
         id: job.record.id.to_string(),
         items: job.record.items.len(),
         listed: job.record.listed.len(),
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -14,7 +14,6 @@
 use super::dialect::Dialect;
 use super::exchange::Target;
 use super::jobs::Jobs;
-use super::peers::Peers;
 use super::pool::Pool;
 use super::relay::relayed;
 use super::runs::Runs;
@@ -22,9 +21,10 @@
 use crate::decide::discovery::Discovery;
 use crate::decide::items::{kept_max, Items};
 use crate::decide::online::{Action, Event, Online, Service};
+use crate::decide::peers::Peers;
 use crate::decide::routes::{RouteKind, RouteTable, Rules};
 use crate::decide::usage::Usage;
-use crate::id::{self, DomainId, EndpointId, OwnerId, RequestId, ServiceId, VmId};
+use crate::id::{self, DomainId, EndpointId, OwnerId, RequestId, ServiceId, VmId, WorkspaceId};
 use crate::settings;
 use crate::store::Store;
 use crate::util;
@@ -34,8 +34,8 @@
 const QUEUE_LIMIT: usize = 256;
 /// Requests in flight of one VM for each service; bounds its memory, not its endpoints.
 const IN_FLIGHT_MAX: usize = 2000;
-/// The only workspace there is: the platform's routes name none.
-const WORKSPACE: u64 = 0;
+/// The only workspace there is: routes name none.
+pub const WORKSPACE: WorkspaceId = 0;
 
 /// Where a process stands in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -261,6 +261,7 @@
         let mut guard = self.core.borrow_mut();
         let core = &mut *guard;
         core.usage.tick(now);
+        core.peers.tick(now);
         let changed = core.discovery.tick(now);
         note_uses(core);
         let mut out = Vec::new();
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -17,7 +17,7 @@
 use super::dialect::{Ask, PromptPart};
 use super::events::Splitter;
 use super::exchange::{self, Answer, Failure, Outgoing, Target};
-use super::node::Node;
+use super::node::{Node, WORKSPACE};
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::online::{Action, Arrival, Event, Outcome};
@@ -28,8 +28,6 @@
 
 /// Pieces that may wait for a slow caller; beyond that the endpoint's connection is read no faster.
 const PIECES_WAITING: usize = 32;
-/// The only workspace: routes name none.
-const WORKSPACE: u64 = 0;
 /// Bytes of a plain answer that are held until it is whole.
 const WHOLE_BYTES_MAX: usize = 16 * 1024 * 1024;
 
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -1,7 +1,6 @@
 //! What serving processes tell each other: by UDP what they have in flight and which versions they
 //! know, by TCP the rules and endpoints that another one lacks.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,15 +12,16 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
-use super::dialect::VmRecord;
-use super::node::Node;
+use super::node::{note_uses, Node, Stage};
 use super::pool::Connection;
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::discovery::Registration;
+use crate::decide::endpoints::Endpoint;
+use crate::decide::peers::{Ahead, Heartbeat, Row};
 use crate::decide::routes::Rules;
 use crate::decide::usage::Use;
-use crate::id::{self, ranked, ConfigVersion, EndpointId, Name, OwnerId, Revision, VmId};
+use crate::id::{self, EndpointId, OwnerId, Revision};
 use crate::wire::{Key, DATAGRAM_BYTES};
 
 /// Time between two heartbeats while nothing changes.
@@ -31,13 +31,6 @@
 const TOLD_AGAIN: Duration = Duration::from_millis(10);
 /// Changes that press nobody wait so long for others to be told with them.
 const CALM: Duration = Duration::from_millis(100);
-/// A VM heard within this time lives: three heartbeats.
-const HEARD_LIFE: Duration = Duration::from_millis(1700);
-/// A heartbeat that is no older tells of all that callers may have read there long enough ago for
-/// others to be asked for it.
-const JUST_HEARD: Duration = Duration::from_millis(750);
-/// A VM that is neither registered nor heard for so long is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Before a newer version is fetched from another VM, the store's own watch may bring it.
 const FETCH_AFTER: Duration = Duration::from_millis(150);
 /// Time for one fetch.
@@ -53,32 +46,6 @@
 /// Path under which another VM is asked for a part of a batch job, by its key.
 const PART_PATH: &str = "/part/";
 
-/// One VM's use of one endpoint.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Row {
-    pub endpoint: EndpointId,
-    pub uses: Use,
-}
-
-/// What a VM says of itself.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    pub name: Name,
-    pub owner: OwnerId,
-    /// Grows with each heartbeat of this process; late datagrams carry lower ones.
-    pub sequence: u64,
-    pub draining: bool,
-    /// Whether the metadata store answers it.
-    pub store: bool,
-    /// 0 while it knows none.
-    pub rules: ConfigVersion,
-    pub endpoints: Revision,
-    /// Of the newest record of a batch job.
-    pub jobs: Revision,
-    pub peer_port: u16,
-    pub rows: Vec<Row>,
-}
-
 /// All endpoints that a VM knows, for one that can't reach the store.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Endpoints {
@@ -86,197 +53,6 @@
     pub at: Revision,
 }
 
-/// One other VM.
-#[derive(Debug, Clone)]
-struct Peer {
-    gossip_address: SocketAddr,
-    /// Known once it was heard.
-    peer_address: Option<SocketAddr>,
-    owner: OwnerId,
-    sequence: u64,
-    heard_at: Option<Duration>,
-    seen_at: Duration,
-    /// In the store under its lease.
-    registered: bool,
-    draining: bool,
-    store: bool,
-    rules: ConfigVersion,
-    endpoints: Revision,
-    jobs: Revision,
-}
-
-/// The other VMs.
-#[derive(Debug, Default)]
-pub struct Peers {
-    rows: HashMap<VmId, Peer>,
-    /// Addresses from the settings, spoken to until their VMs are known.
-    pub seeds: Vec<SocketAddr>,
-}
-
-impl Peers {
-    /// Takes all VMs that are registered in the store.
-    pub fn registered(&mut self, now: Duration, own: VmId, records: &[VmRecord]) {
-        self.rows
-            .values_mut()
-            .for_each(|peer| peer.registered = false);
-        for record in records {
-            let vm = id::of(&record.name);
-            if vm == own {
-                continue;
-            }
-            let peer = self.rows.entry(vm).or_insert_with(|| Peer {
-                gossip_address: record.gossip_address,
-                peer_address: None,
-                owner: record.owner,
-                sequence: 0,
-                heard_at: None,
-                seen_at: now,
-                registered: true,
-                draining: false,
-                store: false,
-                rules: 0,
-                endpoints: 0,
-                jobs: 0,
-            });
-            peer.registered = true;
-            peer.seen_at = now;
-            if peer.heard_at.is_none_or(|at| now >= at + HEARD_LIFE) {
-                peer.owner = record.owner;
-                peer.gossip_address = record.gossip_address;
-            }
-        }
-    }
-
-    /// Takes a heartbeat; false when it is late or doubled.
-    pub fn heard(&mut self, now: Duration, from: SocketAddr, beat: &Heartbeat) -> bool {
-        let vm = id::of(&beat.name);
-        let known = self.rows.get(&vm);
-        let stale = known.is_some_and(|p| p.owner == beat.owner && beat.sequence <= p.sequence);
-        if stale {
-            return false;
-        }
-        let peer = Peer {
-            gossip_address: from,
-            peer_address: Some(SocketAddr::new(from.ip(), beat.peer_port)),
-            owner: beat.owner,
-            sequence: beat.sequence,
-            heard_at: Some(now),
-            seen_at: now,
-            registered: known.is_some_and(|peer| peer.registered),
-            draining: beat.draining,
-            store: beat.store,
-            rules: beat.rules,
-            endpoints: beat.endpoints,
-            jobs: beat.jobs,
-        };
-        self.rows.insert(vm, peer);
-        true
-    }
-
-    /// Whether the process that owns something lives, as far as can be told.
-    pub fn alive(&self, now: Duration, own: OwnerId, owner: OwnerId) -> bool {
-        if owner == own {
-            return true;
-        }
-        let peer = self
-            .rows
-            .values()
-            .find(|peer| peer.owner == owner && owner != 0);
-        peer.is_some_and(|peer| peer.registered || peer.lives(now))
-    }
-
-    /// Place of `own` in the order of all VMs that take on work, for a key.
-    pub fn rank(&self, now: Duration, own: VmId, key: u64) -> usize {
-        let others = self.rows.iter();
-        let working = others.filter(|(_, peer)| peer.lives(now) && !peer.draining);
-        let vms = working.map(|(vm, _)| *vm).chain([own]);
-        let order = ranked(key, vms);
-        order.iter().position(|vm| *vm == own).unwrap_or(0)
-    }
-
-    /// Drops VMs that are gone.
-    pub fn tick(&mut self, now: Duration) {
-        self.rows
-            .retain(|_, peer| peer.registered || now < peer.seen_at + FORGET_AFTER);
-    }
-
-    /// Where heartbeats go.
-    fn targets(&self) -> Vec<SocketAddr> {
-        let known: Vec<SocketAddr> = self.rows.values().map(|p| p.gossip_address).collect();
-        let fresh = self
-            .seeds
-            .iter()
-            .filter(|seed| !known.contains(seed))
-            .copied();
-        fresh.chain(known.iter().copied()).collect()
-    }
-
-    /// A living VM that knows newer rules or endpoints than these.
-    fn ahead(&self, now: Duration, rules: ConfigVersion, endpoints: Revision) -> Ahead {
-        let living = || self.rows.values().filter(|peer| peer.lives(now));
-        let newest = living().max_by_key(|peer| peer.rules);
-        let latest = living().max_by_key(|peer| peer.endpoints);
-        Ahead {
-            rules: newest
-                .filter(|peer| peer.rules > rules)
-                .and_then(|peer| peer.peer_address),
-            endpoints: latest
-                .filter(|peer| peer.endpoints > endpoints)
-                .and_then(|peer| peer.peer_address),
-        }
-    }
-
-    /// A living VM that the metadata store answers: of those, the one heard last.
-    pub fn with_store(&self, now: Duration) -> Option<SocketAddr> {
-        let living = self.rows.values().filter(|peer| peer.lives(now));
-        let reaching = living.filter(|peer| peer.store && !peer.draining);
-        reaching
-            .max_by_key(|peer| peer.heard_at)
-            .and_then(|peer| peer.peer_address)
-    }
-
-    /// The newest job record that a living VM has told of.
-    pub fn newest_job(&self, now: Duration) -> Revision {
-        let living = self.rows.values().filter(|peer| peer.lives(now));
-        living.map(|peer| peer.jobs).max().unwrap_or(0)
-    }
-
-    /// Where the living process with this owner id answers other VMs.
-    fn address(&self, now: Duration, owner: OwnerId) -> Option<SocketAddr> {
-        let mut living = self.rows.values().filter(|peer| peer.lives(now));
-        living
-            .find(|peer| peer.owner == owner)
-            .and_then(|peer| peer.peer_address)
-    }
-
-    /// Whether all registered VMs were heard just now, and none knows a newer job record.
-    pub fn none_ahead(&self, now: Duration, jobs: Revision) -> bool {
-        let told = |peer: &Peer| {
-            let heard = peer.heard_at.is_some_and(|at| now < at + JUST_HEARD);
-            heard && peer.jobs <= jobs
-        };
-        let mut rows = self.rows.values().filter(|peer| peer.registered);
-        rows.clone().next().is_some() && rows.all(told)
-    }
-
-    /// VMs that live, for the dump.
-    pub fn living(&self, now: Duration) -> usize {
-        self.rows.values().filter(|peer| peer.lives(now)).count()
-    }
-}
-
-impl Peer {
-    fn lives(&self, now: Duration) -> bool {
-        self.heard_at.is_some_and(|at| now < at + HEARD_LIFE)
-    }
-}
-
-/// Whom to ask for what.
-struct Ahead {
-    rules: Option<SocketAddr>,
-    endpoints: Option<SocketAddr>,
-}
-
 /// Sends heartbeats until the process ends.
 pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let key = Key::new(&node.settings.cluster_key);
@@ -317,7 +93,7 @@
     let core = node.core.borrow();
     let now = clock::now();
     let short = |count: u32| count.min(u32::from(u16::MAX)) as u16;
-    let row = |row: &crate::decide::endpoints::Endpoint| {
+    let row = |row: &Endpoint| {
         let (batch, urgent) = core.items.at(now, row.id);
         Row {
             endpoint: row.id,
@@ -333,7 +109,7 @@
         name: node.settings.name.clone(),
         owner: node.owner,
         sequence,
-        draining: core.stage == super::node::Stage::Draining,
+        draining: core.stage == Stage::Draining,
         store: node.store_answers.get(),
         rules: core.routes.as_ref().map_or(0, |table| table.rules.version),
         endpoints: core.discovery.revision,
@@ -378,7 +154,7 @@
     }
     let rows = beat.rows.into_iter().map(|row| (row.endpoint, row.uses));
     core.usage.said(now, id::of(&beat.name), rows);
-    super::node::note_uses(core);
+    note_uses(core);
     let crowded = core.online.endpoints.rows.iter();
     let yields = crowded
         .filter(|row| row.crowded(now))
--- /dev/null
+++ b/src/serve/registration.rs
@@ -0,0 +1,72 @@
+//! Keeps this VM registered in the metadata store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::jobs::{encode, write};
+use super::node::Node;
+use super::watch::VMS;
+use crate::decide::peers::VmRecord;
+use crate::id;
+use crate::store::{Call, Error, Reply, Txn};
+
+/// Life of a registration. Its lapse is what lets other VMs take over, so it is short beside the
+/// time that a batch job has; three renewals fit into it.
+const LEASE: Duration = Duration::from_secs(3);
+/// Time between two renewals.
+const RENEW: Duration = Duration::from_millis(900);
+
+/// Keeps this VM registered under a lease until the process drains.
+pub async fn register(node: Rc<Node>) {
+    let key = format!("{VMS}{}", node.settings.name);
+    let record = VmRecord {
+        name: node.settings.name.clone(),
+        owner: node.owner,
+        gossip_address: node.settings.gossip_address,
+    };
+    let value = encode(&record);
+    let mut lease = 0;
+    loop {
+        let kept = match lease {
+            0 => Err(Error::NoLease),
+            lease => node.store.call(Call::Renew(lease)).await.map(|_| lease),
+        };
+        let outcome = match kept {
+            Err(Error::NoLease) => enter(&node, &key, &value).await,
+            other => other,
+        };
+        match outcome {
+            Ok(held) => lease = held,
+            Err(Error::NoLease) => lease = 0,
+            Err(error) => {
+                log::info!(error:% = error; "the registration could not be renewed");
+                node.store_failed();
+            }
+        }
+        sleep(RENEW).await;
+    }
+}
+
+async fn enter(node: &Node, key: &str, value: &bytes::Bytes) -> Result<id::Revision, Error> {
+    let Reply::Granted(lease) = node.store.call(Call::Grant { ttl: LEASE }).await? else {
+        return Err(Error::NoLease);
+    };
+    let standing = node.store.get(key).await?;
+    let expect = standing.map_or(0, |item| item.revision);
+    let mut own = write(key.to_owned(), value.clone());
+    own.lease = lease;
+    let txn = Txn {
+        expect: vec![(key.to_owned(), expect)],
+        writes: vec![own],
+        deletes: Vec::new(),
+    };
+    match node.store.call(Call::Commit(txn)).await? {
+        Reply::Committed(revision) => {
+            log::info!(lease, revision; "registered");
+            Ok(lease)
+        }
+        _ => Err(Error::NoLease),
+    }
+}
--- /dev/null
+++ b/src/serve/retire.rs
@@ -0,0 +1,55 @@
+//! Requests to empty a VM with a disk.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::jobs::write;
+use super::node::Node;
+use crate::clock;
+use crate::id;
+use crate::store::{Call, Txn};
+
+/// Tries to say that a VM is empty; over a minute of an outage of the store.
+const RETIRE_TRIES: usize = 200;
+
+/// By then the one before has written, or will not.
+const RETIRE_STEP: Duration = Duration::from_millis(300);
+
+/// Answers a request to empty a VM with a disk. All that must last lies in the metadata store, so
+/// such a VM never holds anything that has to be moved. The first VM in line says so, and the
+/// others after a pause if it has not.
+pub fn retire(node: &Node, vm: &str) {
+    let rank = node
+        .core
+        .borrow()
+        .peers
+        .rank(clock::now(), node.vm, id::of(vm));
+    let key = format!("{}{vm}", node.dialect.keys.retire_status);
+    let value = (node.dialect.retired)();
+    let store = node.store.clone();
+    let vm = vm.to_owned();
+    tokio::task::spawn_local(async move {
+        sleep(RETIRE_STEP * rank as u32).await;
+        for _ in 0..RETIRE_TRIES {
+            let expect = match store.get(&key).await {
+                Ok(Some(item)) if item.value == value => return,
+                Ok(found) => found.map_or(0, |item| item.revision),
+                Err(error) => {
+                    log::warn!(vm, error:% = error; "a VM's request to be emptied has to wait");
+                    sleep(RETIRE_STEP).await;
+                    continue;
+                }
+            };
+            let txn = Txn {
+                expect: vec![(key.clone(), expect)],
+                writes: vec![write(key.clone(), value.clone())],
+                deletes: Vec::new(),
+            };
+            match store.call(Call::Commit(txn)).await {
+                Ok(_) => log::info!(vm, rank; "the VM holds nothing"),
+                Err(error) => log::warn!(vm, error:% = error; "the VM's state can't be written"),
+            }
+        }
+    });
+}
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -1,18 +1,21 @@
-//! Follows the metadata store: rules, endpoints, jobs, the other VMs; keeps this VM registered.
+//! Follows the metadata store: rules, endpoints, jobs, the other VMs.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::Rng;
 use tokio::time::sleep;
 
-use super::dialect::VmRecord;
-use super::jobs::{decode, encode, write};
+use super::jobs::decode;
 use super::node::Node;
+use super::retire::retire;
 use crate::clock;
-use crate::decide::small_jobs::RECORDS;
-use crate::id::{self, Revision};
-use crate::store::{Call, Change, Error, Item, Reply, Txn};
+use crate::decide::discovery::Registration;
+use crate::decide::peers::VmRecord;
+use crate::decide::small_jobs::{record_key, RECORDS};
+use crate::id::{self, EndpointId, JobId, Revision};
+use crate::store::{Call, Change, Error, Item, Reply};
 use crate::util;
 
 /// Longest wait of one watch. It doesn't bound how late news may be: a connection that has gone
@@ -27,15 +30,8 @@
 const JOBS_PACE_READ: Duration = Duration::from_millis(500);
 /// The same while nobody reads: claims and ends of jobs have seconds.
 const JOBS_PACE: Duration = Duration::from_millis(1500);
-/// A watch that was given up because other calls on the store fail.
-const DOUBTED: &str = "other calls on the store fail";
 /// Prefix of the VMs' registrations.
-const VMS: &str = "small/vm/";
-/// Life of a registration. Its lapse is what lets other VMs take over, so it is short beside the
-/// time that a batch job has; three renewals fit into it.
-const LEASE: Duration = Duration::from_secs(3);
-/// Time between two renewals.
-const RENEW: Duration = Duration::from_millis(900);
+pub const VMS: &str = "small/vm/";
 
 /// What a follower is told.
 enum News {
@@ -60,7 +56,16 @@
                 .range(prefix)
                 .await
                 .map(|(items, at)| (News::All(items), at)),
-            Some(after) => watch(&node, prefix, after).await,
+            Some(after) => match watch(&node, prefix, after).await {
+                Ok(Some(told)) => Ok(told),
+                Ok(None) => {
+                    // What changed meanwhile may be missing from what a new watch is told: a store
+                    // that is about to drop its history tells waiting watches nothing of it.
+                    at = None;
+                    continue;
+                }
+                Err(error) => Err(error),
+            },
         };
         match told {
             Ok((news, revision)) => {
@@ -75,9 +80,6 @@
                     sleep(pace(&node)).await;
                 }
             }
-            // What changed meanwhile may be missing from what a new watch is told: a store that is
-            // about to drop its history tells waiting watches nothing of it.
-            Err(Error::Away { detail }) if detail == DOUBTED => at = None,
             Err(Error::Compacted) => {
                 log::info!(prefix; "the store has dropped its history: reading all again");
                 at = None;
@@ -96,7 +98,12 @@
     }
 }
 
-async fn watch(node: &Node, prefix: &str, after: Revision) -> Result<(News, Revision), Error> {
+/// One watch; `None` when it was given up because other calls on the store fail.
+async fn watch(
+    node: &Node,
+    prefix: &str,
+    after: Revision,
+) -> Result<Option<(News, Revision)>, Error> {
     let call = Call::Watch {
         prefix: prefix.into(),
         after,
@@ -104,12 +111,10 @@
     };
     let told = tokio::select! {
         told = node.store.call(call) => told?,
-        () = node.watch_again.notified() => {
-            return Err(Error::Away { detail: DOUBTED.into() });
-        }
+        () = node.watch_again.notified() => return Ok(None),
     };
     match told {
-        Reply::Changes { changes, at } => Ok((News::Changes(changes), at)),
+        Reply::Changes { changes, at } => Ok(Some((News::Changes(changes), at))),
         other => Err(Error::Unknown {
             detail: format!("a reply of another kind: {other:?}"),
         }),
@@ -156,49 +161,6 @@
     }
 }
 
-/// Answers a request to empty a VM with a disk. All that must last lies in the metadata store, so
-/// such a VM never holds anything that has to be moved. The first VM in line says so, and the
-/// others after a pause if it has not.
-fn retire(node: &Node, vm: &str) {
-    let rank = node
-        .core
-        .borrow()
-        .peers
-        .rank(clock::now(), node.vm, id::of(vm));
-    let key = format!("{}{vm}", node.dialect.keys.retire_status);
-    let value = (node.dialect.retired)();
-    let store = node.store.clone();
-    let vm = vm.to_owned();
-    tokio::task::spawn_local(async move {
-        sleep(RETIRE_STEP * rank as u32).await;
-        for _ in 0..RETIRE_TRIES {
-            let expect = match store.get(&key).await {
-                Ok(Some(item)) if item.value == value => return,
-                Ok(found) => found.map_or(0, |item| item.revision),
-                Err(error) => {
-                    log::warn!(vm, error:% = error; "a VM's request to be emptied has to wait");
-                    sleep(RETIRE_STEP).await;
-                    continue;
-                }
-            };
-            let txn = Txn {
-                expect: vec![(key.clone(), expect)],
-                writes: vec![write(key.clone(), value.clone())],
-                deletes: Vec::new(),
-            };
-            match store.call(Call::Commit(txn)).await {
-                Ok(_) => log::info!(vm, rank; "the VM holds nothing"),
-                Err(error) => log::warn!(vm, error:% = error; "the VM's state can't be written"),
-            }
-        }
-    });
-}
-
-/// By then the one before has written, or will not.
-const RETIRE_STEP: Duration = Duration::from_millis(300);
-/// Tries to say that a VM is empty; over a minute of an outage of the store.
-const RETIRE_TRIES: usize = 200;
-
 /// The endpoints.
 pub async fn endpoints(node: Rc<Node>) {
     let prefix = node.dialect.keys.endpoints;
@@ -224,14 +186,7 @@
     follow(node, prefix, at_once, take).await;
 }
 
-fn entry(
-    node: &Node,
-    item: &Item,
-) -> Option<(
-    id::EndpointId,
-    crate::decide::discovery::Registration,
-    Revision,
-)> {
+fn entry(node: &Node, item: &Item) -> Option<(EndpointId, Registration, Revision)> {
     let name = item.key.strip_prefix(node.dialect.keys.endpoints)?;
     match (node.dialect.registration)(name, &item.value) {
         Ok(registration) => Some((id::of(name), registration, item.revision)),
@@ -267,11 +222,11 @@
         let mut core = node.core.borrow_mut();
         let items: Vec<Item> = match news {
             News::All(items) => {
-                let gone = |id: &id::JobId| {
-                    let key = crate::decide::small_jobs::record_key(id);
+                let gone = |id: &JobId| {
+                    let key = record_key(id);
                     !items.iter().any(|item| item.key == key)
                 };
-                let missing: Vec<id::JobId> = core
+                let missing: Vec<JobId> = core
                     .jobs
                     .rows
                     .keys()
@@ -314,7 +269,7 @@
 
 /// The registrations of the other VMs.
 pub async fn vms(node: Rc<Node>) {
-    let mut known: std::collections::HashMap<String, VmRecord> = Default::default();
+    let mut known: HashMap<String, VmRecord> = HashMap::new();
     let take = move |node: &Node, news: News, _| {
         match news {
             News::All(items) => {
@@ -351,56 +306,3 @@
         }
     }
 }
-
-/// Keeps this VM registered under a lease until the process drains.
-pub async fn register(node: Rc<Node>) {
-    let key = format!("{VMS}{}", node.settings.name);
-    let record = VmRecord {
-        name: node.settings.name.clone(),
-        owner: node.owner,
-        gossip_address: node.settings.gossip_address,
-    };
-    let value = encode(&record);
-    let mut lease = 0;
-    loop {
-        let kept = match lease {
-            0 => Err(Error::NoLease),
-            lease => node.store.call(Call::Renew(lease)).await.map(|_| lease),
-        };
-        let outcome = match kept {
-            Err(Error::NoLease) => enter(&node, &key, &value).await,
-            other => other,
-        };
-        match outcome {
-            Ok(held) => lease = held,
-            Err(Error::NoLease) => lease = 0,
-            Err(error) => {
-                log::info!(error:% = error; "the registration could not be renewed");
-                node.store_failed();
-            }
-        }
-        sleep(RENEW).await;
-    }
-}
-
-async fn enter(node: &Node, key: &str, value: &bytes::Bytes) -> Result<id::Revision, Error> {
-    let Reply::Granted(lease) = node.store.call(Call::Grant { ttl: LEASE }).await? else {
-        return Err(Error::NoLease);
-    };
-    let standing = node.store.get(key).await?;
-    let expect = standing.map_or(0, |item| item.revision);
-    let mut own = write(key.to_owned(), value.clone());
-    own.lease = lease;
-    let txn = Txn {
-        expect: vec![(key.to_owned(), expect)],
-        writes: vec![own],
-        deletes: Vec::new(),
-    };
-    match node.store.call(Call::Commit(txn)).await? {
-        Reply::Committed(revision) => {
-            log::info!(lease, revision; "registered");
-            Ok(lease)
-        }
-        _ => Err(Error::NoLease),
-    }
-}
--- a/tests/route_rules.rs
+++ b/tests/route_rules.rs
@@ -13,7 +13,6 @@
         kind: RouteKind::Streaming,
         timeout: Duration::from_secs(5),
         goal: Duration::from_millis(300),
-        priority: 0,
         shares: vec![Share {
             service: 1,
             weight: 1.0,
