--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -15,6 +15,7 @@
 
 /// How far a failed try came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Reach {
     /// No byte can have reached the endpoint.
     NotSent,
--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -17,9 +17,10 @@
 use crate::clock;
 use crate::id::EndpointId;
 
-/// A listening process takes a connection within a round trip, milliseconds between failure domains;
-/// one that takes longer is dark or cut off.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// A listening process takes a connection within a round trip, milliseconds between failure domains,
+/// and a lost packet is sent again only after a second: waiting between the two gains nothing, and
+/// what is left of the time to the first event is needed for another endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long a connection is kept whose endpoint names no timeout.
 const IDLE_DEFAULT: Duration = Duration::from_secs(2);
 /// Part of the endpoint's own idle timeout after which a connection is not used again: a request
