Read once more after the store's watches may have been deaf

All watches were cut at 14.60 s (platform_compact), all VMs read again within 15 ms, version 13 was written 20 ms later and told to nobody; no VM had it 3.3 s on, so none could tell the others. Change: 1.2 s after any failure everything that is watched is read again.

--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -25,6 +25,8 @@
 /// Pause after a call that failed, drawn from here to three times that, so that all VMs together
 /// stay below the store's rates while it is away.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
+/// Time after a failure by which the store's watches hear again.
+const CONFIRM: Duration = Duration::from_millis(1200);
 /// Job records change several times a second; a watch that is set anew so much later brings several
 /// changes in one answer. Someone reads results here, and waits for them.
 const JOBS_PACE_READ: Duration = Duration::from_millis(500);
@@ -41,6 +43,11 @@
 }
 
 /// Follows one prefix until the process ends.
+///
+/// The failure: a store that is about to drop its history tells its watches nothing for a second, then
+/// cuts them, and what changes meanwhile is told to nobody. A watch that goes on from where it stood,
+/// or is set anew within that second, stays behind for as long as it waits. So all is read after a
+/// failure, and once more when that second is over.
 async fn follow(
     node: Rc<Node>,
     prefix: &'static str,
@@ -49,19 +56,26 @@
 ) {
     let mut at: Option<Revision> = None;
     let mut away = false;
+    // When all is read once more after a failure.
+    let mut confirm_at: Option<Duration> = None;
     loop {
+        let now = clock::now();
+        if confirm_at.is_some_and(|due| now >= due) {
+            confirm_at = None;
+            at = None;
+        }
+        let wait = confirm_at.map_or(WAIT, |due| due.saturating_sub(now).min(WAIT));
         let told = match at {
             None => node
                 .store
                 .range(prefix)
                 .await
                 .map(|(items, at)| (News::All(items), at)),
-            Some(after) => match watch(&node, prefix, after).await {
+            Some(after) => match watch(&node, prefix, after, wait).await {
                 Ok(Some(told)) => Ok(told),
                 Ok(None) => {
-                    // What changed meanwhile may be missing from what a new watch is told: a store
-                    // that is about to drop its history tells waiting watches nothing of it.
                     at = None;
+                    confirm_at = Some(clock::now() + CONFIRM);
                     continue;
                 }
                 Err(error) => Err(error),
@@ -90,6 +104,7 @@
                     away = true;
                 }
                 at = None;
+                confirm_at = Some(clock::now() + CONFIRM);
                 node.store_failed();
                 let pause = FAILED_PAUSE.mul_f64(util::rng().random_range(1.0..3.0));
                 sleep(pause).await;
@@ -98,16 +113,17 @@
     }
 }
 
-/// One watch; `None` when it was given up because other calls on the store fail.
+/// One watch, for as long as `wait`; `None` when it was given up because other calls on the store fail.
 async fn watch(
     node: &Node,
     prefix: &str,
     after: Revision,
+    wait: Duration,
 ) -> Result<Option<(News, Revision)>, Error> {
     let call = Call::Watch {
         prefix: prefix.into(),
         after,
-        wait: WAIT,
+        wait,
     };
     let told = tokio::select! {
         told = node.store.call(call) => told?,
