Refuse a job that names an item twice

Cause: found on reading: the record's invariant that no id stands twice was stated and not checked; such a job was answered 202, and its item would be listed at two positions. Change: it is answered 400, logged with the item; test wrong_jobs_refused failed before.

--- a/src/decide/small_jobs.rs
+++ b/src/decide/small_jobs.rs
@@ -4,6 +4,8 @@
 //! with its items and its results. Each transition is a pure function from the record that stands
 //! to the one that takes its place.
 
+use std::collections::HashSet;
+
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
@@ -227,6 +229,13 @@
     }
 }
 
+/// The first id that two items share.
+pub fn named_twice(items: &[Item]) -> Option<&Name> {
+    let mut seen = HashSet::new();
+    let mut ids = items.iter().map(|item| &item.id);
+    ids.find(|id| !seen.insert(*id))
+}
+
 /// Cuts items into parts that a value of the store holds; `None` when one item alone is too large.
 pub fn body_parts(items: &[Item]) -> Option<Vec<Vec<Item>>> {
     let mut parts: Vec<Vec<Item>> = Vec::new();
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -125,6 +125,10 @@
             return replies::refusal(Kind::BadRequest, true, None);
         }
     };
+    if let Some(item) = small_jobs::named_twice(&items) {
+        log::info!(job = *id, item = **item; "job refused: an item is named twice");
+        return replies::refusal(Kind::BadRequest, true, None);
+    }
     let parts = match small_jobs::body_parts(&items) {
         Some(parts) if items.len() <= small_jobs::ITEMS_MAX && !items.is_empty() => parts,
         _ => return replies::refusal(Kind::TooLarge, true, None),
