One piece of code where the adapter's change had two

Read once more; behaviour stays, but for the wording of one log line's error. - serve/ask.rs asks another VM, in place of twins in peers and relay; the key is derived once a process, not at each question. - jobs are accepted by the same write as every other change of a record; a job that can't be found is answered in one place. - one loop serves all pages; one way to an item's progress; one check of stop times and gossip address. - a request's headers and body are no longer copied for each try (the try holds the request). - gone: Call::Revoke and a copy of heartbeat rows that nobody used, Passed, the answer of take_rules.

--- a/src/http.rs
+++ b/src/http.rs
@@ -19,14 +19,18 @@
     pub body: Bytes,
 }
 
+/// The first header of that name, whatever its case.
+pub fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    let found = headers
+        .iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value.as_str())
+}
+
 impl Request {
     /// The first header of that name, whatever its case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self
-            .headers
-            .iter()
-            .find(|(key, _)| key.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.as_str())
+        header(&self.headers, name)
     }
 
     /// The target without its query.
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -43,8 +43,7 @@
     let (sender, lines) = mpsc::sync_channel::<String>(LINES_WAITING);
     let gate = Mutex::new(Gate::default());
     let output = fern::Output::call(move |record| {
-        let passed = lock(&gate).pass(clock::now());
-        let Passed::Line { dropped } = passed else {
+        let Some(dropped) = lock(&gate).pass(clock::now()) else {
             return;
         };
         if dropped > 0 {
@@ -82,28 +81,19 @@
     dropped: u32,
 }
 
-enum Passed {
-    /// With the number of lines that were dropped before it.
-    Line {
-        dropped: u32,
-    },
-    Dropped,
-}
-
 impl Gate {
-    fn pass(&mut self, now: Duration) -> Passed {
+    /// Whether a line passes, and then how many were dropped before it.
+    fn pass(&mut self, now: Duration) -> Option<u32> {
         if now.as_secs() != self.second {
             self.second = now.as_secs();
             self.passed = 0;
         }
         if self.passed >= LINES_PER_S {
             self.dropped += 1;
-            return Passed::Dropped;
+            return None;
         }
         self.passed += 1;
-        Passed::Line {
-            dropped: std::mem::take(&mut self.dropped),
-        }
+        Some(std::mem::take(&mut self.dropped))
     }
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -3,6 +3,7 @@
 //! A deployment's adapter supplies the [`dialect::Dialect`] and the [`crate::store::Store`]; all else
 //! is the same everywhere. What decides is in [`crate::decide`].
 
+pub mod ask;
 pub mod body;
 pub mod callers;
 pub mod counters;
@@ -79,11 +80,11 @@
     spawn_local(callers::serve(node.clone(), callers));
     spawn_local(inside::serve(node.clone(), ready, inside::readiness));
     spawn_local(inside::serve(node.clone(), operators, inside::operators));
-    spawn_local(inside::serve_peers(node.clone(), peers));
+    spawn_local(inside::serve(node.clone(), peers, inside::peers));
     spawn_local(peers::send(node.clone(), socket.clone()));
     spawn_local(peers::receive(node.clone(), socket));
     spawn_local(peers::fetch(node.clone()));
-    spawn_local(watch::operators(node.clone(), node.dialect.keys.operators));
+    spawn_local(watch::operators(node.clone()));
     spawn_local(watch::endpoints(node.clone()));
     spawn_local(watch::jobs(node.clone()));
     spawn_local(watch::vms(node.clone()));
--- /dev/null
+++ b/src/serve/ask.rs
@@ -0,0 +1,69 @@
+//! Questions to other VMs, by TCP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode, Uri};
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use tokio::time::timeout;
+
+use super::node::Node;
+use super::pool::{self, Connection};
+use super::replies::{self, Reply};
+use crate::wire;
+
+/// Why another VM brought no answer.
+#[derive(Debug, Snafu)]
+pub enum AskError {
+    #[snafu(display("{source}"), context(false))]
+    Connection { source: pool::Error },
+    #[snafu(display("{source}"), context(false))]
+    Message { source: wire::Error },
+    #[snafu(display("{source}"), context(false))]
+    Http { source: hyper::Error },
+    #[snafu(display("the path is none: {source}"), context(false))]
+    Path {
+        source: hyper::http::uri::InvalidUri,
+    },
+    #[snafu(display("answered {status}"))]
+    Refused { status: StatusCode },
+    #[snafu(display("no answer in time"), context(false))]
+    Late { source: tokio::time::error::Elapsed },
+}
+
+/// Asks another VM; `body` is sealed, or empty where the path says all.
+pub async fn ask<T: DeserializeOwned>(
+    node: &Node,
+    to: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+    within: Duration,
+) -> Result<T, AskError> {
+    let exchanged = async {
+        let mut connection = Connection::open(&to.to_string()).await?;
+        let mut request = Request::new(Full::new(Bytes::from(body)));
+        *request.uri_mut() = path.parse::<Uri>()?;
+        let answer = connection.send(request).await?;
+        if answer.status() != StatusCode::OK {
+            let status = answer.status();
+            return RefusedSnafu { status }.fail();
+        }
+        Ok(answer.into_body().collect().await?.to_bytes())
+    };
+    let sealed = timeout(within, exchanged).await??;
+    Ok(node.key.open(&sealed)?)
+}
+
+/// The answer to such a question.
+pub fn reply(sealed: Result<Vec<u8>, wire::Error>) -> Reply {
+    match sealed {
+        Ok(sealed) => replies::bytes(sealed.into()),
+        Err(error) => {
+            log::error!(error:% = error; "another VM can't be answered");
+            replies::empty(500)
+        }
+    }
+}
--- a/src/serve/inside.rs
+++ b/src/serve/inside.rs
@@ -1,6 +1,7 @@
 //! The pages for the balancer, for operators and for other VMs.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,9 +25,6 @@
 use crate::decide::endpoints::Endpoint;
 use crate::decide::online::Waiting;
 
-/// What answers a path.
-pub type Pages = fn(&Node, &str) -> Reply;
-
 /// What the process knows and does, for operators.
 #[derive(Serialize)]
 struct Dump {
@@ -76,33 +74,19 @@
     }
 }
 
-/// Serves other VMs until the process ends.
-pub async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let stream = accept(&listener).await;
-        let node = node.clone();
-        spawn_local(async move {
-            let service = service_fn(|request: Request<Incoming>| {
-                let node = node.clone();
-                async move { Ok::<Reply, Infallible>(peers(&node, request).await) }
-            });
-            // An error is an asker that broke off.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
-}
-
 /// Serves pages on one listener until the process ends.
-pub async fn serve(node: Rc<Node>, listener: TcpListener, pages: Pages) {
+pub async fn serve<F: Future<Output = Reply> + 'static>(
+    node: Rc<Node>,
+    listener: TcpListener,
+    pages: impl Fn(Rc<Node>, Request<Incoming>) -> F + Copy + 'static,
+) {
     loop {
         let stream = accept(&listener).await;
         let node = node.clone();
         spawn_local(async move {
-            let service = service_fn(|request: Request<Incoming>| {
-                let reply = pages(&node, request.uri().path());
-                async move { Ok::<Reply, Infallible>(reply) }
+            let service = service_fn(|request| {
+                let reply = pages(node.clone(), request);
+                async move { Ok::<Reply, Infallible>(reply.await) }
             });
             // An error is an asker that broke off.
             let _ = http1::Builder::new()
@@ -113,7 +97,7 @@
 }
 
 /// Whether new callers may be sent here.
-pub fn readiness(node: &Node, _path: &str) -> Reply {
+pub async fn readiness(node: Rc<Node>, _request: Request<Incoming>) -> Reply {
     match node.ready() {
         true => replies::empty(200),
         false => replies::empty(503),
@@ -121,20 +105,19 @@
 }
 
 /// Metrics and the dump.
-pub fn operators(node: &Node, path: &str) -> Reply {
-    match path {
+pub async fn operators(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+    match request.uri().path() {
         "/metrics" => replies::bytes(Bytes::from(node.counters.metrics.page().body)),
-        "/dump" => replies::json(200, Bytes::from(dump(node))),
+        "/dump" => replies::json(200, Bytes::from(dump(&node))),
         _ => replies::empty(404),
     }
 }
 
 /// What other VMs ask for.
-async fn peers(node: &Node, request: Request<Incoming>) -> Reply {
-    let path = request.uri().path().to_owned();
-    match path.as_str() {
-        relay::PATH => relay::answer(node, request.into_body()).await,
-        path => peers::answer(node, path),
+pub async fn peers(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+    match request.uri().path() {
+        relay::PATH => relay::answer(&node, request.into_body()).await,
+        path => peers::answer(&node, path),
     }
 }
 
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -19,7 +19,7 @@
 use crate::decide::routes::Route;
 use crate::decide::small_jobs::{self, body_key, record_key, Item, Record};
 use crate::id::{JobId, Name, Revision};
-use crate::store::{self, Settled, Txn, Write};
+use crate::store::{Settled, Txn, Write};
 use crate::util;
 
 /// How long a submission or an end may take to be settled at the store; callers wait 4 s at most.
@@ -89,6 +89,17 @@
             }
         }
     }
+
+    /// The record of a job and the revision at which it stands.
+    pub fn standing(&self, job: &JobId) -> Option<(Rc<Record>, Revision)> {
+        let row = self.rows.get(job)?;
+        Some((row.record.clone(), row.revision))
+    }
+
+    /// The host that a job was submitted to.
+    pub fn host(&self, job: &JobId) -> Option<Name> {
+        Some(self.rows.get(job)?.record.host.clone())
+    }
 }
 
 /// Reads a record; `None` when it can't be understood, which is logged.
@@ -176,40 +187,20 @@
 /// Writes record and items in one transaction, and answers by how that ended.
 async fn accept(node: Rc<Node>, record: Record, parts: Vec<Vec<Item>>) -> Reply {
     let id = record.id.clone();
-    let key = record_key(&id);
-    let mut writes = vec![write(key.clone(), encode(&record))];
-    for (number, part) in parts.iter().enumerate() {
-        writes.push(write(body_key(&id, number as u32), encode(part)));
-    }
-    let txn = Txn {
-        expect: vec![(key.clone(), 0)],
-        writes: writes.clone(),
-        deletes: Vec::new(),
-    };
+    let part = |(number, part)| write(body_key(&id, number as u32), encode(part));
+    let writes = parts.iter().enumerate().map(part).collect();
     let started = clock::now();
-    let settled = node.store.commit(txn, SETTLE_MAX).await;
+    let settled = replace_with(&node, &record, 0, writes).await;
     let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
     let items = record.items.len();
     match settled {
         Settled::Won(revision) => {
             log::info!(job = *id, items, revision, took_ms; "job accepted");
-            let mut core = node.core.borrow_mut();
-            for part in writes.into_iter().skip(1) {
-                core.jobs.parts.keep(part.key, part.value);
-            }
-            core.jobs.take(clock::now(), record, revision);
-            drop(core);
-            node.tell_peers.notify_one();
             runs::adopt(&node, &id);
             replies::empty(202)
         }
-        Settled::Lost(found) => {
+        Settled::Lost(_) => {
             log::info!(job = *id, took_ms; "job had been accepted before");
-            if let Some((item, record)) = found.and_then(|i| decode(&key, &i.value).map(|r| (i, r)))
-            {
-                let mut core = node.core.borrow_mut();
-                core.jobs.take(clock::now(), record, item.revision);
-            }
             replies::empty(202)
         }
         Settled::Away(detail) => {
@@ -234,38 +225,36 @@
     }
 }
 
-/// The job's record from the table, else from the store.
-async fn find(node: &Rc<Node>, job: &JobId) -> Result<Option<Rc<Record>>, store::Error> {
-    let known = node
-        .core
-        .borrow()
-        .jobs
-        .rows
-        .get(job)
-        .map(|job| job.record.clone());
+/// The job's record from the table, else from the store, else what to answer instead.
+async fn find(node: &Rc<Node>, job: &JobId) -> Result<Rc<Record>, Reply> {
+    let known = node.core.borrow().jobs.standing(job);
     match known {
-        Some(record) => Ok(Some(record)),
+        Some((record, _)) => Ok(record),
         None => reread(node, job).await,
     }
 }
 
-/// The job's record from the store.
-async fn reread(node: &Rc<Node>, job: &JobId) -> Result<Option<Rc<Record>>, store::Error> {
+/// The job's record from the store, else what to answer instead: 404 only on the store's word.
+async fn reread(node: &Rc<Node>, job: &JobId) -> Result<Rc<Record>, Reply> {
     let key = record_key(job);
-    let Some(item) = node.store.get(&key).await? else {
-        return Ok(None);
+    let item = match node.store.get(&key).await {
+        Ok(Some(item)) => item,
+        Ok(None) => return Err(replies::refusal(Kind::NotFound, true, None)),
+        Err(error) => return Err(away(node, job, &error.to_string())),
     };
     let Some(record) = decode(&key, &item.value) else {
-        let detail = "a record that can't be read".into();
-        return Err(store::Error::Away { detail });
+        return Err(away(node, job, "a record that can't be read"));
     };
     let mut core = node.core.borrow_mut();
     core.jobs.take(clock::now(), record, item.revision);
-    Ok(core.jobs.rows.get(job).map(|job| job.record.clone()))
+    let standing = core.jobs.standing(job);
+    standing
+        .map(|(record, _)| record)
+        .ok_or_else(|| replies::refusal(Kind::NotFound, true, None))
 }
 
-fn away(node: &Node, job: &str, error: &store::Error) -> Reply {
-    log::warn!(job, error:% = error; "job can't be read: the store is away");
+fn away(node: &Node, job: &str, detail: &str) -> Reply {
+    log::warn!(job, error = detail; "job can't be read: the store is away");
     node.store_failed();
     replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY))
 }
@@ -275,9 +264,8 @@
     let until = clock::now() + wait.min(WAIT_MAX);
     let record = loop {
         let record = match find(&node, &job).await {
-            Ok(Some(record)) => record,
-            Ok(None) => return replies::refusal(Kind::NotFound, true, None),
-            Err(error) => return away(&node, &job, &error),
+            Ok(record) => record,
+            Err(reply) => return reply,
         };
         let listed = record.listed.len();
         if listed > after || (record.ended() && listed == after) {
@@ -302,9 +290,8 @@
             break record;
         }
         match reread(&node, &job).await {
-            Ok(Some(record)) => break record,
-            Ok(None) => return replies::refusal(Kind::NotFound, true, None),
-            Err(error) => return away(&node, &job, &error),
+            Ok(record) => break record,
+            Err(reply) => return reply,
         }
     };
     page(&node, &record, after).await
@@ -394,9 +381,8 @@
 /// Answers with the body of an item.
 pub async fn item_body(node: Rc<Node>, job: JobId, item: Name) -> Reply {
     let record = match find(&node, &job).await {
-        Ok(Some(record)) => record,
-        Ok(None) => return replies::refusal(Kind::NotFound, true, None),
-        Err(error) => return away(&node, &job, &error),
+        Ok(record) => record,
+        Err(reply) => return reply,
     };
     let index = record.items.iter().position(|known| *known == item);
     let place = index.and_then(|index| record.body_place(index as u32));
@@ -423,20 +409,14 @@
 pub async fn cancel(node: Rc<Node>, job: JobId) -> Reply {
     for _ in 0..CANCEL_TRIES {
         let record = match find(&node, &job).await {
-            Ok(Some(record)) => record,
-            Ok(None) => return replies::refusal(Kind::NotFound, true, None),
-            Err(error) => return away(&node, &job, &error),
+            Ok(record) => record,
+            Err(reply) => return reply,
         };
         let Some(ended) = record.cancel(util::nonce()) else {
             return replies::empty(200);
         };
-        let revision = node
-            .core
-            .borrow()
-            .jobs
-            .rows
-            .get(&job)
-            .map_or(0, |job| job.revision);
+        let standing = node.core.borrow().jobs.standing(&job);
+        let revision = standing.map_or(0, |(_, revision)| revision);
         match replace(&node, &ended, revision).await {
             Settled::Won(_) => {
                 log::info!(job = *job, listed = ended.listed.len(); "job ended by its caller");
@@ -445,9 +425,7 @@
             }
             // Another writer came first; its record is in the table now.
             Settled::Lost(_) => {}
-            Settled::Away(detail) | Settled::Unknown(detail) => {
-                return away(&node, &job, &store::Error::Away { detail })
-            }
+            Settled::Away(detail) | Settled::Unknown(detail) => return away(&node, &job, &detail),
         }
     }
     replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY))
@@ -458,7 +436,7 @@
     replace_with(node, record, revision, Vec::new()).await
 }
 
-/// Like [`replace`], with parts in the same transaction.
+/// Like [`replace`], with parts in the same transaction, which are kept in memory once they stand.
 pub async fn replace_with(
     node: &Rc<Node>,
     record: &Record,
@@ -467,7 +445,7 @@
 ) -> Settled {
     let key = record_key(&record.id);
     let mut writes = vec![write(key.clone(), encode(record))];
-    writes.extend(parts);
+    writes.extend(parts.iter().cloned());
     let txn = Txn {
         expect: vec![(key.clone(), revision)],
         writes,
@@ -479,6 +457,9 @@
     match &settled {
         Settled::Won(revision) => {
             core.jobs.take(now, record.clone(), *revision);
+            for part in parts {
+                core.jobs.parts.keep(part.key, part.value);
+            }
             node.tell_peers.notify_one();
         }
         Settled::Lost(Some(found)) => {
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -28,6 +28,7 @@
 use crate::settings;
 use crate::store::Store;
 use crate::util;
+use crate::wire::Key;
 
 /// Requests that may wait at one VM for each service. A queue that long lasts for well over the
 /// time to first token that any route asks for; admission by expected wait closes far earlier.
@@ -78,6 +79,8 @@
     pub domain: DomainId,
     /// Drawn at each start.
     pub owner: OwnerId,
+    /// Seals what goes to other VMs.
+    pub key: Key,
     /// Callers' requests in hand.
     pub busy: Cell<usize>,
     /// Whether new connections are taken.
@@ -124,6 +127,7 @@
             vm: id::of(&settings.name),
             domain,
             owner: util::nonce() | 1,
+            key: Key::new(&settings.cluster_key),
             dialect,
             store: relayed(own_store.clone(), {
                 let node = node.clone();
@@ -162,11 +166,11 @@
     }
 
     /// Takes rules unless they are older than those in force: a process never goes back.
-    pub fn take_rules(&self, rules: Rules, from: &str) -> bool {
+    pub fn take_rules(&self, rules: Rules, from: &str) {
         let mut core = self.core.borrow_mut();
         let known = core.routes.as_ref().map(|table| table.rules.version);
         if known.is_some_and(|known| rules.version <= known) {
-            return false;
+            return;
         }
         log::info!(version = rules.version, before = known.unwrap_or(0), from; "rules taken");
         core.online.services = services(&rules);
@@ -174,7 +178,6 @@
         drop(core);
         self.tell_peers.notify_one();
         self.plan_items.notify_one();
-        true
     }
 
     /// Lays out the endpoints anew after a change.
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -54,7 +54,7 @@
         kind: route.kind,
         resumable: route.kind == RouteKind::Streaming && route.resumable,
         last_event: ask.last_event,
-        out,
+        out: Rc::new(out),
         arrived_at: now,
         deadline: now + patience,
         head: Some(head_sender),
@@ -135,7 +135,7 @@
     resumable: bool,
     /// The last event that the caller has.
     last_event: Option<u64>,
-    out: Outgoing,
+    out: Rc<Outgoing>,
     arrived_at: Duration,
     deadline: Duration,
     /// Taken once an answer began.
@@ -308,11 +308,7 @@
         if again || self.head.is_none() {
             let detail = format!("answered {}", head.status.as_u16());
             self.kept = Some((head, bytes));
-            let reach = match self.head {
-                Some(_) => Reach::MaybeSent,
-                None => Reach::Answering,
-            };
-            return Tried::Failed(Failure::blamed(reach, detail));
+            return Tried::Failed(Failure::blamed(self.reach(), detail));
         }
         self.node.tell(Event::FirstToken {
             request: self.request,
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -6,14 +6,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, StatusCode};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
+use super::ask::{ask, reply};
 use super::node::{note_uses, Node, Stage};
-use super::pool::Connection;
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::discovery::Registration;
@@ -22,7 +21,7 @@
 use crate::decide::routes::Rules;
 use crate::decide::usage::Use;
 use crate::id::{self, EndpointId, OwnerId, Revision};
-use crate::wire::{Key, DATAGRAM_BYTES};
+use crate::wire::DATAGRAM_BYTES;
 
 /// Time between two heartbeats while nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(500);
@@ -55,14 +54,11 @@
 
 /// Sends heartbeats until the process ends.
 pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let key = Key::new(&node.settings.cluster_key);
     let mut sequence = 0;
-    let mut last: Vec<Row> = Vec::new();
     loop {
         sequence += 1;
         let beat = heartbeat(&node, sequence);
-        last.clone_from(&beat.rows);
-        match key.seal(&beat) {
+        match node.key.seal(&beat) {
             Ok(sealed) if sealed.len() <= DATAGRAM_BYTES => {
                 let targets = node.core.borrow().peers.targets();
                 for to in targets {
@@ -124,7 +120,6 @@
 
 /// Takes heartbeats until the process ends.
 pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let key = Key::new(&node.settings.cluster_key);
     let mut buffer = [0; DATAGRAM_BYTES];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -135,7 +130,7 @@
                 continue;
             }
         };
-        match key.open::<Heartbeat>(&buffer[..length]) {
+        match node.key.open::<Heartbeat>(&buffer[..length]) {
             Ok(beat) => heard(&node, from, beat),
             Err(error) => log::warn!(from:% = from, error:% = error; "a datagram was not taken"),
         }
@@ -195,13 +190,13 @@
 }
 
 async fn fetch_rules(node: &Rc<Node>, from: SocketAddr) {
-    if let Some(rules) = ask::<Rules>(node, from, RULES_PATH).await {
+    if let Some(rules) = fetch_from::<Rules>(node, from, RULES_PATH).await {
         node.take_rules(rules, "peer");
     }
 }
 
 async fn fetch_endpoints(node: &Rc<Node>, from: SocketAddr) {
-    let Some(told) = ask::<Endpoints>(node, from, ENDPOINTS_PATH).await else {
+    let Some(told) = fetch_from::<Endpoints>(node, from, ENDPOINTS_PATH).await else {
         return;
     };
     let changed = {
@@ -219,33 +214,14 @@
 /// Asks the living owner of a job for a part that it has in memory.
 pub async fn ask_part(node: &Node, owner: OwnerId, key: &str) -> Option<Bytes> {
     let from = node.core.borrow().peers.address(clock::now(), owner)?;
-    ask::<Bytes>(node, from, &format!("{PART_PATH}{key}")).await
+    fetch_from(node, from, &format!("{PART_PATH}{key}")).await
 }
 
-async fn ask<T: serde::de::DeserializeOwned>(
-    node: &Node,
-    from: SocketAddr,
-    path: &str,
-) -> Option<T> {
-    let key = Key::new(&node.settings.cluster_key);
-    let answer = timeout(FETCH_TIMEOUT, async {
-        let mut connection = Connection::open(&from.to_string()).await.ok()?;
-        let request = Request::get(path).body(Full::new(Bytes::new())).ok()?;
-        let response = connection.send(request).await.ok()?;
-        if response.status() != StatusCode::OK {
-            return None;
-        }
-        Some(response.into_body().collect().await.ok()?.to_bytes())
-    });
-    let opened = match answer.await {
-        Ok(Some(sealed)) => key.open(&sealed).map_err(|error| error.to_string()),
-        Ok(None) => Err("no answer".into()),
-        Err(_) => Err("no answer in time".into()),
-    };
-    match opened {
+async fn fetch_from<T: DeserializeOwned>(node: &Node, from: SocketAddr, path: &str) -> Option<T> {
+    match ask(node, from, path, Vec::new(), FETCH_TIMEOUT).await {
         Ok(told) => Some(told),
         Err(error) => {
-            log::info!(from:% = from, path, error; "another VM could not be asked");
+            log::info!(from:% = from, path, error:% = error; "another VM could not be asked");
             None
         }
     }
@@ -254,7 +230,7 @@
 /// Answers another VM.
 pub fn answer(node: &Node, path: &str) -> Reply {
     let core = node.core.borrow();
-    let key = Key::new(&node.settings.cluster_key);
+    let key = &node.key;
     let sealed = match path {
         RULES_PATH => core.routes.as_ref().map(|table| key.seal(&table.rules)),
         ENDPOINTS_PATH => Some(key.seal(&Endpoints {
@@ -267,12 +243,5 @@
             kept.map(|part| key.seal(&part))
         }
     };
-    match sealed {
-        Some(Ok(sealed)) => replies::bytes(sealed.into()),
-        Some(Err(error)) => {
-            log::error!(path, error:% = error; "another VM can't be answered");
-            replies::empty(500)
-        }
-        None => replies::empty(404),
-    }
+    sealed.map_or_else(|| replies::empty(404), reply)
 }
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -7,40 +7,25 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::Request;
-use snafu::Snafu;
-use tokio::time::timeout;
 
+use super::ask::{ask, reply};
 use super::node::Node;
-use super::pool::{self, Connection};
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::store::{self, Call, Error, Store};
-use crate::wire::{self, Key};
 
 /// Path under which another VM is asked to make a call.
 pub const PATH: &str = "/store";
 /// Time for the other VM's own call and the way there and back.
 const TIMEOUT: Duration = Duration::from_millis(1500);
+/// What a call brings.
+type Outcome = Result<store::Reply, Error>;
+
 /// Largest call: a transaction with the parts of a job.
 const CALL_BYTES_MAX: usize = 16 * 1024 * 1024;
 
-/// Why another VM brought no answer.
-#[derive(Debug, Snafu)]
-enum RelayError {
-    #[snafu(display("{source}"), context(false))]
-    Connection { source: pool::Error },
-    #[snafu(display("{source}"), context(false))]
-    Message { source: wire::Error },
-    #[snafu(display("{source}"), context(false))]
-    Http { source: hyper::Error },
-    #[snafu(display("no answer in time"), context(false))]
-    Late { source: tokio::time::error::Elapsed },
-}
-
 /// A store that asks another VM when `own` doesn't answer.
 pub fn relayed(own: Store, node: impl Fn() -> Option<Rc<Node>> + 'static) -> Store {
     let node = Rc::new(node);
@@ -64,17 +49,17 @@
 
 /// Asks another VM. A transaction that may have taken effect can be sent once more: its condition
 /// holds for one of the two at most, and whoever settles it reads back.
-async fn relay(
-    node: &Node,
-    call: Call,
-    first: Result<store::Reply, Error>,
-) -> Result<store::Reply, Error> {
+async fn relay(node: &Node, call: Call, first: Outcome) -> Outcome {
     let to = node.core.borrow().peers.with_store(clock::now());
     let Some(to) = to else {
         return first;
     };
     let kind: &'static str = (&call).into();
-    match ask(node, &to.to_string(), &call).await {
+    let asked = match node.key.seal(&call) {
+        Ok(sealed) => ask::<Outcome>(node, to, PATH, sealed, TIMEOUT).await,
+        Err(error) => Err(error.into()),
+    };
+    match asked {
         // What the first try left in doubt stays in doubt.
         Ok(Err(Error::Away { .. })) => first,
         Ok(reply) => {
@@ -89,44 +74,18 @@
     }
 }
 
-async fn ask(
-    node: &Node,
-    to: &str,
-    call: &Call,
-) -> Result<Result<store::Reply, Error>, RelayError> {
-    let key = Key::new(&node.settings.cluster_key);
-    let sealed = key.seal(call)?;
-    let exchanged = async {
-        let mut connection = Connection::open(to).await?;
-        let mut request = Request::new(Full::new(Bytes::from(sealed)));
-        *request.uri_mut() = hyper::Uri::from_static(PATH);
-        let answer = connection.send(request).await?;
-        let body = answer.into_body().collect().await?.to_bytes();
-        Ok::<Bytes, RelayError>(body)
-    };
-    let sealed = timeout(TIMEOUT, exchanged).await??;
-    Ok(key.open(&sealed)?)
-}
-
 /// Makes a call for another VM, by the own way only.
 pub async fn answer(node: &Node, body: Incoming) -> Reply {
-    let key = Key::new(&node.settings.cluster_key);
     let Ok(body) = Limited::new(body, CALL_BYTES_MAX).collect().await else {
         return replies::empty(400);
     };
-    let call = match key.open::<Call>(&body.to_bytes()) {
+    let call = match node.key.open::<Call>(&body.to_bytes()) {
         Ok(call) => call,
         Err(error) => {
             log::warn!(error:% = error; "another VM's store call can't be read");
             return replies::empty(400);
         }
     };
-    let outcome = node.own_store.call(call).await;
-    match key.seal(&outcome) {
-        Ok(sealed) => replies::bytes(sealed.into()),
-        Err(error) => {
-            log::error!(error:% = error; "another VM can't be answered");
-            replies::empty(500)
-        }
-    }
+    let outcome: Outcome = node.own_store.call(call).await;
+    reply(node.key.seal(&outcome))
 }
--- a/src/serve/runs.rs
+++ b/src/serve/runs.rs
@@ -66,6 +66,23 @@
     orphans: RefCell<HashMap<JobId, Duration>>,
 }
 
+impl Runs {
+    /// Does something with what an item has so far; `None` when it is not run here.
+    fn with_progress<T>(&self, key: &ItemKey, act: impl FnOnce(&mut Progress) -> T) -> Option<T> {
+        let mut owned = self.owned.borrow_mut();
+        let progress = owned.get_mut(&key.job)?.progress.get_mut(&key.item)?;
+        Some(act(progress))
+    }
+
+    /// Ends the run of an item. Its connection is dropped, which tells the endpoint to stop.
+    fn abort(&self, key: &ItemKey) {
+        let run = self.with_progress(key, |progress| progress.run.take());
+        if let Some(run) = run.flatten() {
+            run.abort();
+        }
+    }
+}
+
 /// Stops all that runs of a job, and forgets it.
 pub fn forget(node: &Node, job: &JobId) {
     let Some(owned) = node.runs.owned.borrow_mut().remove(job) else {
@@ -159,15 +176,7 @@
 }
 
 fn stop(node: &Node, now: Duration, key: &ItemKey) {
-    let mut owned = node.runs.owned.borrow_mut();
-    let progress = owned
-        .get_mut(&key.job)
-        .and_then(|job| job.progress.get_mut(&key.item));
-    let run = progress.and_then(|progress| progress.run.take());
-    if let Some(run) = run {
-        // Drops the connection, which tells the endpoint to stop.
-        run.abort();
-    }
+    node.runs.abort(key);
     node.counters.items.with_label_values(&["yielded"]).inc();
     log::info!(job = *key.job, item = key.item; "item made way");
     node.core.borrow_mut().items.paused(now, key, false);
@@ -242,14 +251,7 @@
     };
     for key in late {
         log::info!(job = *key.job, item = key.item; "item given up: its retention has passed");
-        let mut owned = node.runs.owned.borrow_mut();
-        let progress = owned
-            .get_mut(&key.job)
-            .and_then(|job| job.progress.get_mut(&key.item));
-        if let Some(run) = progress.and_then(|progress| progress.run.take()) {
-            run.abort();
-        }
-        drop(owned);
+        node.runs.abort(&key);
         finish(node, &key, Outcome::Errored);
     }
 }
--- a/src/serve/runs/claims.rs
+++ b/src/serve/runs/claims.rs
@@ -28,12 +28,9 @@
 
 /// Takes a job on whose record names this process.
 pub fn adopt(node: &Rc<Node>, job: &JobId) {
-    let record = {
-        let core = node.core.borrow();
-        let Some(row) = core.jobs.rows.get(job) else {
-            return;
-        };
-        row.record.clone()
+    let standing = node.core.borrow().jobs.standing(job);
+    let Some((record, _)) = standing else {
+        return;
     };
     let runs = &node.runs;
     let mine = record.owner == node.owner && !record.ended();
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -55,7 +55,8 @@
         None => End::Rejected,
     };
     let now = clock::now();
-    ended(&node, &key);
+    node.runs
+        .with_progress(&key, |progress| progress.run = None);
     let what = match &end {
         End::Complete => "completed",
         End::Rejected => "rejected",
@@ -101,17 +102,6 @@
     node.tell_peers.notify_one();
 }
 
-/// The run is over, whatever it brought.
-fn ended(node: &Node, key: &ItemKey) {
-    let mut owned = node.runs.owned.borrow_mut();
-    let progress = owned
-        .get_mut(&key.job)
-        .and_then(|job| job.progress.get_mut(&key.item));
-    if let Some(progress) = progress {
-        progress.run = None;
-    }
-}
-
 /// The endpoint answered that it failed: counted, and after the route's number given up.
 fn item_failed(node: &Node, key: &ItemKey, now: Duration) {
     let attempts_max = attempts_max(node, key);
@@ -141,11 +131,7 @@
         .get(&key.job)
         .and_then(|job| job.items.get(key.item as usize));
     let core = node.core.borrow();
-    let host = core
-        .jobs
-        .rows
-        .get(&key.job)
-        .map(|job| job.record.host.clone());
+    let host = core.jobs.host(&key.job);
     let route = core.routes.as_ref().zip(host).zip(item);
     route
         .and_then(|((routes, host), item)| routes.find(&host, &item.path))
@@ -165,18 +151,12 @@
     let Some(target) = node.target(endpoint) else {
         return failed(Reach::NotSent, false, "the endpoint is gone");
     };
-    let host = {
-        let core = node.core.borrow();
-        core.jobs
-            .rows
-            .get(&key.job)
-            .map(|job| job.record.host.clone())
-    };
+    let host = node.core.borrow().jobs.host(&key.job);
     let Some(out) = host.and_then(|host| outgoing(node, &host, item)) else {
         return End::Rejected;
     };
-    let last_event = last_event(node, key);
-    let sent = exchange::send(node, &target, &out, None, last_event);
+    let last_event = node.runs.with_progress(key, |progress| progress.last_event);
+    let sent = exchange::send(node, &target, &out, None, last_event.flatten());
     let answer = match timeout(EVENT_TIMEOUT, sent).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(failure)) => return End::Failed(failure),
@@ -232,32 +212,20 @@
 }
 
 fn keep_event(node: &Node, key: &ItemKey, event: Option<u64>, text: String) -> Result<(), String> {
-    let mut owned = node.runs.owned.borrow_mut();
-    let progress = owned
-        .get_mut(&key.job)
-        .and_then(|job| job.progress.get_mut(&key.item));
-    let Some(progress) = progress else {
-        return Err("the job is no longer run here".into());
-    };
-    let expected = progress.last_event.map(|last| last + 1);
-    match (expected, event) {
-        (Some(expected), Some(event)) if event != expected => {
-            return Err(format!("event {event} came in place of {expected}"));
+    let kept = node.runs.with_progress(key, |progress| {
+        let expected = progress.last_event.map(|last| last + 1);
+        match (expected, event) {
+            (Some(expected), Some(event)) if event != expected => {
+                return Err(format!("event {event} came in place of {expected}"));
+            }
+            (_, None) => return Err("an event without an id".into()),
+            _ => {}
         }
-        (_, None) => return Err("an event without an id".into()),
-        _ => {}
-    }
-    progress.last_event = event;
-    progress.texts.push(text);
-    Ok(())
-}
-
-fn last_event(node: &Node, key: &ItemKey) -> Option<u64> {
-    let owned = node.runs.owned.borrow();
-    let progress = owned
-        .get(&key.job)
-        .and_then(|job| job.progress.get(&key.item));
-    progress.and_then(|progress| progress.last_event)
+        progress.last_event = event;
+        progress.texts.push(text);
+        Ok(())
+    });
+    kept.unwrap_or_else(|| Err("the job is no longer run here".into()))
 }
 
 /// The item as a request; `None` when it can't be one.
--- a/src/serve/runs/listing.rs
+++ b/src/serve/runs/listing.rs
@@ -21,14 +21,8 @@
 
 /// Lists what is finished, by one write at a time for each job; hands over while draining.
 pub(super) fn write_results(node: &Rc<Node>, now: Duration, job: &JobId) {
-    let found = {
-        let core = node.core.borrow();
-        core.jobs
-            .rows
-            .get(job)
-            .map(|row| (row.record.clone(), row.revision))
-    };
-    let Some((record, revision)) = found else {
+    let standing = node.core.borrow().jobs.standing(job);
+    let Some((record, revision)) = standing else {
         return;
     };
     let mut guard = node.runs.owned.borrow_mut();
@@ -87,14 +81,8 @@
     let writes: Vec<_> = parts
         .map(|(part, texts)| write(text_key(&record.id, *part), encode(texts)))
         .collect();
-    let settled = jobs::replace_with(&node, record, revision, writes.clone()).await;
+    let settled = jobs::replace_with(&node, record, revision, writes).await;
     let won = matches!(settled, Settled::Won(_));
-    if won {
-        let mut core = node.core.borrow_mut();
-        for part in writes {
-            core.jobs.parts.keep(part.key, part.value);
-        }
-    }
     let (listed, total) = (record.listed.len(), record.items.len());
     log::info!(job = *record.id, won, listed, total; "results listed");
     written(&node, record, &settled);
--- a/src/serve/summary.rs
+++ b/src/serve/summary.rs
@@ -12,9 +12,7 @@
 const PAUSE: Duration = Duration::from_secs(10);
 
 /// Kinds of calls on the store, in the order of the line's fields.
-const CALLS: [&str; 7] = [
-    "get", "range", "watch", "commit", "grant", "renew", "revoke",
-];
+const CALLS: [&str; 6] = ["get", "range", "watch", "commit", "grant", "renew"];
 
 /// Writes lines until the process ends.
 pub async fn run(node: Rc<Node>) {
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -138,7 +138,8 @@
 }
 
 /// The rules, and requests to empty VMs.
-pub async fn operators(node: Rc<Node>, prefix: &'static str) {
+pub async fn operators(node: Rc<Node>) {
+    let prefix = node.dialect.keys.operators;
     let take = |node: &Node, news: News, _| {
         let items: Vec<Item> = match news {
             News::All(items) => items,
@@ -166,9 +167,7 @@
     let keys = node.dialect.keys;
     if item.key == keys.rules {
         match (node.dialect.rules)(&item.value) {
-            Ok(rules) => {
-                node.take_rules(rules, "store");
-            }
+            Ok(rules) => node.take_rules(rules, "store"),
             // The rules in force stay in force.
             Err(error) => log::error!(key = item.key, error; "rules can't be read"),
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -286,6 +286,22 @@
     (!(from..=to).contains(&value)).then(|| (field, value.to_string(), allowed))
 }
 
+/// How long a planned stop takes.
+fn stop_times(drain_ms: u64, stop_limit_ms: u64) -> impl Iterator<Item = Found> {
+    let drain = between("drain_ms", drain_ms, 0, 600_000, "0 to 600000");
+    drain.into_iter().chain(stop_limit(stop_limit_ms))
+}
+
+fn stop_limit(stop_limit_ms: u64) -> Option<Found> {
+    between("stop_limit_ms", stop_limit_ms, 1, 3_600_000, "1 to 3600000")
+}
+
+fn gossip(address: SocketAddr) -> Option<Found> {
+    let allowed = "the IP number that the other VMs send to";
+    let found = ("gossip_address", address.to_string(), allowed);
+    address.ip().is_unspecified().then_some(found)
+}
+
 /// Checks settings of `bramley-entry`.
 pub fn check_entry(settings: &Entry) -> Vec<Found> {
     let mut found = common(&settings.cluster_key, &settings.log);
@@ -304,20 +320,7 @@
         60_000,
         "10 to 60000",
     ));
-    found.extend(between(
-        "drain_ms",
-        settings.drain_ms,
-        0,
-        600_000,
-        "0 to 600000",
-    ));
-    found.extend(between(
-        "stop_limit_ms",
-        settings.stop_limit_ms,
-        1,
-        3_600_000,
-        "1 to 3600000",
-    ));
+    found.extend(stop_times(settings.drain_ms, settings.stop_limit_ms));
     found.extend(between(
         "bulk_copies",
         settings.bulk_copies as u64,
@@ -325,42 +328,15 @@
         5,
         "1 to 5",
     ));
-    if settings.gossip_address.ip().is_unspecified() {
-        let address = settings.gossip_address.to_string();
-        found.push((
-            "gossip_address",
-            address,
-            "the IP number that the other VMs send to",
-        ));
-    }
+    found.extend(gossip(settings.gossip_address));
     found
 }
 
 /// Checks settings of a serving process.
 pub fn check_serve(settings: &Serve) -> Vec<Found> {
     let mut found = common(&settings.cluster_key, &settings.log);
-    found.extend(between(
-        "drain_ms",
-        settings.drain_ms,
-        0,
-        600_000,
-        "0 to 600000",
-    ));
-    found.extend(between(
-        "stop_limit_ms",
-        settings.stop_limit_ms,
-        1,
-        3_600_000,
-        "1 to 3600000",
-    ));
-    if settings.gossip_address.ip().is_unspecified() {
-        let address = settings.gossip_address.to_string();
-        found.push((
-            "gossip_address",
-            address,
-            "the IP number that the other VMs send to",
-        ));
-    }
+    found.extend(stop_times(settings.drain_ms, settings.stop_limit_ms));
+    found.extend(gossip(settings.gossip_address));
     found
 }
 
@@ -374,13 +350,7 @@
         5,
         "1 to 5",
     ));
-    found.extend(between(
-        "stop_limit_ms",
-        settings.stop_limit_ms,
-        1,
-        3_600_000,
-        "1 to 3600000",
-    ));
+    found.extend(stop_limit(settings.stop_limit_ms));
     found
 }
 
--- a/src/standin/fleet/answer.rs
+++ b/src/standin/fleet/answer.rs
@@ -1,6 +1,7 @@
 //! Calls on processes of a fleet, and their answers.
 
 use super::*;
+use crate::http::header;
 
 /// An answer to [`call`].
 #[derive(Debug, Clone)]
@@ -25,11 +26,7 @@
 
     /// A header's value.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self
-            .headers
-            .iter()
-            .find(|(key, _)| key.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.as_str())
+        header(&self.headers, name)
     }
 }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -93,7 +93,6 @@
         ttl: Duration,
     },
     Renew(LeaseId),
-    Revoke(LeaseId),
 }
 
 /// The reply to a [`Call`] of the same kind.
