--- a/src/bench/slopes.rs
+++ b/src/bench/slopes.rs
@@ -21,7 +21,7 @@
 use crate::decide::batch::place::{Crew, Hands};
 use crate::decide::batch::{Action, Batch, End, Event, JobView, Planned, Work};
 use crate::decide::commit::Answer;
-use crate::decide::endpoints::{Declared, Endpoints, Report};
+use crate::decide::endpoints::{Endpoints, Report};
 use crate::decide::fleet::{self, Fleet as FleetTable};
 use crate::decide::jobs::{JobState, Place, ResultSegment, Segment};
 use crate::decide::members::Card;
@@ -30,6 +30,7 @@
 use crate::id;
 use crate::metrics::resident_bytes;
 use crate::standin::fleet::{call, chat_lines, Fleet, Plan, KEYS};
+use crate::standin::table::declared;
 use crate::wire::{Datagram, Key, PeerReply};
 
 const RUNS: usize = 3;
@@ -58,16 +59,8 @@
 
 fn table(count: usize, domains: usize) -> Endpoints {
     let mut table = Endpoints::default();
-    table.declare((0..count).map(|at| {
-        let name = format!("endpoint-{at}");
-        let declared = Declared {
-            name: name.as_str().into(),
-            domain: (at % domains) as u64,
-            service: SERVICE,
-            address: "127.0.0.1:1".into(),
-            initial_limit: 16.0,
-        };
-        (id::of(&name), declared)
+    table.declare(declared(count, SERVICE, 16.0, move |at| {
+        (at % domains) as u64
     }));
     for (at, row) in table.rows.iter_mut().enumerate() {
         row.online_elsewhere = (at % 12) as u32;
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -8,6 +8,7 @@
 pub mod platform;
 pub mod relay;
 pub mod service;
+pub mod table;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
--- /dev/null
+++ b/src/standin/table.rs
@@ -0,0 +1,24 @@
+//! Endpoints for tables, in tests and benchmarks of decisions.
+
+use crate::decide::endpoints::Declared;
+use crate::id::{self, DomainId, EndpointId, ServiceId};
+
+/// Endpoints `endpoint-0` and on of one service, each in the failure domain that `domain` gives it.
+pub fn declared(
+    count: usize,
+    service: ServiceId,
+    slots: f64,
+    domain: impl Fn(usize) -> DomainId,
+) -> impl Iterator<Item = (EndpointId, Declared)> {
+    (0..count).map(move |at| {
+        let name = format!("endpoint-{at}");
+        let declared = Declared {
+            name: name.as_str().into(),
+            domain: domain(at),
+            service,
+            address: "127.0.0.1:1".into(),
+            initial_limit: slots,
+        };
+        (id::of(&name), declared)
+    })
+}
--- a/tests/batch_items.rs
+++ b/tests/batch_items.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use bramleyseam::decide::endpoints::{Declared, Endpoints};
+use bramleyseam::decide::endpoints::Endpoints;
 use bramleyseam::decide::items::{Action, ItemKey, Items, KEPT_SHARE, YIELDED_PAUSE};
 use bramleyseam::decide::usage::{own_part, Usage, Use};
-use bramleyseam::id;
+use bramleyseam::standin::table::declared;
 use quickcheck::quickcheck;
 
 const SERVICE: u64 = 1;
@@ -19,17 +19,7 @@
 
 fn endpoints(count: usize) -> Endpoints {
     let mut endpoints = Endpoints::default();
-    endpoints.declare((0..count).map(|at| {
-        let name = format!("endpoint-{at}");
-        let declared = Declared {
-            name: name.as_str().into(),
-            domain: HOME,
-            service: SERVICE,
-            address: "127.0.0.1:1".into(),
-            initial_limit: f64::from(SLOTS),
-        };
-        (id::of(&name), declared)
-    }));
+    endpoints.declare(declared(count, SERVICE, f64::from(SLOTS), |_| HOME));
     endpoints
 }
 
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bramleyseam::decide::endpoints::{Declared, Endpoints, Report};
+use bramleyseam::decide::endpoints::{Endpoints, Report};
 use bramleyseam::decide::fleet::{Action, Fleet, Heartbeat};
 use bramleyseam::decide::members::{Card, Heard, Members};
 use bramleyseam::id;
+use bramleyseam::standin::table::declared;
 use quickcheck::quickcheck;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -59,17 +60,7 @@
 
 fn endpoints(count: usize, domains: usize) -> Endpoints {
     let mut table = Endpoints::default();
-    table.declare((0..count).map(|at| {
-        let name = format!("endpoint-{at}");
-        let declared = Declared {
-            name: name.as_str().into(),
-            domain: (at % domains) as u64,
-            service: 1,
-            address: "127.0.0.1:1".into(),
-            initial_limit: 8.0,
-        };
-        (id::of(&name), declared)
-    }));
+    table.declare(declared(count, 1, 8.0, move |at| (at % domains) as u64));
     table
 }
 
--- a/tests/online_rules.rs
+++ b/tests/online_rules.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use bramleyseam::decide::endpoints::{Declared, Report};
+use bramleyseam::decide::endpoints::Report;
 use bramleyseam::decide::online::{Action, Arrival, Event, Online, Outcome, Service};
 use bramleyseam::decide::refusal::Kind;
 use bramleyseam::decide::retry::{Reach, TRIES_MAX};
 use bramleyseam::decide::routing::{choose, Ask, Policy};
-use bramleyseam::id;
+use bramleyseam::standin::table::declared;
 use quickcheck::quickcheck;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -23,17 +23,9 @@
 
 fn online(seed: u64, endpoints: usize, slots: f64) -> Online {
     let mut online = Online::new(HOME, SmallRng::seed_from_u64(seed));
-    online.endpoints.declare((0..endpoints).map(|at| {
-        let name = format!("endpoint-{at}");
-        let declared = Declared {
-            name: name.as_str().into(),
-            domain: HOME,
-            service: SERVICE,
-            address: "127.0.0.1:1".into(),
-            initial_limit: slots,
-        };
-        (id::of(&name), declared)
-    }));
+    online
+        .endpoints
+        .declare(declared(endpoints, SERVICE, slots, |_| HOME));
     let service = Service {
         first_token_goal: ms(500),
         queue_limit: 40,
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use bramleyseam::decide::endpoints::Declared;
 use bramleyseam::decide::online::{
     Action, Arrival, Event, Online, Outcome, Service, SILENCE, SILENCE_CROWDED,
 };
 use bramleyseam::decide::refusal::Kind;
 use bramleyseam::decide::retry::Reach;
-use bramleyseam::id::{self, EndpointId};
+use bramleyseam::id::EndpointId;
+use bramleyseam::standin::table::declared;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
@@ -30,17 +30,9 @@
     fn new(endpoints: usize) -> World {
         let mut online = Online::new(1, SmallRng::seed_from_u64(1));
         online.watch_silence = true;
-        online.endpoints.declare((0..endpoints).map(|at| {
-            let name = format!("endpoint-{at}");
-            let declared = Declared {
-                name: name.as_str().into(),
-                domain: 1,
-                service: SERVICE,
-                address: "127.0.0.1:1".into(),
-                initial_limit: SLOTS,
-            };
-            (id::of(&name), declared)
-        }));
+        online
+            .endpoints
+            .declare(declared(endpoints, SERVICE, SLOTS, |_| 1));
         let service = Service {
             first_token_goal: ms(300),
             queue_limit: 40,
