Tests that fail: beliefs that outlive their source

left_in_gap: a cut watch counts as an outage, and an endpoint that left in the gap is kept for 2.3 s. silent_connections, silent_watch: a VM whose watch has died goes on running an ended job's items.

--- a/src/standin/relay.rs
+++ b/src/standin/relay.rs
@@ -28,13 +28,20 @@
 /// Time between two looks at a silent link.
 const LOOK: Duration = Duration::from_millis(5);
 
+/// One connection over a link.
+struct Open {
+    ends: [TcpStream; 2],
+    /// Nothing it carries arrives any more, and nobody is told.
+    silent: Arc<AtomicBool>,
+}
+
 /// One link.
 #[derive(Clone)]
 pub struct Relay {
     pub address: SocketAddr,
     cut: Arc<AtomicBool>,
     mode: Arc<Mutex<Mode>>,
-    open: Arc<Mutex<HashMap<u64, [TcpStream; 2]>>>,
+    open: Arc<Mutex<HashMap<u64, Open>>>,
     next: Arc<AtomicU64>,
 }
 
@@ -67,12 +74,19 @@
         client.set_nodelay(true)?;
         server.set_nodelay(true)?;
         let id = self.next.fetch_add(1, Ordering::SeqCst);
-        let both = [client.try_clone()?, server.try_clone()?];
-        lock(&self.open).insert(id, both);
+        let ends = [client.try_clone()?, server.try_clone()?];
+        let dead = Arc::new(AtomicBool::new(false));
+        let silent = dead.clone();
+        lock(&self.open).insert(id, Open { ends, silent });
         let (client_read, server_write) = (client.try_clone()?, server.try_clone()?);
         let (up, down) = (self.mode.clone(), self.mode.clone());
-        let silent_up = |mode| matches!(mode, Mode::Silent | Mode::SilentUp);
-        let silent_down = |mode| matches!(mode, Mode::Silent | Mode::SilentDown);
+        let dead_down = dead.clone();
+        let silent_up = move |mode| {
+            dead.load(Ordering::SeqCst) || matches!(mode, Mode::Silent | Mode::SilentUp)
+        };
+        let silent_down = move |mode| {
+            dead_down.load(Ordering::SeqCst) || matches!(mode, Mode::Silent | Mode::SilentDown)
+        };
         let open = self.open.clone();
         thread::spawn(move || copy(client_read, server_write, &up, silent_up));
         thread::spawn(move || {
@@ -90,12 +104,19 @@
 
     /// Resets all connections; new ones can be opened.
     pub fn reset(&self) {
-        for stream in lock(&self.open).drain().flat_map(|(_, both)| both) {
+        for stream in lock(&self.open).drain().flat_map(|(_, open)| open.ends) {
             // It may be closed by now.
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
+    /// Connections that are open go silent for good; new ones work.
+    pub fn silence_open(&self) {
+        for open in lock(&self.open).values() {
+            open.silent.store(true, Ordering::SeqCst);
+        }
+    }
+
     /// Cuts or heals the link; connections that are open break.
     pub fn cut(&self, cut: bool) {
         self.cut.store(cut, Ordering::SeqCst);
@@ -105,7 +126,7 @@
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, mode: &Mutex<Mode>, silent: fn(Mode) -> bool) {
+fn copy(mut from: TcpStream, mut to: TcpStream, mode: &Mutex<Mode>, silent: impl Fn(Mode) -> bool) {
     let mut buffer = [0; 16 * 1024];
     while let Ok(count) = from.read(&mut buffer) {
         while silent(*lock(mode)) {
