Own failed calls set the watches anew, also where another VM made the call

Hypothesis: a VM whose connections to the store have gone silent does not notice, since another VM makes its renewals; its watches wait for up to 29 s and it acts on what it believed before.

--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -140,12 +140,10 @@
         }
         Settled::Away(detail) => {
             log::warn!(job = *id, took_ms, detail; "job refused: the store is away");
-            node.store_failed();
             replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY))
         }
         Settled::Unknown(detail) => {
             log::warn!(job = *id, took_ms, detail; "job in doubt: the store's answer was lost");
-            node.store_failed();
             replies::refusal(Kind::PlatformAway, false, None)
         }
     }
@@ -175,10 +173,10 @@
     let item = match node.store.get(&key).await {
         Ok(Some(item)) => item,
         Ok(None) => return Err(replies::refusal(Kind::NotFound, true, None)),
-        Err(error) => return Err(away(node, job, &error.to_string())),
+        Err(error) => return Err(away(job, &error.to_string())),
     };
     let Some(record) = decode(&key, &item.value) else {
-        return Err(away(node, job, "a record that can't be read"));
+        return Err(away(job, "a record that can't be read"));
     };
     let mut core = node.core.borrow_mut();
     let now = clock::now();
@@ -189,9 +187,8 @@
         .ok_or_else(|| replies::refusal(Kind::NotFound, true, None))
 }
 
-fn away(node: &Node, job: &str, detail: &str) -> Reply {
+fn away(job: &str, detail: &str) -> Reply {
     log::warn!(job, error = detail; "job can't be read: the store is away");
-    node.store_failed();
     replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY))
 }
 
@@ -361,7 +358,7 @@
             }
             // Another writer came first; its record is in the table now.
             Settled::Lost(_) => {}
-            Settled::Away(detail) | Settled::Unknown(detail) => return away(&node, &job, &detail),
+            Settled::Away(detail) | Settled::Unknown(detail) => return away(&job, &detail),
         }
     }
     replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY))
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -178,6 +178,11 @@
     }
 
     /// A call on the store by the own way has ended.
+    ///
+    /// The failure: all connections to the store have gone silent, another VM makes this one's calls, so that
+    /// nothing seems to fail, and the watches wait for half a minute: an ended job's items run on. So what
+    /// counts is the own way, whatever came of the call in the end, and the watches are set anew with each
+    /// failure. Writes are left out: answers to them are lost while reads go through.
     fn note_call(&self, call: &store::Ended) {
         let outcome = if call.answered { "answered" } else { "failed" };
         let counter = &self.counters.store_calls;
@@ -185,12 +190,13 @@
         self.store_answers.set(call.answered);
         let now = clock::now();
         let discovery = &mut self.core.borrow_mut().discovery;
-        match call.answered {
-            true => discovery.store_answered(now),
-            false => {
-                let since = if call.waited { now } else { call.sent_at };
-                discovery.store_failed(now, since);
-            }
+        if call.answered {
+            return discovery.store_answered(now);
+        }
+        let since = if call.waited { now } else { call.sent_at };
+        discovery.store_failed(now, since);
+        if !call.writes {
+            self.watch_again.notify_waiters();
         }
     }
 
@@ -323,11 +329,6 @@
         })
     }
 
-    /// A call on the metadata store failed. Watches are set anew: their connections may be dead too.
-    pub fn store_failed(&self) {
-        self.watch_again.notify_waiters();
-    }
-
     /// Looks at everything that time alone changes.
     pub fn tick(&self) {
         let now = clock::now();
--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Closes all idle connections to an endpoint.
+    pub fn clear(&self, endpoint: EndpointId) {
+        self.idle.borrow_mut().remove(&endpoint);
+    }
+
     /// Closes what has been idle too long, or is closed by the endpoint.
     pub fn tick(&self, now: Duration) {
         let mut idle = self.idle.borrow_mut();
--- a/src/serve/registration.rs
+++ b/src/serve/registration.rs
@@ -43,7 +43,6 @@
             Err(Error::NoLease) => lease = 0,
             Err(error) => {
                 log::info!(error:% = error; "the registration could not be renewed");
-                node.store_failed();
             }
         }
         sleep(RENEW).await;
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -124,7 +124,6 @@
                 }
                 at = None;
                 confirm_at = Some(clock::now() + CONFIRM);
-                node.store_failed();
                 let drawn = pause.mul_f64(util::rng().random_range(1.0..3.0));
                 sleep(drawn.min(FAILED_PAUSE_LONGEST)).await;
                 pause = pause.mul_f64(FAILED_GROWTH).min(FAILED_PAUSE_MAX);
--- a/src/store.rs
+++ b/src/store.rs
@@ -137,6 +137,7 @@
     pub kind: &'static str,
     /// A watch waits for long: when it was sent says nothing of the store.
     pub waited: bool,
+    pub writes: bool,
     /// Whether it brought an answer.
     pub answered: bool,
     pub sent_at: Duration,
@@ -171,6 +172,7 @@
         let mut ended = Ended {
             kind: (&call).into(),
             waited: matches!(call, Call::Watch { .. }),
+            writes: matches!(call, Call::Commit(_)),
             answered: false,
             sent_at: clock::now(),
         };
