--- a/tests/endpoint_discovery.rs
+++ b/tests/endpoint_discovery.rs
@@ -85,6 +85,18 @@
     assert!(!discovery.removed(ms(5_400) + OUTAGE_MIN, id::of("c"), 22));
 }
 
+// A request reaches an engine that left 0.8 s after the store's return, and was taken for lapsed in the outage. Living
+// engines have been back for some time when the time of its grace is over: it counts from the return.
+#[test]
+fn grace_from_return() {
+    let mut discovery = three();
+    discovery.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN);
+    discovery.store_answered(ms(5_100));
+    assert!(!discovery.removed(ms(5_900), id::of("b"), 20));
+    assert!(discovery.tick(ms(5_100) + RETURN_GRACE));
+    assert!(!usable(&discovery).contains(&id::of("b")));
+}
+
 // A request reaches an engine that has left. The store was away and is back; two seconds later an
 // engine leaves by removing its entry, without ever saying that it drains. The VM took that for a
 // lapse of the outage and went on sending for more than two seconds.
