A VM that is cut off alone takes no removal for a lapse; the grace counts from the store's return

Cause: own failed calls were an outage of the store, also where the store served everyone else. Change: calls that have failed for 3 s prove no outage while another VM has said for 3 s, without a break, that the store serves it (in an outage all say otherwise within 2.6 s). And living endpoints are back within 2 s of the return, so the grace counts from the first answer, not from each removal. Left: a VM cut off for under 3 s can't tell a cut from an outage and keeps such endpoints for up to 2.3 s after its first answer.

--- a/src/decide/discovery.rs
+++ b/src/decide/discovery.rs
@@ -16,7 +16,7 @@
 pub use self::entry::{Known, Registration, Source};
 pub use self::news::{News, Transition};
 use self::outage::Outage;
-pub use self::outage::{OUTAGE_MEMORY, OUTAGE_MIN};
+pub use self::outage::{CUT_OFF_AFTER, OUTAGE_MEMORY, OUTAGE_MIN};
 use super::endpoints::Declared;
 use crate::id::{EndpointId, EntryId, Name, Revision};
 
@@ -52,9 +52,10 @@
 }
 
 impl Discovery {
-    /// A call on the store that was sent at `since` has failed.
-    pub fn store_failed(&mut self, now: Duration, since: Duration) {
-        self.outage.failed(now, since);
+    /// A call on the store that was sent at `since` has failed. `others_served` while the store has been
+    /// serving another VM for [`CUT_OFF_AFTER`].
+    pub fn store_failed(&mut self, now: Duration, since: Duration, others_served: bool) {
+        self.outage.failed(now, since, others_served);
     }
 
     /// The store answered a call.
@@ -149,9 +150,9 @@
             return false;
         }
         row.revision = revision;
-        let lapsed = self.outage.may_lapse(now);
-        if lapsed && !row.entry.draining {
-            row.gone_until = Some(now + RETURN_GRACE);
+        let returned_at = self.outage.returned(now).filter(|_| !row.entry.draining);
+        if let Some(returned_at) = returned_at {
+            row.gone_until = Some(returned_at + RETURN_GRACE);
             let name = row.entry.name.clone();
             self.note(name, Transition::Kept, revision);
             return false;
--- a/src/decide/discovery/outage.rs
+++ b/src/decide/discovery/outage.rs
@@ -11,12 +11,17 @@
 /// and an endpoint that left by one is out of service two seconds on.
 pub const OUTAGE_MEMORY: Duration = Duration::from_secs(1);
 
-/// Failed calls on the store.
+/// While other VMs have been served for so long, and none of the own calls was answered in that time, it is this
+/// VM that is cut off. In an outage every VM's renewals fail within 2.1 s (0.9 s between two, 1.2 s for
+/// an answer), and its heartbeats say so within 0.5 s.
+pub const CUT_OFF_AFTER: Duration = Duration::from_secs(3);
+
+/// Calls on the store, as they fail and are answered.
 ///
-/// The failure: one watch is cut while the store is up, an endpoint leaves at the same moment, and requests
-/// go there seconds longer than it serves: its entry seemed to have lapsed. One failed call is no outage;
-/// calls that fail for as long as an entry needs to lapse are. Seen before: 6 to 12 endpoints kept so on a day
-/// with four cuts of all watches, none since.
+/// The failure: one watch is cut, or this VM alone is cut off, while the store is up; an endpoint leaves at
+/// that moment, and requests go there seconds longer than it serves, since its entry seems to have lapsed.
+/// So one failed call is no outage, and neither are the calls that fail while the store serves other VMs.
+/// Seen before: 6 to 12 endpoints kept on a day with four cuts of all watches, none since.
 #[derive(Debug, Default)]
 pub struct Outage {
     answered_at: Option<Duration>,
@@ -25,18 +30,24 @@
     failed_at: Option<Duration>,
     /// When a call last failed that proves an outage.
     proved_at: Option<Duration>,
+    /// When the first call was answered after that.
+    returned_at: Option<Duration>,
 }
 
 impl Outage {
-    /// A call that was sent at `since` has failed.
-    pub fn failed(&mut self, now: Duration, since: Duration) {
+    /// A call that was sent at `since` has failed. `others_served` while the store has been serving another VM
+    /// for [`CUT_OFF_AFTER`].
+    pub fn failed(&mut self, now: Duration, since: Duration, others_served: bool) {
         // The store was not away while it answered another call.
         let since = self.answered_at.map_or(since, |at| since.max(at));
         let earliest = self.failing_since.map_or(since, |known| known.min(since));
         self.failing_since = Some(earliest);
         self.failed_at = Some(now);
-        if now >= earliest + OUTAGE_MIN {
+        if others_served && now >= earliest + CUT_OFF_AFTER {
+            self.proved_at = None;
+        } else if now >= earliest + OUTAGE_MIN {
             self.proved_at = Some(now);
+            self.returned_at = None;
         }
     }
 
@@ -44,11 +55,14 @@
     pub fn answered(&mut self, now: Duration) {
         self.answered_at = Some(now);
         self.failing_since = None;
+        self.returned_at.get_or_insert(now);
     }
 
-    /// Whether a removal that is told now may be a lapse.
-    pub fn may_lapse(&self, now: Duration) -> bool {
-        self.proved_at.is_some_and(|at| now < at + OUTAGE_MEMORY)
+    /// When the store came back, if a removal that is told now may be a lapse of its outage.
+    pub fn returned(&self, now: Duration) -> Option<Duration> {
+        let proved_at = self.proved_at.filter(|at| now < *at + OUTAGE_MEMORY)?;
+        let returned_at = self.returned_at.filter(|at| *at >= proved_at);
+        Some(returned_at.unwrap_or(now))
     }
 
     /// How long ago a call last failed.
--- a/src/decide/peers.rs
+++ b/src/decide/peers.rs
@@ -77,6 +77,8 @@
     registered: bool,
     draining: bool,
     store: bool,
+    /// Since when each of its heartbeats says so.
+    store_since: Option<Duration>,
     rules: ConfigVersion,
     endpoints: Revision,
     jobs: Revision,
@@ -128,6 +130,7 @@
                 registered: true,
                 draining: false,
                 store: false,
+                store_since: None,
                 rules: 0,
                 endpoints: 0,
                 jobs: 0,
@@ -155,6 +158,8 @@
             self.replaced.insert(before.owner, now);
         }
         self.replaced.remove(&beat.owner);
+        let spoken = known.filter(|peer| peer.owner == beat.owner && peer.lives(now));
+        let store_since = spoken.and_then(|peer| peer.store_since).unwrap_or(now);
         let peer = Peer {
             domain: beat.domain,
             gossip_address: from,
@@ -166,6 +171,7 @@
             registered: known.is_some_and(|peer| peer.registered),
             draining: beat.draining,
             store: beat.store,
+            store_since: beat.store.then_some(store_since),
             rules: beat.rules,
             endpoints: beat.endpoints,
             jobs: beat.jobs,
@@ -270,6 +276,12 @@
             .and_then(|peer| peer.peer_address)
     }
 
+    /// Whether the metadata store has served a living VM for so long, by all that it said in that time.
+    pub fn served_for(&self, now: Duration, time: Duration) -> bool {
+        let mut living = self.rows.values().filter(|peer| peer.lives(now));
+        living.any(|peer| peer.store_since.is_some_and(|since| now >= since + time))
+    }
+
     /// The newest job record that a living VM has told of.
     pub fn newest_job(&self, now: Duration) -> Revision {
         let living = self.rows.values().filter(|peer| peer.lives(now));
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -20,7 +20,7 @@
 use super::runs::Runs;
 use crate::clock;
 use crate::decide::backlog::Backlog;
-use crate::decide::discovery::Discovery;
+use crate::decide::discovery::{Discovery, CUT_OFF_AFTER};
 use crate::decide::items::Items;
 use crate::decide::online::{Action, Event, Online, Service};
 use crate::decide::peers::Peers;
@@ -189,12 +189,14 @@
         counter.with_label_values(&[call.kind, outcome]).inc();
         self.store_answers.set(call.answered);
         let now = clock::now();
-        let discovery = &mut self.core.borrow_mut().discovery;
+        let mut core = self.core.borrow_mut();
         if call.answered {
-            return discovery.store_answered(now);
+            return core.discovery.store_answered(now);
         }
         let since = if call.waited { now } else { call.sent_at };
-        discovery.store_failed(now, since);
+        let others_served = core.peers.served_for(now, CUT_OFF_AFTER);
+        core.discovery.store_failed(now, since, others_served);
+        drop(core);
         if !call.writes {
             self.watch_again.notify_waiters();
         }
--- a/tests/endpoint_discovery.rs
+++ b/tests/endpoint_discovery.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bramleyseam::decide::discovery::{
-    Discovery, Known, Registration, Source, OUTAGE_MIN, RETURN_GRACE,
+    Discovery, Known, Registration, Source, CUT_OFF_AFTER, OUTAGE_MIN, RETURN_GRACE,
 };
 use bramleyseam::id;
 use quickcheck::quickcheck;
@@ -58,7 +58,7 @@
 #[test]
 fn lapsed_in_outage() {
     let mut discovery = three();
-    discovery.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN);
+    discovery.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN, false);
     for name in ["a", "b", "c"] {
         assert!(!discovery.removed(ms(5_200), id::of(name), 20));
     }
@@ -74,14 +74,14 @@
 #[test]
 fn one_failed_call() {
     let mut discovery = three();
-    discovery.store_failed(ms(5_000), ms(5_000));
+    discovery.store_failed(ms(5_000), ms(5_000), false);
     assert!(discovery.removed(ms(5_200), id::of("a"), 20));
     // Each failure is followed by an answer: the store is not away.
     discovery.store_answered(ms(5_300));
-    discovery.store_failed(ms(5_000) + OUTAGE_MIN, ms(4_900));
+    discovery.store_failed(ms(5_000) + OUTAGE_MIN, ms(4_900), false);
     assert!(discovery.removed(ms(5_100) + OUTAGE_MIN, id::of("b"), 21));
     // They fail one after the other, and none is answered.
-    discovery.store_failed(ms(5_300) + OUTAGE_MIN, ms(5_300) + OUTAGE_MIN);
+    discovery.store_failed(ms(5_300) + OUTAGE_MIN, ms(5_300) + OUTAGE_MIN, false);
     assert!(!discovery.removed(ms(5_400) + OUTAGE_MIN, id::of("c"), 22));
 }
 
@@ -90,20 +90,38 @@
 #[test]
 fn grace_from_return() {
     let mut discovery = three();
-    discovery.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN);
+    discovery.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN, false);
     discovery.store_answered(ms(5_100));
     assert!(!discovery.removed(ms(5_900), id::of("b"), 20));
     assert!(discovery.tick(ms(5_100) + RETURN_GRACE));
     assert!(!usable(&discovery).contains(&id::of("b")));
 }
 
+// This VM is cut off and the store serves the others: what is gone when it is back has left. While it can't be told
+// yet whether the others are served, its failed calls count as an outage.
+#[test]
+fn cut_off_alone() {
+    for (others_served, failing, kept) in [
+        (true, CUT_OFF_AFTER, false),
+        (true, CUT_OFF_AFTER - ms(1), true),
+        (false, CUT_OFF_AFTER, true),
+    ] {
+        let mut discovery = three();
+        discovery.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN, false);
+        let since = ms(5_000) - OUTAGE_MIN;
+        discovery.store_failed(since + failing, since + failing, others_served);
+        let removed = discovery.removed(since + failing + ms(200), id::of("b"), 20);
+        assert_eq!(removed, !kept);
+    }
+}
+
 // A request reaches an engine that has left. The store was away and is back; two seconds later an
 // engine leaves by removing its entry, without ever saying that it drains. The VM took that for a
 // lapse of the outage and went on sending for more than two seconds.
 #[test]
 fn leaves_after_outage() {
     let mut discovery = three();
-    discovery.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN);
+    discovery.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN, false);
     assert!(discovery.removed(ms(7_100), id::of("b"), 30));
     assert!(!usable(&discovery).contains(&id::of("b")));
 }
@@ -126,7 +144,7 @@
 fn lapse_not_revived() {
     let (mut away, mut other) = (three(), three());
     other.removed(ms(5_000), id::of("b"), 12);
-    away.store_failed(ms(5_100), ms(5_100) - OUTAGE_MIN);
+    away.store_failed(ms(5_100), ms(5_100) - OUTAGE_MIN, false);
     let stands = other.export(ms(5_100));
     away.replaced(ms(5_100), stands, 13, Source::Store);
     let told = away.export(ms(5_200));
@@ -140,7 +158,7 @@
 fn peer_tells_removal() {
     let (mut away, mut other) = (three(), three());
     other.removed(ms(5_000), id::of("b"), 12);
-    away.store_failed(ms(5_100), ms(5_100) - OUTAGE_MIN);
+    away.store_failed(ms(5_100), ms(5_100) - OUTAGE_MIN, false);
     away.replaced(ms(5_200), other.export(ms(5_200)), 12, Source::Peer);
     assert!(!usable(&away).contains(&id::of("b")));
 }
@@ -161,7 +179,7 @@
 #[test]
 fn peer_tells_lapse() {
     let (mut away, mut other) = (three(), three());
-    other.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN);
+    other.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN, false);
     other.removed(ms(5_200), id::of("b"), 12);
     away.replaced(ms(5_300), other.export(ms(5_300)), 12, Source::Peer);
     assert!(usable(&away).contains(&id::of("b")));
--- a/tests/endpoint_processes.rs
+++ b/tests/endpoint_processes.rs
@@ -119,7 +119,7 @@
         write(discovery, Some(START_MS), false, 1);
     }
     write(&mut ahead, Some(START_MS + 1), false, 2);
-    ahead.store_failed(ms(1_000), ms(1_000) - OUTAGE_MIN);
+    ahead.store_failed(ms(1_000), ms(1_000) - OUTAGE_MIN, false);
     ahead.removed(ms(1_100), id::of(NAME), 3);
     behind.replaced(ms(1_200), ahead.export(ms(1_200)), 3, Source::Peer);
     assert!(used(&behind).is_empty());
@@ -281,7 +281,7 @@
                 heard.clone_from(&drained);
             }
             Step::Deaf => deaf = true,
-            Step::Fails => vm.store_failed(now, now - OUTAGE_MIN),
+            Step::Fails => vm.store_failed(now, now - OUTAGE_MIN, false),
             _ => {}
         }
         if used(&vm).iter().any(|used| heard.contains(used)) {
--- a/tests/vms_heard.rs
+++ b/tests/vms_heard.rs
@@ -79,3 +79,25 @@
     assert!(!peers.is_replaced(8));
     assert!(peers.is_replaced(7));
 }
+
+// A VM that is cut off takes the store for away, and keeps engines that have left. What tells it otherwise is a VM
+// that has said of itself, without a break, that the store serves it.
+#[test]
+fn served_meanwhile() {
+    let mut peers = Peers::default();
+    let mut said = |at: u64, sequence: u64, store: bool| {
+        let beat = Heartbeat {
+            store,
+            ..beat(200, sequence)
+        };
+        peers.heard(ms(at), address(), &beat);
+        peers.served_for(ms(at), ms(1000))
+    };
+    assert!(!said(0, 1, true));
+    assert!(said(1000, 2, true));
+    assert!(!said(1500, 3, false));
+    assert!(!said(2000, 4, true));
+    assert!(said(3000, 5, true));
+    // It was not heard for too long to know what it would have said.
+    assert!(!said(9000, 6, true));
+}
