A watch that is behind what the other VMs know is set anew

Change: the VM that watches job records compares what it was told with what the others' heartbeats tell; a second behind the same revision sets the watches anew.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -92,6 +92,7 @@
     spawn_local(watch::operators(node.clone()));
     spawn_local(watch::endpoints(node.clone()));
     spawn_local(live_watch::run(node.clone()));
+    spawn_local(live_watch::doubt(node.clone()));
     spawn_local(registration::register(node.clone()));
     spawn_local(runs::run(node.clone()));
     spawn_local(summary::run(node.clone()));
--- a/src/serve/live_watch.rs
+++ b/src/serve/live_watch.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::ask::{ask, reply};
 use super::job_table::decode;
@@ -44,6 +44,12 @@
 /// A VM that did not answer is not asked again for so long; by then its heartbeats have told.
 const DISTRUST: Duration = Duration::from_secs(2);
 
+/// A watch that tells nothing of what another VM has told of for so long is taken for dead. A living one is
+/// late by its pace of 0.3 s, an answer of a slow store (0.4 s) and the way.
+const DOUBT_AFTER: Duration = Duration::from_secs(1);
+/// Time between two looks at what the other VMs have told of.
+const DOUBT_LOOK: Duration = Duration::from_millis(200);
+
 /// Prefix of all that is followed here.
 const LIVE: &str = "small/live/";
 /// Prefix of the VMs' registrations.
@@ -93,6 +99,37 @@
     follow(node, LIVE, pace, ask, take).await;
 }
 
+/// Sets the watches anew when the other VMs know more than these have told, until the process ends.
+///
+/// The failure: a watch's connection is silent while all other calls go through, so nothing seems to fail; a
+/// caller ends a job at another VM, and its items go on here for up to half a minute. The heartbeats of the
+/// others tell the revision that they know.
+pub async fn doubt(node: Rc<Node>) {
+    // What the others had told of at some moment; newer records meanwhile say nothing of the watch.
+    let mut awaited: Option<(Revision, Duration)> = None;
+    loop {
+        sleep(DOUBT_LOOK).await;
+        let now = clock::now();
+        let (told, watched) = {
+            let core = node.core.borrow();
+            (core.peers.newest_job(now), core.jobs.watched)
+        };
+        // A VM that asks another one is as late as that one, which looks after itself.
+        if told <= watched || source(&node).is_some() {
+            awaited = None;
+            continue;
+        }
+        let (revision, since) = *awaited.get_or_insert((told, now));
+        if revision <= watched {
+            awaited = Some((told, now));
+        } else if now >= since + DOUBT_AFTER {
+            log::info!(told = revision, watched; "the watches are set anew: another VM knows more");
+            node.watch_again.notify_waiters();
+            awaited = None;
+        }
+    }
+}
+
 /// The VM that is asked; `None` for the store.
 fn source(node: &Node) -> Option<SocketAddr> {
     let now = clock::now();
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -31,7 +31,7 @@
     self, DomainId, EndpointId, OwnerId, RequestId, Revision, ServiceId, VmId, WorkspaceId,
 };
 use crate::settings;
-use crate::store::{self, Store};
+use crate::store::{EndedCall, Store};
 use crate::util;
 use crate::wire::Key;
 
@@ -183,7 +183,7 @@
     /// nothing seems to fail, and the watches wait for half a minute: an ended job's items run on. So what
     /// counts is the own way, whatever came of the call in the end, and the watches are set anew with each
     /// failure. Writes are left out: answers to them are lost while reads go through.
-    fn note_call(&self, call: &store::Ended) {
+    fn note_call(&self, call: &EndedCall) {
         let outcome = if call.answered { "answered" } else { "failed" };
         let counter = &self.counters.store_calls;
         counter.with_label_values(&[call.kind, outcome]).inc();
--- a/src/store.rs
+++ b/src/store.rs
@@ -133,7 +133,7 @@
 
 /// A call that has ended, for whoever observes them.
 #[derive(Debug, Clone, Copy)]
-pub struct Ended {
+pub struct EndedCall {
     pub kind: &'static str,
     /// A watch waits for long: when it was sent says nothing of the store.
     pub waited: bool,
@@ -147,7 +147,7 @@
 #[derive(Clone)]
 pub struct Store {
     backend: Rc<dyn Fn(Call) -> Pending>,
-    observer: Rc<dyn Fn(Ended)>,
+    observer: Rc<dyn Fn(EndedCall)>,
 }
 
 impl Store {
@@ -160,7 +160,7 @@
     }
 
     /// The same store, with `observer` told of each call.
-    pub fn observed(self, observer: impl Fn(Ended) + 'static) -> Store {
+    pub fn observed(self, observer: impl Fn(EndedCall) + 'static) -> Store {
         Store {
             observer: Rc::new(observer),
             ..self
@@ -169,7 +169,7 @@
 
     /// Makes one call.
     pub async fn call(&self, call: Call) -> Result<Reply, Error> {
-        let mut ended = Ended {
+        let mut ended = EndedCall {
             kind: (&call).into(),
             waited: matches!(call, Call::Watch { .. }),
             writes: matches!(call, Call::Commit(_)),
