No watches by VMs of a fleet that starts, until its delegates have been heard

Cause: each VM set three watches anew as its fleet registered: 3.7 calls a VM in the first 10 s, in part of the 2,400 calls of a start.

--- a/src/serve/live_watch.rs
+++ b/src/serve/live_watch.rs
@@ -100,6 +100,8 @@
     };
     let ask = async |node: &Rc<Node>, at: Option<Revision>, wait: Duration| match source(node) {
         Some(watcher) => ask_watcher(node, watcher, at, wait).await,
+        // The fleet starts, and its delegates are yet to be heard.
+        None if watch::settles(node) => watch::rest().await,
         None => ask_store(node, LIVE, at, wait).await,
     };
     follow(node, LIVE, pace, ask, take).await;
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use tokio::time::sleep;
 
-use super::node::Node;
+use super::node::{Core, Node};
 use super::retire::retire;
 use crate::clock;
 use crate::decide::discovery::{Known, Source};
@@ -169,12 +169,29 @@
 /// The failure: each of 250 VMs has a watch of its own, and an endpoint that leaves and is replaced is told by
 /// a thousand calls, which are priced and rated. Delegates alone make a twentieth of them.
 fn is_told(node: &Node) -> bool {
+    let own = node.own();
+    settles(node) || {
+        let core = node.core.borrow();
+        knows_all(&core) && core.peers.is_told(clock::now(), own)
+    }
+}
+
+/// Whether the fleet has just started, and the delegates of this VM are yet to be heard.
+pub fn settles(node: &Node) -> bool {
     let own = node.own();
     let core = node.core.borrow();
-    let knows = core.routes.is_some() && core.discovery.known();
-    let now = clock::now();
-    let settles = now < node.started_at + SETTLE && core.peers.is_spoken_for(own);
-    knows && (settles || core.peers.is_told(now, own))
+    let starts = clock::now() < node.started_at + SETTLE;
+    starts && knows_all(&core) && core.peers.is_spoken_for(own)
+}
+
+fn knows_all(core: &Core) -> bool {
+    core.routes.is_some() && core.discovery.known()
+}
+
+/// Asks nobody for a while.
+pub async fn rest() -> Result<Option<Told>, Error> {
+    sleep(REST).await;
+    Ok(None)
 }
 
 /// Follows a prefix at the store, every change at once.
@@ -185,8 +202,7 @@
 ) {
     let ask = async |node: &Rc<Node>, at: Option<Revision>, wait: Duration| {
         if is_told(node) {
-            sleep(REST).await;
-            return Ok(None);
+            return rest().await;
         }
         ask_store(node, prefix, at, wait).await
     };
--- a/tests/late_news.rs
+++ b/tests/late_news.rs
@@ -76,8 +76,8 @@
     let mut tables: Vec<Endpoints> = (0..VMS).map(|_| table()).collect();
     let (mut asked, mut started) = (0, 0);
     for now in 0..BURST_MS {
-        for vm in 0..VMS {
-            for (engine, row) in engines.iter().zip(&mut tables[vm].rows) {
+        for (vm, table) in tables.iter_mut().enumerate() {
+            for (engine, row) in engines.iter().zip(&mut table.rows) {
                 row.online_here = engine.online(now, |of| of == vm);
                 // A round of a delegate, of what it heard by then.
                 if now.is_multiple_of(NEWS_MS) {
