Summaries fit into a datagram whatever they list, and delegates outlive a lapse of registrations

Cause, found on reading: after an outage in which registrations lapse no VM is registered, so no delegate was chosen, and 50 unregistered processes made a summary of 1.7 KB, which was not sent. Rows that move between parts of a word were counted twice for 1.6 s. Change: delegates that speak stay; lists are bounded and rows take what is left; a word tells how many parts it has. Also: who removes old jobs is worked out for old jobs only, not for all of them ten times a second.

--- a/src/decide/peers/messages.rs
+++ b/src/decide/peers/messages.rs
@@ -66,6 +66,7 @@
     pub sequence: u64,
     /// A round whose rows don't fit into one datagram has several parts, counted from 0.
     pub part: u8,
+    pub parts: u8,
     pub peer_address: SocketAddr,
     pub draining: bool,
     /// Whether the metadata store answers the delegate.
--- a/src/decide/peers/round.rs
+++ b/src/decide/peers/round.rs
@@ -9,13 +9,24 @@
 use crate::decide::endpoints::Endpoints;
 use crate::id::{self, EndpointId, VmId};
 
-/// Endpoints in one summary; with the other rows it stays within one datagram.
-const ROWS_MAX: usize = 50;
+/// Bytes of a summary's lists in one datagram of 1,400, with its other fields and its authentication beside them.
+const BYTES_MAX: usize = 1300;
+/// Largest use of an endpoint: an id and four counts.
+const ROW_BYTES: usize = 16;
+/// Largest entry of any other list: an id and a count.
+const ENTRY_BYTES: usize = 13;
 /// VMs with waiting items in one summary, those with most first. The slots of an endpoint are fewer, and those
 /// left out get theirs when others have been served.
-const RIVALS_MAX: usize = 24;
+const RIVALS_MAX: usize = 16;
 /// Endpoints in one summary where the addressed VM has to give up items; the next round names the rest.
-const KEEPS_MAX: usize = 12;
+const KEEPS_MAX: usize = 10;
+/// Processes without a registration in one summary: nearly all of a failure domain's 50, after an outage in which
+/// registrations lapsed. Jobs of one left out are run twice for a while.
+const UNREGISTERED_MAX: usize = 48;
+/// VMs that drain in one summary: more are not stopped at a time.
+const LEAVING_MAX: usize = 12;
+/// Routes with a limit in one summary; those left out count by the reservations in the store.
+const BACKLOG_MAX: usize = 4;
 
 /// What a delegate has to tell.
 #[derive(Debug)]
@@ -43,6 +54,7 @@
             domain: own.domain,
             sequence: own.sequence,
             part: 0,
+            parts: 1,
             peer_address,
             draining: own.draining,
             store: own.store,
@@ -51,9 +63,9 @@
             jobs: summed.jobs,
             vms: summed.vms,
             waiting: summed.rivals.iter().map(|(_, items)| items).sum(),
-            backlog: summed.backlog,
-            unregistered: summed.unregistered,
-            leaving: summed.leaving,
+            backlog: first(summed.backlog, BACKLOG_MAX),
+            unregistered: first(summed.unregistered, UNREGISTERED_MAX),
+            leaving: first(summed.leaving, LEAVING_MAX),
             rivals: Vec::new(),
             keeps: Vec::new(),
             rows: Vec::new(),
@@ -88,18 +100,37 @@
         self.parts(self.summary.clone(), &self.uses.all())
     }
 
-    /// A summary with all its rows, in as many parts as they take.
+    /// A summary with all its rows, in as many parts as they take. The first one has the other lists.
     fn parts(&self, first: Summary, rows: &Uses) -> Vec<Summary> {
-        let mut chunks = rows.chunks(ROWS_MAX).map(<[_]>::to_vec);
-        let head = Summary {
-            rows: chunks.next().unwrap_or_default(),
+        let entries = first.rivals.len()
+            + first.keeps.len()
+            + first.unregistered.len()
+            + first.leaving.len()
+            + first.backlog.len();
+        let left = BYTES_MAX.saturating_sub(entries * ENTRY_BYTES);
+        let (own, rest) = rows.split_at(rows.len().min(left / ROW_BYTES));
+        let rest = rest.chunks(BYTES_MAX / ROW_BYTES);
+        let parts = 1 + rest.len() as u8;
+        let first = Summary {
+            parts,
+            rows: own.to_vec(),
             ..first
         };
-        let rest = chunks.enumerate().map(|(at, rows)| Summary {
+        let rest = rest.enumerate().map(|(at, rows)| Summary {
             part: at as u8 + 1,
-            rows,
+            parts,
+            rows: rows.to_vec(),
+            backlog: Vec::new(),
+            unregistered: Vec::new(),
+            leaving: Vec::new(),
             ..self.summary.clone()
         });
-        [head].into_iter().chain(rest).collect()
+        [first].into_iter().chain(rest).collect()
     }
 }
+
+/// The first entries of a list.
+fn first<T>(mut list: Vec<T>, count: usize) -> Vec<T> {
+    list.truncate(count);
+    list
+}
--- a/src/decide/peers/speaking.rs
+++ b/src/decide/peers/speaking.rs
@@ -34,8 +34,9 @@
         own: Option<Own>,
     ) -> Vec<VmId> {
         let rows = self.rows.iter().filter(|(vm, peer)| {
-            let here = peer.registered && peer.domain == domain;
-            here && !peer.draining && !self.domains.leaves(now, **vm)
+            // Those that speak go on when registrations lapse in an outage of the store.
+            let here = peer.registered || self.domains.speaks(now, **vm);
+            here && peer.domain == domain && !peer.draining && !self.domains.leaves(now, **vm)
         });
         let others = rows.map(|(vm, peer)| Candidate {
             vm: *vm,
--- a/src/decide/usage.rs
+++ b/src/decide/usage.rs
@@ -5,12 +5,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{EndpointId, VmId};
+use crate::id::{weight, EndpointId, VmId};
 
 /// What a VM said counts no longer than this: a VM that is gone must not keep slots from the others,
 /// and one that lives says it again three times within this time.
 pub const USE_LIFE: Duration = Duration::from_millis(1600);
 
+/// Parts of one word: 80 endpoints each, some hundreds of a failure domain.
+const PARTS_MAX: u8 = 16;
 /// A delegate's word on what to keep counts for so long: until its next round, of which one may be lost.
 const KEEP_LIFE: Duration = Duration::from_millis(500);
 
@@ -113,6 +115,24 @@
         touched
     }
 
+    /// The same for one part of what is told of VMs together, under the id `source`; `parts` tells how many there
+    /// are now, so that what an earlier, longer word said in further parts counts no longer.
+    pub fn told_part(
+        &mut self,
+        now: Duration,
+        source: u64,
+        (part, parts): (u8, u8),
+        uses: impl IntoIterator<Item = (EndpointId, Elsewhere)>,
+    ) -> Vec<EndpointId> {
+        let id = |part: u8| weight(source, u64::from(part));
+        let mut touched = self.told(now, id(part), uses);
+        let over = (parts..PARTS_MAX).filter(|part| self.rows.contains_key(&id(*part)));
+        for part in over.collect::<Vec<u8>>() {
+            touched.extend(self.told(now, id(part), []));
+        }
+        touched
+    }
+
     /// Forgets what is too old.
     pub fn tick(&mut self, now: Duration) {
         let old = |said: &Said| now >= said.at + USE_LIFE;
--- a/src/serve/delegate.rs
+++ b/src/serve/delegate.rs
@@ -17,6 +17,7 @@
 /// Time between two words to VMs whose items are to make way. Without them a burst of online requests stands
 /// behind the items for up to a round.
 const PRESSED_PAUSE: Duration = Duration::from_millis(40);
+
 /// Speaks while this VM is a delegate, until the process ends.
 pub async fn speak(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let (mut sequence, mut rounds) = (0, 0);
@@ -117,8 +118,10 @@
         return;
     }
     let passes_on = !near && core.peers.passes_on(node.vm, &summary);
-    let source = summary.domain.wrapping_add(u64::from(summary.part));
-    let touched = core.usage.told(now, source, summary.rows);
+    let part = (summary.part, summary.parts);
+    let touched = core
+        .usage
+        .told_part(now, summary.domain, part, summary.rows);
     let mut yields = false;
     if near && summary.part == 0 {
         yields = !summary.keeps.is_empty();
--- a/src/serve/runs/claims.rs
+++ b/src/serve/runs/claims.rs
@@ -188,9 +188,10 @@
 pub(super) fn remove_old(node: &Rc<Node>, now: Duration) {
     let kept = Duration::from_secs(node.settings.results_kept_s) + RETENTION_MARGIN;
     let core = node.core.borrow();
+    // Whose turn it is takes a look at all VMs, so it comes last.
     let old = core.jobs.rows.values().find(|job| {
-        let first = core.peers.rank(now, node.vm, id::of(&job.record.id)) == 0;
-        first && job.record.ended() && now >= job.first_seen + kept
+        let over = job.record.ended() && now >= job.first_seen + kept;
+        over && core.peers.rank(now, node.vm, id::of(&job.record.id)) == 0
     });
     let Some((record, revision)) = old.map(|job| (job.record.clone(), job.revision)) else {
         return;
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -149,9 +149,13 @@
     /// All VMs learn who is registered.
     fn register(&mut self) {
         let records: Vec<VmRecord> = self.vms.iter().map(|vm| vm.record.clone()).collect();
+        self.know(&records);
+    }
+
+    fn know(&mut self, records: &[VmRecord]) {
         for vm in &mut self.vms {
             let own = (vm.id(), vm.record.owner);
-            vm.peers.registered(self.now, own, &records);
+            vm.peers.registered(self.now, own, records);
         }
     }
 
@@ -311,8 +315,9 @@
         if near && self.peers.is_delegate(self.id()) {
             return Vec::new();
         }
-        let source = summary.domain.wrapping_add(u64::from(summary.part) << 32);
-        self.usage.told(now, source, summary.rows.clone());
+        let part = (summary.part, summary.parts);
+        self.usage
+            .told_part(now, summary.domain, part, summary.rows.clone());
         if near || !self.peers.passes_on(self.id(), &summary) {
             return Vec::new();
         }
@@ -474,6 +479,48 @@
     assert_eq!(fleet.vms.iter().filter(at_the_store).count(), 10);
 }
 
+// An outage of the store ends, and all registrations have lapsed in it. The delegates speak on, their words still fit
+// into datagrams, and all VMs know that the others live.
+#[test]
+fn registrations_lapse() {
+    let mut fleet = Fleet::new(250, 5);
+    fleet.know(&[]);
+    fleet.run(Duration::from_millis(2000), |_| false);
+    for domain in 1..=5 {
+        assert_eq!(fleet.delegates(domain).len(), 2);
+    }
+    for vm in &fleet.vms {
+        let own = vm.own();
+        assert!(vm.peers.is_delegate(own.vm) || vm.peers.is_told(fleet.now, own));
+    }
+    let owners: Vec<u64> = fleet.vms.iter().map(|vm| vm.record.owner).collect();
+    let known = |vm: &Vm| {
+        let living = vm.peers.living_owners(fleet.now);
+        let others = owners.iter().filter(|owner| **owner != vm.record.owner);
+        others.filter(|owner| living.contains(owner)).count()
+    };
+    let least = fleet.vms.iter().map(known).min().unwrap();
+    println!("{least} of 249 known to live");
+    assert!(least >= 235, "{least}");
+}
+
+// What a longer word said in its second part counts no longer once a shorter one came.
+#[test]
+fn shorter_words() {
+    let one = Elsewhere {
+        online: 1,
+        ..Elsewhere::default()
+    };
+    let now = Duration::from_secs(1);
+    let mut usage = Usage::default();
+    usage.told_part(now, 10, (0, 2), [(1, one)]);
+    usage.told_part(now, 10, (1, 2), [(2, one)]);
+    assert_eq!((usage.of(1).online, usage.of(2).online), (1, 1));
+    let touched = usage.told_part(now, 10, (0, 1), [(2, one)]);
+    assert_eq!((usage.of(1).online, usage.of(2).online), (0, 1));
+    assert!(touched.contains(&1) && touched.contains(&2));
+}
+
 // Whoever lacks rules asks near at hand: 250 VMs that fetch from other failure domains move a thousand times the
 // bytes of their heartbeats.
 #[test]
