A connection to an endpoint that is given up is reset, so that its unsent bytes go nowhere

Trace: sent at 21.7 s to an endpoint in a failure domain that is cut off until 24.8 s, given up after 0.4 s of silence, answered by another endpoint at 22.6 s; its bytes reach the first endpoint at 27.9 s, 3.0 s after that one said that it leaves. Cause: the connection was closed in good order, so the kernel sent on what it held. Test: given_up_bytes reset_when_dropped, failed before (48 bytes, then the end) and passes now.

--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -40,7 +40,8 @@
     NoAnswer { detail: String },
 }
 
-/// One connection. Dropping it closes the socket at once, which tells the endpoint to stop.
+/// One connection. Dropping it resets the socket at once, which tells the endpoint to stop, and drops what was
+/// not sent yet.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -65,6 +66,11 @@
         };
         let nodelay = stream.set_nodelay(true);
         nodelay.map_err(|error| not_sent(error.to_string()))?;
+        // The failure: the way to an endpoint is cut, a request is given up there and answered by another one, and
+        // its bytes, which the kernel still holds, arrive when the way is back, seconds after the endpoint said that
+        // it leaves. A reset drops them.
+        let reset = stream.set_zero_linger();
+        reset.map_err(|error| not_sent(error.to_string()))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
         let task = tokio::task::spawn_local(async move {
