A job let in on a route with a limit is told to other failure domains at once

Heartbeats to other failure domains went each 500 ms unless versions changed. Change: more tokens that wait are told at once as well.

--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -72,15 +72,21 @@
     let mut sequence = 0;
     let mut far_due = Duration::ZERO;
     let mut told_far = None;
+    let mut told_waiting = 0;
     loop {
         sequence += 1;
         let beat = heartbeat(&node, sequence);
         let now = clock::now();
         let versions = Some((beat.rules, beat.endpoints, beat.draining, beat.store));
-        let far = now >= far_due || pressed(&node) || versions != told_far;
+        // A job was let in on a route with a limit: a VM that hears of it half a second later lets in more than
+        // may wait, where the limit was lowered meanwhile.
+        let waiting: u64 = beat.backlog.iter().map(|(_, tokens)| tokens).sum();
+        let lets_in = waiting > told_waiting;
+        let far = now >= far_due || pressed(&node) || versions != told_far || lets_in;
         if far {
             far_due = now + HEARTBEAT;
             told_far = versions;
+            told_waiting = waiting;
         }
         send_once(&node, &socket, beat, far);
         let _ = timeout(HEARTBEAT, node.tell_peers.notified()).await;
