One way to a delegate's round, to a job's owner and to who lives

Read again, without change of behaviour: the round was put together in the serving shell and once more in the played fleet (now Peers::round); the owner's address was looked up alike in two places (owner_elsewhere); alive and living_owners told the same twice; a constant stood twice; a count of VMs in summaries was never read.

--- a/src/decide/peers.rs
+++ b/src/decide/peers.rs
@@ -21,7 +21,6 @@
 pub use self::domains::Domains;
 pub use self::messages::{Heartbeat, Row, Summary, VmRecord};
 pub use self::round::Round;
-pub use self::speaking::Summed;
 pub use self::uses::{DomainUses, Uses};
 use super::backlog::RouteKey;
 use crate::id::{self, ranked, ConfigVersion, DomainId, OwnerId, Revision, VmId};
@@ -197,15 +196,7 @@
 
     /// Whether the process that owns something lives, as far as can be told.
     pub fn alive(&self, now: Duration, own: OwnerId, owner: OwnerId) -> bool {
-        if owner == own {
-            return true;
-        }
-        let peer = self
-            .rows
-            .values()
-            .find(|peer| peer.owner == owner && owner != 0);
-        peer.is_some_and(|peer| peer.registered || peer.lives(now))
-            || self.domains.heard_unregistered(now, owner)
+        owner == own || self.living_owners(now).contains(&owner)
     }
 
     /// All other processes that live, as far as can be told; a look at hundreds of jobs asks once.
--- a/src/decide/peers/domains.rs
+++ b/src/decide/peers/domains.rs
@@ -5,13 +5,10 @@
 use std::time::Duration;
 
 use super::messages::Summary;
-use super::HEARD_LIFE;
+use super::{FORGET_AFTER, HEARD_LIFE};
 use crate::decide::backlog::RouteKey;
 use crate::id::{ConfigVersion, DomainId, OwnerId, Revision, VmId};
 
-/// A delegate that was not heard for so long is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
-
 /// A delegate as it last spoke.
 #[derive(Debug, Clone)]
 pub struct Speaker {
@@ -34,7 +31,6 @@
 pub struct Told {
     heard_at: Duration,
     pub jobs: Revision,
-    pub vms: u32,
     pub waiting: u32,
     pub backlog: Vec<(RouteKey, u64)>,
     pub unregistered: Vec<OwnerId>,
@@ -115,12 +111,6 @@
         told.filter(|told| lives(now, told.heard_at))
     }
 
-    /// Whether a process was heard by a delegate although it is not registered.
-    pub fn heard_unregistered(&self, now: Duration, owner: OwnerId) -> bool {
-        let mut living = self.living(now);
-        living.any(|(_, told)| told.unregistered.contains(&owner))
-    }
-
     /// Whether a VM drains, by its delegate's word.
     pub fn leaves(&self, now: Duration, vm: VmId) -> bool {
         let mut living = self.living(now);
@@ -139,7 +129,6 @@
         Told {
             heard_at: now,
             jobs: summary.jobs,
-            vms: summary.vms,
             waiting: summary.waiting,
             backlog: summary.backlog.clone(),
             unregistered: summary.unregistered.clone(),
--- a/src/decide/peers/messages.rs
+++ b/src/decide/peers/messages.rs
@@ -76,8 +76,6 @@
     pub endpoints: Revision,
     /// Of the newest record of a batch job that a VM of the failure domain knows.
     pub jobs: Revision,
-    /// VMs that were heard.
-    pub vms: u32,
     /// Batch items that wait for a slot.
     pub waiting: u32,
     /// Tokens of open items, by route with a limit.
--- a/src/decide/peers/round.rs
+++ b/src/decide/peers/round.rs
@@ -61,7 +61,6 @@
             rules: own.rules,
             endpoints: own.endpoints,
             jobs: summed.jobs,
-            vms: summed.vms,
             waiting: summed.rivals.iter().map(|(_, items)| items).sum(),
             backlog: first(summed.backlog, BACKLOG_MAX),
             unregistered: first(summed.unregistered, UNREGISTERED_MAX),
--- a/src/decide/peers/speaking.rs
+++ b/src/decide/peers/speaking.rs
@@ -6,15 +6,18 @@
 
 use super::delegates::{far_rounds, ordered, Candidate, DELEGATES};
 use super::messages::{Heartbeat, Summary};
+use super::round::Round;
+use super::uses::{DomainUses, Uses};
 use super::{Own, Peer, Peers, HEARD_LIFE};
 use crate::decide::backlog::RouteKey;
+use crate::decide::endpoints::Endpoints;
+use crate::decide::usage::{Elsewhere, Usage};
 use crate::id::{self, DomainId, OwnerId, Revision, VmId};
 
 /// What a delegate has heard of its failure domain.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Summed {
     pub jobs: Revision,
-    pub vms: u32,
     pub backlog: Vec<(RouteKey, u64)>,
     pub unregistered: Vec<OwnerId>,
     pub leaving: Vec<VmId>,
@@ -114,8 +117,28 @@
         place.is_some_and(|place| place == by.map_or(0, |(place, _)| *place))
     }
 
+    /// What this delegate tells at one moment; `own` is what it says of itself.
+    pub fn round(
+        &self,
+        now: Duration,
+        own: &Heartbeat,
+        peer_address: SocketAddr,
+        usage: &Usage,
+        endpoints: &Endpoints,
+    ) -> Round {
+        let own_uses = own.rows.iter();
+        let own_uses: Uses = own_uses
+            .map(|row| (row.endpoint, Elsewhere::of(&row.uses)))
+            .collect();
+        let members = self.members(own.domain).into_iter();
+        let said = members.map(|(vm, _)| (vm, usage.of_vm(vm)));
+        let uses = DomainUses::new(said.chain([(id::of(&own.name), own_uses)]));
+        let summed = self.summed(now, own.domain, own);
+        Round::new(own, peer_address, summed, uses, endpoints)
+    }
+
     /// What this delegate has heard of the VMs of its failure domain, for a summary; `own` of itself.
-    pub fn summed(&self, now: Duration, home: DomainId, own: &Heartbeat) -> Summed {
+    fn summed(&self, now: Duration, home: DomainId, own: &Heartbeat) -> Summed {
         let rows = self.rows.iter().filter(|(_, peer)| peer.domain == home);
         let heard: Vec<(&VmId, &Peer)> = rows.filter(|(_, peer)| peer.lives(now)).collect();
         let peers = || heard.iter().map(|(_, peer)| *peer);
@@ -136,7 +159,6 @@
                 .max()
                 .unwrap_or(0)
                 .max(own.jobs),
-            vms: heard.len() as u32 + 1,
             backlog: backlog.into_iter().collect(),
             unregistered: peers()
                 .filter(|peer| !peer.registered)
--- a/src/serve/delegate.rs
+++ b/src/serve/delegate.rs
@@ -7,11 +7,10 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
-use super::node::{Core, Node};
+use super::node::Node;
 use super::peers::{heartbeat, seal, Datagram};
 use crate::clock;
-use crate::decide::peers::{DomainUses, Heartbeat, Round, Summary, Uses, ROUND};
-use crate::decide::usage::Elsewhere;
+use crate::decide::peers::{Round, Summary, ROUND};
 use crate::id::VmId;
 
 /// Time between two words to VMs whose items are to make way. Without them a burst of online requests stands
@@ -49,20 +48,9 @@
     let now = clock::now();
     let own = heartbeat(node, sequence);
     let core = node.core.borrow();
-    let summed = core.peers.summed(now, node.domain, &own);
-    let uses = domain_uses(node, &core, &own);
     let address = node.settings.peer_address;
-    Round::new(&own, address, summed, uses, &core.online.endpoints)
-}
-
-fn domain_uses(node: &Node, core: &Core, own: &Heartbeat) -> DomainUses {
-    let own_uses = own.rows.iter();
-    let own_uses: Uses = own_uses
-        .map(|row| (row.endpoint, Elsewhere::of(&row.uses)))
-        .collect();
-    let members = core.peers.members(node.domain).into_iter();
-    let said = members.map(|(vm, _)| (vm, core.usage.of_vm(vm)));
-    DomainUses::new(said.chain([(node.vm, own_uses)]))
+    let endpoints = &core.online.endpoints;
+    core.peers.round(now, &own, address, &core.usage, endpoints)
 }
 
 /// Tells the VMs of the failure domain that fit.
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -12,6 +12,7 @@
 use super::job_table::decode;
 use super::node::Node;
 use super::parts;
+use super::peers;
 use super::replies::{self, Reply};
 use super::runs;
 use crate::clock;
@@ -246,13 +247,7 @@
 /// The failure: the owner hears of it from the store by way of its delegate; that one is frozen, its connection is
 /// open, and the items run on for 2.6 s more, which nobody wants any more.
 async fn tell_owner(node: &Node, record: &Record) {
-    let owner = {
-        let core = node.core.borrow();
-        let elsewhere = core.peers.is_large() && record.owner != node.owner;
-        let address = core.peers.address(clock::now(), record.owner);
-        address.filter(|_| elsewhere)
-    };
-    let Some(owner) = owner else {
+    let Some(owner) = peers::owner_elsewhere(node, record.owner) else {
         return;
     };
     let path = format!("{ENDED_PATH}{}", record.id);
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -287,6 +287,15 @@
     node.endpoints_told("peer", changed);
 }
 
+/// Where the living process answers that runs a job elsewhere, in a large fleet: only its owner follows all
+/// that happens to a job there.
+pub fn owner_elsewhere(node: &Node, owner: OwnerId) -> Option<SocketAddr> {
+    let core = node.core.borrow();
+    let elsewhere = core.peers.is_large() && owner != node.owner;
+    let address = core.peers.address(clock::now(), owner);
+    address.filter(|_| elsewhere)
+}
+
 /// Asks the living owner of a job for a part that it has in memory.
 pub async fn ask_part(node: &Node, owner: OwnerId, key: &str) -> Option<Bytes> {
     let from = node.core.borrow().peers.address(clock::now(), owner)?;
--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -12,6 +12,7 @@
 use super::jobs::{find, reread, STORE_AWAY_RETRY};
 use super::node::Node;
 use super::parts;
+use super::peers;
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::refusal::Kind;
@@ -87,14 +88,8 @@
     after: usize,
     until: Duration,
 ) -> Option<Reply> {
-    let now = clock::now();
-    let owner = {
-        let core = node.core.borrow();
-        let elsewhere = core.peers.is_large() && record.owner != node.owner;
-        let address = core.peers.address(now, record.owner);
-        address.filter(|_| elsewhere && !record.ended())?
-    };
-    let wait = until.saturating_sub(now);
+    let owner = peers::owner_elsewhere(node, record.owner).filter(|_| !record.ended())?;
+    let wait = until.saturating_sub(clock::now());
     let path = format!("{PATH}{}/{after}/{}", record.id, wait.as_millis());
     match ask::<Bytes>(node, owner, &path, Vec::new(), wait + SLACK).await {
         Ok(page) => Some(replies::json(200, page)),
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -6,7 +6,7 @@
 
 use bramleyseam::decide::endpoints::Endpoints;
 use bramleyseam::decide::peers::{
-    DomainUses, Heartbeat, Own, Peers, Round, Row, Summary, VmRecord, ROUND,
+    DomainUses, Heartbeat, Own, Peers, Row, Summary, VmRecord, ROUND,
 };
 use bramleyseam::decide::usage::{Elsewhere, Usage, Use};
 use bramleyseam::id;
@@ -223,18 +223,11 @@
         vm.rounds += 1;
         let (rounds, home) = (vm.rounds, vm.record.domain);
         let own = vm.beat();
-        let summed = vm.peers.summed(now, home, &own);
-        let own_uses = own
-            .rows
-            .iter()
-            .map(|row| (row.endpoint, Elsewhere::of(&row.uses)));
         let members = vm.peers.members(home);
-        let said = members
-            .iter()
-            .map(|(member, _)| (*member, vm.usage.of_vm(*member)));
-        let uses = DomainUses::new(said.chain([(vm.id(), own_uses.collect())]));
         let address = vm.record.gossip_address;
-        let round = Round::new(&own, address, summed, uses, &Endpoints::default());
+        let round = vm
+            .peers
+            .round(now, &own, address, &vm.usage, &Endpoints::default());
         let far = vm.peers.far_delegates();
         let is_far = vm.peers.is_far_round(rounds);
         for (member, to) in members {
