How old the store's word is on rules, endpoints and jobs: in the log, the metrics and the dump

A watch that waits looks like one whose connection is dead, so the log could not tell a VM that had not been told from one that was told late by another. Each subject has the age of the store's youngest word now. No logic changes.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,6 +18,7 @@
 pub mod online;
 pub mod orders;
 pub mod peers;
+pub mod proofs;
 pub mod refusal;
 pub mod retry;
 pub mod routes;
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -24,6 +24,7 @@
 use super::online;
 use super::replies::{self, Reply};
 use super::results;
+use crate::decide::proofs::Subject;
 use crate::decide::refusal::Kind;
 use crate::decide::routes::{RouteKind, RouteTable};
 use crate::pages;
@@ -125,7 +126,9 @@
     let ask = (node.dialect.ask)(&head);
     let Some(route) = routes.find(&ask.host, head.uri.path()) else {
         let version = routes.rules.version;
-        log::info!(host = ask.host, path = head.uri.path(), version; "refused: no such route");
+        let proof_age_ms = node.proof_age_ms(Subject::Rules);
+        let (host, path) = (ask.host, head.uri.path());
+        log::info!(host, path, version, proof_age_ms; "refused: no such route");
         return replies::refusal(Kind::NotFound, true, None);
     };
     let body = match read(body, routes.rules.limits.body_bytes).await {
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -1,6 +1,6 @@
 //! What a serving process counts and times.
 
-use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec};
+use prometheus::{Gauge, GaugeVec, Histogram, IntCounter, IntCounterVec};
 
 use crate::metrics::Metrics;
 
@@ -17,6 +17,8 @@
     pub endpoint_transitions: IntCounterVec,
     /// Endpoints that are used although their entries are gone.
     pub endpoints_kept: Gauge,
+    /// Age of the store's youngest word, by what it is on.
+    pub proof_age: GaugeVec,
     /// Calls on the metadata store, by kind and outcome.
     pub store_calls: IntCounterVec,
     /// Batch items, by what happened to them.
@@ -61,6 +63,11 @@
                 "bramley_endpoints_kept",
                 "Endpoints that are used although their entries are gone.",
             ),
+            proof_age: metrics.gauges(
+                "bramley_proof_age_seconds",
+                "Age of the store's youngest word that what is known is all there is.",
+                &["subject"],
+            ),
             store_calls: metrics.counters(
                 "bramley_store_calls_total",
                 "Calls on the metadata store.",
--- a/src/serve/inside.rs
+++ b/src/serve/inside.rs
@@ -30,6 +30,7 @@
 use crate::decide::endpoints::Endpoint;
 use crate::decide::idle::Reason;
 use crate::decide::online::Waiting;
+use crate::decide::proofs::Subject;
 
 /// What the process knows and does, for operators.
 #[derive(Serialize)]
@@ -38,6 +39,7 @@
     stage: &'static str,
     ready: bool,
     rules: Option<u64>,
+    proofs: Vec<ProofRow>,
     endpoints_revision: u64,
     living_vms: usize,
     /// Whether it speaks for its failure domain.
@@ -51,6 +53,13 @@
     store_answers: bool,
 }
 
+/// How old the store's youngest word on a subject is.
+#[derive(Serialize)]
+struct ProofRow {
+    subject: Subject,
+    age_ms: Option<u64>,
+}
+
 #[derive(Serialize)]
 struct EndpointRow {
     name: String,
@@ -118,6 +127,7 @@
     match request.uri().path() {
         "/metrics" => {
             count_idle(&node);
+            tell_ages(&node);
             replies::bytes(Bytes::from(node.counters.metrics.page().body))
         }
         "/dump" => replies::json(200, Bytes::from(dump(&node))),
@@ -137,6 +147,17 @@
     }
 }
 
+fn tell_ages(node: &Node) {
+    let now = clock::now();
+    let core = node.core.borrow();
+    for subject in Subject::iter() {
+        let name: &'static str = subject.into();
+        let age = core.proofs.age(now, subject).unwrap_or(Duration::MAX);
+        let gauge = node.counters.proof_age.with_label_values(&[name]);
+        gauge.set(age.as_secs_f64());
+    }
+}
+
 /// What other VMs ask for.
 pub async fn peers(node: Rc<Node>, request: Request<Incoming>) -> Reply {
     match request.uri().path() {
@@ -167,11 +188,20 @@
         cancelled: job.record.cancelled,
         runs_here: job.record.owner == node.owner,
     };
+    let proof = |subject| ProofRow {
+        subject,
+        age_ms: core
+            .proofs
+            .age(now, subject)
+            .map(|age| age.as_millis() as u64),
+    };
+    let proofs = Subject::iter().map(proof).collect();
     let dump = Dump {
         vm: node.settings.name.to_string(),
         stage: core.stage.into(),
         ready: core.routes.is_some() && core.discovery.known(),
         rules: core.routes.as_ref().map(|table| table.rules.version),
+        proofs,
         endpoints_revision: core.discovery.revision,
         living_vms: core.peers.living(now),
         delegate: core.peers.is_delegate(node.vm),
--- a/src/serve/live_watch.rs
+++ b/src/serve/live_watch.rs
@@ -19,9 +19,10 @@
 use super::jobs::encode;
 use super::node::{Core, Node};
 use super::replies::{self, Reply};
-use super::watch::{self, ask_store, follow, News, Told};
+use super::watch::{self, ask_store, follow, Followed, News, Told};
 use crate::clock;
 use crate::decide::peers::VmRecord;
+use crate::decide::proofs::Subject;
 use crate::decide::small_jobs::{record_key, RECORDS};
 use crate::id::Revision;
 use crate::store::{Change, Error, Item};
@@ -52,6 +53,10 @@
 
 /// Prefix of all that is followed here.
 const LIVE: &str = "small/live/";
+const FOLLOWED: Followed = Followed {
+    subject: Subject::Live,
+    prefix: LIVE,
+};
 /// Prefix of the VMs' registrations.
 pub const VMS: &str = "small/live/vm/";
 /// Deleted keys that are remembered for the VMs that follow this one. One that comes back after more
@@ -102,7 +107,7 @@
         Some(watcher) => ask_watcher(node, watcher, at, wait).await,
         // The fleet starts, and its delegates are yet to be heard.
         None if watch::settles(node) => watch::rest().await,
-        None => ask_store(node, LIVE, at, wait).await,
+        None => ask_store(node, FOLLOWED, at, wait).await,
     };
     follow(node, LIVE, pace, ask, take).await;
 }
@@ -164,7 +169,7 @@
             let until = clock::now() + DISTRUST;
             node.core.borrow_mut().live.distrusted = Some((watcher, until));
             // Read anew from the store, since nobody knows what that VM missed in its last moments.
-            ask_store(node, LIVE, None, wait).await
+            ask_store(node, FOLLOWED, None, wait).await
         }
     }
 }
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -24,6 +24,7 @@
 use crate::decide::items::Items;
 use crate::decide::online::{Action, Event, Online, Service};
 use crate::decide::peers::{Own, Peers};
+use crate::decide::proofs::{Proofs, Subject};
 use crate::decide::routes::{RouteKind, RouteTable, Rules};
 use crate::decide::small_jobs::Record;
 use crate::decide::usage::Usage;
@@ -64,6 +65,8 @@
     pub jobs: Jobs,
     pub live: Live,
     pub peers: Peers,
+    /// How old the store's word is on all that is followed there.
+    pub proofs: Proofs,
     pub stage: Stage,
     callers: HashMap<RequestId, mpsc::UnboundedSender<Action>>,
     next_request: RequestId,
@@ -141,6 +144,7 @@
             jobs: Jobs::default(),
             live: Live::default(),
             peers: Peers::new(settings.mesh_max),
+            proofs: Proofs::default(),
             stage: Stage::Serving,
             callers: HashMap::new(),
             next_request: 1,
@@ -210,6 +214,17 @@
         }
     }
 
+    /// The store has answered a call on a subject that was sent at this time.
+    pub fn proved(&self, subject: Subject, sent_at: Duration) {
+        self.core.borrow_mut().proofs.proved(subject, sent_at);
+    }
+
+    /// Age of the youngest proof of a subject in milliseconds, for the log; -1 where there was none yet.
+    pub fn proof_age_ms(&self, subject: Subject) -> i64 {
+        let age = self.core.borrow().proofs.age(clock::now(), subject);
+        age.map_or(-1, |age| age.as_millis() as i64)
+    }
+
     /// Whether callers can be served: it knows rules and endpoints, and does not drain.
     pub fn ready(&self) -> bool {
         let core = self.core.borrow();
@@ -240,12 +255,14 @@
 
     /// Takes rules unless they are older than those in force: a process never goes back.
     pub fn take_rules(&self, rules: Rules, from: &str) {
+        let proof_age_ms = self.proof_age_ms(Subject::Rules);
         let mut core = self.core.borrow_mut();
         let known = core.routes.as_ref().map(|table| table.rules.version);
         if known.is_some_and(|known| rules.version <= known) {
             return;
         }
-        log::info!(version = rules.version, before = known.unwrap_or(0), from; "rules taken");
+        let before = known.unwrap_or(0);
+        log::info!(version = rules.version, before, from, proof_age_ms; "rules taken");
         core.online.services = services(&rules);
         core.routes = Some(Rc::new(RouteTable::new(rules)));
         drop(core);
@@ -257,6 +274,7 @@
     /// only the end may be kept.
     fn tell_endpoint_news(&self, from: &str) {
         let now = clock::now();
+        let proof_age_ms = self.proof_age_ms(Subject::Endpoints);
         let mut core = self.core.borrow_mut();
         let news = core.discovery.take_news();
         let kept = core.discovery.kept() as f64;
@@ -273,7 +291,8 @@
                 transition,
                 from,
                 revision = one.revision,
-                store_failed_ms = failed_ms;
+                store_failed_ms = failed_ms,
+                proof_age_ms;
                 "endpoint"
             );
         }
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -10,6 +10,7 @@
 use super::retire::retire;
 use crate::clock;
 use crate::decide::discovery::{Known, Source};
+use crate::decide::proofs::Subject;
 use crate::id::{self, Revision};
 use crate::store::{Call, Change, Error, Item, Reply};
 use crate::util;
@@ -68,7 +69,14 @@
     }
 }
 
-/// What one question and the revision up to which that is all.
+/// What is followed, and the prefix of its keys.
+#[derive(Clone, Copy)]
+pub struct Followed {
+    pub subject: Subject,
+    pub prefix: &'static str,
+}
+
+/// What one question has brought, and the revision up to which that is all.
 pub type Told = (News, Revision);
 
 /// Follows one prefix until the process ends.
@@ -101,6 +109,7 @@
         let wait = confirm_at.map_or(WAIT, |due| due.saturating_sub(now).min(WAIT));
         match ask(&node, at, wait).await {
             Ok(None) => {
+                log::info!(prefix; "reading all again, in doubt of the watch");
                 at = None;
                 confirm_at = Some(clock::now() + CONFIRM);
             }
@@ -139,12 +148,14 @@
 /// Asks the store; a watch is given up when other calls on the store fail.
 pub async fn ask_store(
     node: &Node,
-    prefix: &str,
+    Followed { subject, prefix }: Followed,
     at: Option<Revision>,
     wait: Duration,
 ) -> Result<Option<Told>, Error> {
+    let sent_at = clock::now();
     let Some(after) = at else {
         let (items, at) = node.store.range(prefix).await?;
+        node.proved(subject, sent_at);
         return Ok(Some((News::All(items), at)));
     };
     let call = Call::Watch {
@@ -157,7 +168,10 @@
         () = node.watch_again.notified() => return Ok(None),
     };
     match told {
-        Reply::Changes { changes, at } => Ok(Some((News::Changes(changes), at))),
+        Reply::Changes { changes, at } => {
+            node.proved(subject, sent_at);
+            Ok(Some((News::Changes(changes), at)))
+        }
         other => Err(Error::Unknown {
             detail: format!("a reply of another kind: {other:?}"),
         }),
@@ -195,29 +209,28 @@
 }
 
 /// Follows a prefix at the store, every change at once.
-async fn follow_store(
-    node: Rc<Node>,
-    prefix: &'static str,
-    take: impl FnMut(&Node, News, Revision),
-) {
+async fn follow_store(node: Rc<Node>, followed: Followed, take: impl FnMut(&Node, News, Revision)) {
     let ask = async |node: &Rc<Node>, at: Option<Revision>, wait: Duration| {
         if is_told(node) {
             return rest().await;
         }
-        ask_store(node, prefix, at, wait).await
+        ask_store(node, followed, at, wait).await
     };
-    follow(node, prefix, |_| PACE, ask, take).await;
+    follow(node, followed.prefix, |_| PACE, ask, take).await;
 }
 
 /// The rules, and requests to empty VMs.
 pub async fn operators(node: Rc<Node>) {
-    let prefix = node.dialect.keys.operators;
+    let followed = Followed {
+        subject: Subject::Rules,
+        prefix: node.dialect.keys.operators,
+    };
     let take = |node: &Node, news: News, _| {
         for item in news.written() {
             operators_item(node, &item);
         }
     };
-    follow_store(node, prefix, take).await;
+    follow_store(node, followed, take).await;
 }
 
 fn written(change: Change) -> Option<Item> {
@@ -242,7 +255,10 @@
 
 /// The endpoints.
 pub async fn endpoints(node: Rc<Node>) {
-    let prefix = node.dialect.keys.endpoints;
+    let followed = Followed {
+        subject: Subject::Endpoints,
+        prefix: node.dialect.keys.endpoints,
+    };
     let take = |node: &Node, news: News, revision| {
         let now = clock::now();
         let changed = match news {
@@ -254,7 +270,7 @@
         };
         node.endpoints_told("store", changed);
     };
-    follow_store(node, prefix, take).await;
+    follow_store(node, followed, take).await;
 }
 
 /// Takes a whole reading of the endpoints' entries; true when it matters. One that names no endpoint to use
