Tests that fail: connections that wait go silent for good while others go through

What callers saw: a route that had been added refused, an endpoint that had said it leaves still used, for up to 29.8 s. The link of the stand-ins can silence connections that have carried nothing for a while, both ways or one, and such as are opened next.

--- a/src/standin/relay.rs
+++ b/src/standin/relay.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -28,11 +28,59 @@
 /// Time between two looks at a silent link.
 const LOOK: Duration = Duration::from_millis(5);
 
+/// Which way a connection has gone silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Silence {
+    Both,
+    /// What clients send is lost.
+    Up,
+    /// What comes back is lost.
+    Down,
+}
+
 /// One connection over a link.
 struct Open {
     ends: [TcpStream; 2],
-    /// Nothing it carries arrives any more, and nobody is told.
-    silent: Arc<AtomicBool>,
+    state: Arc<State>,
+}
+
+/// What both directions of a connection share. Once silent, nothing arrives any more and nobody is told.
+#[derive(Default)]
+struct State {
+    silent_up: AtomicBool,
+    silent_down: AtomicBool,
+    /// When it last carried anything, in milliseconds of the steady clock.
+    used_ms: AtomicU64,
+}
+
+impl State {
+    fn new() -> State {
+        let state = State::default();
+        state.touch();
+        state
+    }
+
+    fn touch(&self) {
+        self.used_ms.store(now_ms(), Ordering::SeqCst);
+    }
+
+    fn idle(&self) -> Duration {
+        let used_ms = self.used_ms.load(Ordering::SeqCst);
+        Duration::from_millis(now_ms().saturating_sub(used_ms))
+    }
+
+    fn silence(&self, silence: Silence) {
+        if silence != Silence::Down {
+            self.silent_up.store(true, Ordering::SeqCst);
+        }
+        if silence != Silence::Up {
+            self.silent_down.store(true, Ordering::SeqCst);
+        }
+    }
+}
+
+fn now_ms() -> u64 {
+    clock::now().as_millis() as u64
 }
 
 /// One link.
@@ -43,6 +91,8 @@
     mode: Arc<Mutex<Mode>>,
     open: Arc<Mutex<HashMap<u64, Open>>>,
     next: Arc<AtomicU64>,
+    /// So many more connections are silent from the start.
+    silent_next: Arc<AtomicU32>,
 }
 
 impl Relay {
@@ -55,6 +105,7 @@
             mode: Arc::default(),
             open: Arc::default(),
             next: Arc::default(),
+            silent_next: Arc::default(),
         };
         let own = relay.clone();
         thread::spawn(move || {
@@ -75,22 +126,28 @@
         server.set_nodelay(true)?;
         let id = self.next.fetch_add(1, Ordering::SeqCst);
         let ends = [client.try_clone()?, server.try_clone()?];
-        let dead = Arc::new(AtomicBool::new(false));
-        let silent = dead.clone();
-        lock(&self.open).insert(id, Open { ends, silent });
+        let state = Arc::new(State::new());
+        if self.takes_silent() {
+            state.silence(Silence::Both);
+        }
+        let (state_up, state_down) = (state.clone(), state.clone());
+        lock(&self.open).insert(id, Open { ends, state });
         let (client_read, server_write) = (client.try_clone()?, server.try_clone()?);
         let (up, down) = (self.mode.clone(), self.mode.clone());
-        let dead_down = dead.clone();
-        let silent_up = move |mode| {
-            dead.load(Ordering::SeqCst) || matches!(mode, Mode::Silent | Mode::SilentUp)
-        };
-        let silent_down = move |mode| {
-            dead_down.load(Ordering::SeqCst) || matches!(mode, Mode::Silent | Mode::SilentDown)
-        };
         let open = self.open.clone();
-        thread::spawn(move || copy(client_read, server_write, &up, silent_up));
         thread::spawn(move || {
-            copy(server, client, &down, silent_down);
+            let silent = |mode| {
+                let dead = state_up.silent_up.load(Ordering::SeqCst);
+                dead || matches!(mode, Mode::Silent | Mode::SilentUp)
+            };
+            copy(client_read, server_write, &up, &state_up, silent);
+        });
+        thread::spawn(move || {
+            let silent = |mode| {
+                let dead = state_down.silent_down.load(Ordering::SeqCst);
+                dead || matches!(mode, Mode::Silent | Mode::SilentDown)
+            };
+            copy(server, client, &down, &state_down, silent);
             // Its descriptors are free again.
             lock(&open).remove(&id);
         });
@@ -112,11 +169,30 @@
 
     /// Connections that are open go silent for good; new ones work.
     pub fn silence_open(&self) {
+        self.silence_idle(Duration::ZERO, Silence::Both);
+    }
+
+    /// Open connections that have carried nothing for `idle` go silent for good; those in use and new ones work.
+    pub fn silence_idle(&self, idle: Duration, silence: Silence) {
         for open in lock(&self.open).values() {
-            open.silent.store(true, Ordering::SeqCst);
+            if open.state.idle() >= idle {
+                open.state.silence(silence);
+            }
         }
     }
 
+    /// The next `count` connections are silent from the start.
+    pub fn silence_next(&self, count: u32) {
+        self.silent_next.store(count, Ordering::SeqCst);
+    }
+
+    fn takes_silent(&self) -> bool {
+        let left = &self.silent_next;
+        let fewer = |count: u32| count.checked_sub(1);
+        left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, fewer)
+            .is_ok()
+    }
+
     /// Cuts or heals the link; connections that are open break.
     pub fn cut(&self, cut: bool) {
         self.cut.store(cut, Ordering::SeqCst);
@@ -126,9 +202,16 @@
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, mode: &Mutex<Mode>, silent: impl Fn(Mode) -> bool) {
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    mode: &Mutex<Mode>,
+    state: &State,
+    silent: impl Fn(Mode) -> bool,
+) {
     let mut buffer = [0; 16 * 1024];
     while let Ok(count) = from.read(&mut buffer) {
+        state.touch();
         while silent(*lock(mode)) {
             clock::sleep(LOOK);
         }
