What is believed of rules, endpoints, jobs and VMs is proved by a call, not by an open watch

What callers saw: routes that had been added were refused as if they were wrong, rules and endpoints from before were used, for up to 29.8 s. Cause: the connections on which watches wait were silent for good on all VMs, and nothing else was; belief rested on a watch that could wait for 29.8 s, and only another call that failed, or a VM that knew more, cut it short. Class: silence taken for news that there is none.

While a watch waits, the same question is asked again on another connection, by the first VM in order for all (two delegates of each failure domain above 64 VMs), and the age of the proof goes with heartbeats and summaries, told only by those who had it from the store. An unknown route is refused as such only on a proof younger than 1.8 s. A VM that was heard but does not answer is not asked again and again for what it knows.

--- a/src/decide/peers.rs
+++ b/src/decide/peers.rs
@@ -32,6 +32,8 @@
 const JUST_HEARD: Duration = Duration::from_millis(750);
 /// Orders the VMs of a failure domain by fitness to watch; any constant does.
 const KEY_WATCHER: u64 = 0x7761_7463_6865_7273;
+/// Orders the VMs by fitness to prove rules and endpoints; any constant does.
+const KEY_PROVER: u64 = 0x7072_6f76_6572_7331;
 /// A VM that is neither registered nor heard for so long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
--- a/src/decide/peers/asking.rs
+++ b/src/decide/peers/asking.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{Own, Peers, KEY_WATCHER};
+use super::delegates::DELEGATES;
+use super::{Own, Peers, KEY_PROVER, KEY_WATCHER};
 use crate::id::{ranked, ConfigVersion, DomainId, Revision, VmId};
 
 /// Whom to ask for what.
@@ -24,6 +25,45 @@
         self.is_spoken_for(own) && self.watching_delegate(now, own).is_some()
     }
 
+    /// Place of this VM among those that prove rules and endpoints for the others; `None` for one that the store doesn't
+    /// answer, and for those far behind. All VMs work it out alike from what they hear.
+    ///
+    /// Calls on the store are paid for and rated, so that not every VM asks on its own: in a small fleet all are in one
+    /// order, in a large one the delegates of each failure domain, and two VMs behind them.
+    pub fn place_to_prove(&self, now: Duration, own: Own) -> Option<usize> {
+        if !own.fit && !own.draining {
+            return None;
+        }
+        if self.is_spoken_for(own) {
+            return self.place_behind(own);
+        }
+        let rows = self.rows.iter();
+        let fit = rows.filter(|(vm, peer)| match self.is_large() {
+            true => self.is_delegate(**vm) && self.speaks_with_store(now, **vm),
+            false => peer.lives(now) && peer.store && !peer.draining,
+        });
+        let others = fit.map(|(vm, _)| *vm);
+        let order = ranked(KEY_PROVER, others.chain([own.vm]));
+        order.iter().position(|vm| *vm == own.vm)
+    }
+
+    fn speaks_with_store(&self, now: Duration, vm: VmId) -> bool {
+        let speaker = self.domains.speaker(now, vm);
+        speaker.is_some_and(|speaker| speaker.store && !speaker.draining)
+    }
+
+    /// The place behind the delegates of one of the first VMs that they speak for.
+    fn place_behind(&self, own: Own) -> Option<usize> {
+        let rows = self.rows.iter();
+        let members = rows.filter(|(vm, peer)| {
+            peer.registered && peer.domain == own.domain && !self.is_delegate(**vm)
+        });
+        let others = members.map(|(vm, _)| *vm);
+        let order = ranked(KEY_PROVER, others.chain([own.vm]));
+        let place = order.iter().position(|vm| *vm == own.vm)?;
+        Some(DELEGATES + place)
+    }
+
     /// The VM of the own failure domain that watches the metadata store for the others, where it is
     /// not this one: all work it out alike from what they hear, and one that the store turns away is
     /// passed over. `None` as well while two of them think so of themselves, which costs calls only.
@@ -63,14 +103,14 @@
         shared(own.vm, speakers.iter().map(|speaker| speaker.peer_address))
     }
 
-    /// A living VM that knows newer rules or endpoints than these; of the VMs that know as much, one of the own
-    /// failure domain, since bytes between failure domains are dear.
+    /// A living VM that knows newer rules or endpoints than these, and that `answers`; of the VMs that know as much, one
+    /// of the own failure domain, since bytes between failure domains are dear.
     pub fn ahead(
         &self,
         now: Duration,
         home: DomainId,
-        rules: ConfigVersion,
-        endpoints: Revision,
+        (rules, endpoints): (ConfigVersion, Revision),
+        answers: impl Fn(SocketAddr) -> bool,
     ) -> Ahead {
         let living = self.rows.values().filter(|peer| peer.lives(now));
         let heard = living.filter_map(|peer| {
@@ -82,7 +122,8 @@
             let known = (one.rules, one.endpoints);
             (known, one.domain == home, one.peer_address)
         });
-        let all: Vec<_> = heard.chain(told).collect();
+        let all = heard.chain(told);
+        let all: Vec<_> = all.filter(|(.., from)| answers(*from)).collect();
         let newest = all
             .iter()
             .max_by_key(|((rules, _), near, _)| (*rules, *near));
--- a/src/decide/peers/messages.rs
+++ b/src/decide/peers/messages.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::backlog::RouteKey;
+use crate::decide::proofs::ProofAges;
 use crate::decide::usage::{Elsewhere, Use};
 use crate::id::{ConfigVersion, DomainId, EndpointId, Name, OwnerId, Revision, VmId};
 
@@ -45,6 +46,8 @@
     /// 0 while it knows none.
     pub rules: ConfigVersion,
     pub endpoints: Revision,
+    /// How old the store's word is that the sender knows all rules and endpoints.
+    pub proofs: ProofAges,
     /// Of the newest record of a batch job.
     pub jobs: Revision,
     /// Batch items that wait there for a slot.
@@ -74,6 +77,7 @@
     /// What the delegate itself knows, so that it can be asked for it.
     pub rules: ConfigVersion,
     pub endpoints: Revision,
+    pub proofs: ProofAges,
     /// Of the newest record of a batch job that a VM of the failure domain knows.
     pub jobs: Revision,
     /// Batch items that wait for a slot.
--- a/src/decide/peers/round.rs
+++ b/src/decide/peers/round.rs
@@ -60,6 +60,7 @@
             store: own.store,
             rules: own.rules,
             endpoints: own.endpoints,
+            proofs: own.proofs,
             jobs: summed.jobs,
             waiting: summed.rivals.iter().map(|(_, items)| items).sum(),
             backlog: first(summed.backlog, BACKLOG_MAX),
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -24,12 +24,16 @@
 use super::online;
 use super::replies::{self, Reply};
 use super::results;
+use crate::clock;
 use crate::decide::proofs::Subject;
 use crate::decide::refusal::Kind;
 use crate::decide::routes::{RouteKind, RouteTable};
 use crate::pages;
 use crate::util;
 
+/// When to come back to a VM that can't tell whether its rules are the newest: a proof comes each 0.6 s, or each
+/// second in a large fleet.
+const UNSURE_RETRY: Duration = Duration::from_millis(700);
 /// When to come back to a VM that knows no rules yet; it has read them within a second.
 const STARTING_RETRY: Duration = Duration::from_millis(500);
 /// Bounds before any rules are known.
@@ -128,8 +132,12 @@
         let version = routes.rules.version;
         let proof_age_ms = node.proof_age_ms(Subject::Rules);
         let (host, path) = (ask.host, head.uri.path());
-        log::info!(host, path, version, proof_age_ms; "refused: no such route");
-        return replies::refusal(Kind::NotFound, true, None);
+        let sure = node.core.borrow().proofs.rules_are_sure(clock::now());
+        log::info!(host, path, version, proof_age_ms, sure; "refused: no such route");
+        return match sure {
+            true => replies::refusal(Kind::NotFound, true, None),
+            false => replies::refusal(Kind::NotReady, true, Some(UNSURE_RETRY)),
+        };
     };
     let body = match read(body, routes.rules.limits.body_bytes).await {
         Ok(body) => body,
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -19,6 +19,8 @@
     pub endpoints_kept: Gauge,
     /// Age of the store's youngest word, by what it is on.
     pub proof_age: GaugeVec,
+    /// Watches that had missed what another call on the store told.
+    pub silent_watches: IntCounter,
     /// Calls on the metadata store, by kind and outcome.
     pub store_calls: IntCounterVec,
     /// Batch items, by what happened to them.
@@ -68,6 +70,10 @@
                 "Age of the store's youngest word that what is known is all there is.",
                 &["subject"],
             ),
+            silent_watches: metrics.counter(
+                "bramley_silent_watches_total",
+                "Watches that had missed what another call on the store told.",
+            ),
             store_calls: metrics.counters(
                 "bramley_store_calls_total",
                 "Calls on the metadata store.",
--- a/src/serve/delegate.rs
+++ b/src/serve/delegate.rs
@@ -100,6 +100,7 @@
     if !core.peers.domains.take(now, &summary) {
         return;
     }
+    core.take_proofs(now, summary.proofs, (summary.rules, summary.endpoints));
     let near = summary.domain == node.domain;
     if near && core.peers.is_delegate(node.vm) {
         // It has heard the VMs themselves.
--- a/src/serve/live_watch.rs
+++ b/src/serve/live_watch.rs
@@ -88,6 +88,8 @@
 struct Changes {
     changes: Vec<Change>,
     at: Revision,
+    /// How old the store's word to that VM is that these are all.
+    proof_age_ms: u64,
 }
 
 /// Follows the records until the process ends.
@@ -163,7 +165,12 @@
     let wait = wait.min(WAIT_MAX);
     let path = format!("{PATH}{}/{}", at.unwrap_or(0), wait.as_millis());
     match ask::<Changes>(node, watcher, &path, Vec::new(), wait + SLACK).await {
-        Ok(told) => Ok(Some((News::PassedOn(told.changes), told.at))),
+        Ok(told) => {
+            let age = Duration::from_millis(told.proof_age_ms);
+            let mut core = node.core.borrow_mut();
+            core.proofs.told_at(Subject::Live, clock::now(), age);
+            Ok(Some((News::PassedOn(told.changes), told.at)))
+        }
         Err(error) => {
             log::info!(watcher:% = watcher, error:% = error; "the VM that watches did not answer");
             let until = clock::now() + DISTRUST;
@@ -189,7 +196,7 @@
         let (told, changed) = {
             let core = node.core.borrow();
             // It doesn't know them all yet itself.
-            if core.jobs.watched == 0 {
+            if core.jobs.watched == 0 || is_behind(node, &core) {
                 return replies::empty(503);
             }
             (changes_after(node, after), core.jobs.changed.clone())
@@ -203,6 +210,12 @@
     }
 }
 
+/// Whether the store answers this VM, and has said nothing of the records for so long that the others had better ask
+/// it themselves. While the store is away they had not: all of them would.
+fn is_behind(node: &Node, core: &Core) -> bool {
+    node.store_answers.get() && !core.proofs.live_is_sure(clock::now())
+}
+
 fn changes_after(node: &Node, after: Revision) -> Changes {
     let core = node.core.borrow();
     let written = |key: String, value: Bytes, revision: Revision| {
@@ -228,10 +241,13 @@
         key: key.clone(),
         revision: *revision,
     });
+    let age = core.proofs.age(clock::now(), Subject::Live);
+    let age = age.unwrap_or(Duration::MAX);
     Changes {
         // What was deleted and written again must not be gone in the end.
         changes: deleted.chain(jobs).chain(vms).collect(),
         at: core.jobs.watched,
+        proof_age_ms: age.as_millis() as u64,
     }
 }
 
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -24,12 +24,13 @@
 use crate::decide::items::Items;
 use crate::decide::online::{Action, Event, Online, Service};
 use crate::decide::peers::{Own, Peers};
-use crate::decide::proofs::{Proofs, Subject};
+use crate::decide::proofs::{Knows, ProofAges, Proofs, Subject};
 use crate::decide::routes::{RouteKind, RouteTable, Rules};
 use crate::decide::small_jobs::Record;
 use crate::decide::usage::Usage;
 use crate::id::{
-    self, DomainId, EndpointId, OwnerId, RequestId, Revision, ServiceId, VmId, WorkspaceId,
+    self, ConfigVersion, DomainId, EndpointId, OwnerId, RequestId, Revision, ServiceId, VmId,
+    WorkspaceId,
 };
 use crate::settings;
 use crate::store::{EndedCall, Store};
@@ -73,6 +74,20 @@
 }
 
 impl Core {
+    /// Version of the rules in force; 0 while none are known.
+    pub fn rules_version(&self) -> ConfigVersion {
+        self.routes.as_ref().map_or(0, |table| table.rules.version)
+    }
+
+    /// Takes what another VM tells of the store's word to it; `told` is what that VM knows.
+    pub fn take_proofs(&mut self, now: Duration, ages: ProofAges, told: (ConfigVersion, Revision)) {
+        let knows = Knows {
+            rules: self.rules_version() >= told.0,
+            endpoints: self.discovery.revision >= told.1,
+        };
+        self.proofs.told(now, ages, knows);
+    }
+
     /// Takes a job's record, and notes what became known as finished with it.
     pub fn take_job(
         &mut self,
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -1,6 +1,7 @@
 //! What serving processes tell each other: by UDP what they have in flight and which versions they
 //! know, by TCP the rules and endpoints that another one lacks.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,8 +39,11 @@
 const CALM: Duration = Duration::from_millis(100);
 /// Before a newer version is fetched from another VM, the store's own watch may bring it.
 const FETCH_AFTER: Duration = Duration::from_millis(150);
-/// Time for one fetch.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for one fetch. An answer takes milliseconds between failure domains, and 0.2 s from a VM whose core is used up;
+/// with another VM to ask after it, news that is 0.6 s old is in force within 2 s.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// A VM that did not answer is not asked again for so long; by then its heartbeats have told whether it lives.
+const UNANSWERED_PAUSE: Duration = Duration::from_secs(2);
 /// Endpoints in one heartbeat; keeps the datagram within one packet.
 const ROWS_MAX: usize = 96;
 
@@ -158,8 +162,9 @@
         sequence,
         draining: core.stage == Stage::Draining,
         store: node.store_answers.get(),
-        rules: core.routes.as_ref().map_or(0, |table| table.rules.version),
+        rules: core.rules_version(),
         endpoints: core.discovery.revision,
+        proofs: core.proofs.own_ages(now),
         jobs: core.jobs.revision,
         waiting: core.items.waiting() as u32,
         backlog: backlog(&core, node.owner),
@@ -216,6 +221,7 @@
     if !core.peers.heard(now, from, &beat) {
         return;
     }
+    core.take_proofs(now, beat.proofs, (beat.rules, beat.endpoints));
     let rows = beat.rows.into_iter().map(|row| (row.endpoint, row.uses));
     let touched = core.usage.said(now, id::of(&beat.name), rows);
     let endpoints = &mut core.online.endpoints;
@@ -240,51 +246,72 @@
 /// The failure: the store turns this VM away, or its watch has gone silent, while the others have
 /// new rules. Its callers would be served by old ones for as long as that lasts.
 pub async fn fetch(node: Rc<Node>) {
+    let mut unanswered = Unanswered::new();
     loop {
         sleep(FETCH_AFTER).await;
-        let behind = ahead(&node);
+        let behind = ahead(&node, &unanswered);
         if behind.rules.is_none() && behind.endpoints.is_none() {
             continue;
         }
         sleep(FETCH_AFTER).await;
-        let ahead = ahead(&node);
-        if let Some(from) = ahead.rules {
-            fetch_rules(&node, from).await;
+        unanswered.retain(|_, until| clock::now() < *until);
+        if let Some(from) = ahead(&node, &unanswered).rules {
+            let fetched = fetch_rules(&node, from).await;
+            note_answer(&mut unanswered, from, fetched);
         }
-        if let Some(from) = ahead.endpoints {
-            fetch_endpoints(&node, from).await;
+        if let Some(from) = ahead(&node, &unanswered).endpoints {
+            let fetched = fetch_endpoints(&node, from).await;
+            note_answer(&mut unanswered, from, fetched);
         }
     }
 }
 
-fn ahead(node: &Node) -> Ahead {
+/// VMs that did not answer, and until when they are not asked.
+///
+/// The failure: a VM is heard that can't be asked, since it is frozen or the way to it is cut one way, and it is
+/// the one that knows most; asked again and again, it keeps this VM behind while the others know as much.
+type Unanswered = HashMap<SocketAddr, Duration>;
+
+fn note_answer(unanswered: &mut Unanswered, from: SocketAddr, answered: bool) {
+    if !answered {
+        unanswered.insert(from, clock::now() + UNANSWERED_PAUSE);
+    }
+}
+
+fn ahead(node: &Node, unanswered: &Unanswered) -> Ahead {
     let core = node.core.borrow();
-    let rules = core.routes.as_ref().map_or(0, |table| table.rules.version);
-    core.peers
-        .ahead(clock::now(), node.domain, rules, core.discovery.revision)
+    let known = (core.rules_version(), core.discovery.revision);
+    let answers = |from| !unanswered.contains_key(&from);
+    core.peers.ahead(clock::now(), node.domain, known, answers)
 }
 
-async fn fetch_rules(node: &Rc<Node>, from: SocketAddr) {
-    if let Some(rules) = fetch_from::<Rules>(node, from, RULES_PATH).await {
+/// Takes the rules of another VM; false when it did not answer.
+async fn fetch_rules(node: &Rc<Node>, from: SocketAddr) -> bool {
+    let told = fetch_from::<Rules>(node, from, RULES_PATH).await;
+    let answered = told.is_some();
+    if let Some(rules) = told {
         node.take_rules(rules, "peer");
     }
+    answered
 }
 
-async fn fetch_endpoints(node: &Rc<Node>, from: SocketAddr) {
+/// Takes the endpoints of another VM; false when it did not answer.
+async fn fetch_endpoints(node: &Rc<Node>, from: SocketAddr) -> bool {
     let Some(told) = fetch_from::<Endpoints>(node, from, ENDPOINTS_PATH).await else {
-        return;
+        return false;
     };
     let changed = {
         let mut core = node.core.borrow_mut();
         let before = core.discovery.revision;
         if told.at <= before {
-            return;
+            return true;
         }
         log::info!(by:% = from, before, at = told.at; "endpoints told by another VM");
         core.discovery
             .replaced(clock::now(), told.entries, told.at, Source::Peer)
     };
     node.endpoints_told("peer", changed);
+    true
 }
 
 /// Where the living process answers that runs a job elsewhere, in a large fleet: only its owner follows all
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -8,6 +8,7 @@
 use bramleyseam::decide::peers::{
     DomainUses, Heartbeat, Own, Peers, Row, Summary, VmRecord, ROUND,
 };
+use bramleyseam::decide::proofs::{self, Knows, Proofs, Subject};
 use bramleyseam::decide::usage::{Elsewhere, Usage, Use};
 use bramleyseam::id;
 use bramleyseam::wire::DATAGRAM_BYTES;
@@ -43,6 +44,10 @@
     rounds: u64,
     dead: bool,
     store: bool,
+    /// Its calls on the store get no answer, though it does not know it.
+    unanswered: bool,
+    proofs: Proofs,
+    proof_calls: u64,
     received: u64,
     received_bytes: u64,
     sent: u64,
@@ -52,6 +57,8 @@
     vms: Vec<Vm>,
     at: HashMap<SocketAddr, usize>,
     domains: u64,
+    /// Version of the rules at the store. No watch tells of it.
+    newest_rules: u64,
     now: Duration,
     under_way: Vec<(SocketAddr, usize, Datagram)>,
 }
@@ -76,7 +83,7 @@
         self.record.domain * 1_000_000 + self.record.owner % ENDPOINTS
     }
 
-    fn beat(&mut self) -> Heartbeat {
+    fn beat(&mut self, now: Duration) -> Heartbeat {
         self.sequence += 1;
         let uses = Use {
             online: 1,
@@ -95,6 +102,7 @@
             store: self.store,
             rules: self.rules,
             endpoints: 1,
+            proofs: self.proofs.own_ages(now),
             jobs: 1,
             waiting: 0,
             backlog: Vec::new(),
@@ -126,6 +134,9 @@
             rounds: 0,
             dead: false,
             store: true,
+            unanswered: false,
+            proofs: Proofs::default(),
+            proof_calls: 0,
             received: 0,
             received_bytes: 0,
             sent: 0,
@@ -138,6 +149,7 @@
                 .collect(),
             vms: records.iter().map(vm).collect(),
             domains,
+            newest_rules: 1,
             now: Duration::from_secs(100),
             under_way: Vec::new(),
         };
@@ -193,6 +205,7 @@
             }
             vm.usage.tick(now);
             vm.fetch_rules(now);
+            vm.prove(now, own, self.newest_rules);
             // Not all at the same step.
             let phase = STEP * (at as u32 % 5);
             let large = self.vms[at].peers.is_large();
@@ -206,7 +219,7 @@
     }
 
     fn send_beat(&mut self, at: usize, far: bool) {
-        let beat = self.vms[at].beat();
+        let beat = self.vms[at].beat(self.now);
         let domain = self.vms[at].record.domain;
         let mut targets = self.vms[at].peers.targets(domain, true);
         if far {
@@ -222,7 +235,7 @@
         let vm = &mut self.vms[at];
         vm.rounds += 1;
         let (rounds, home) = (vm.rounds, vm.record.domain);
-        let own = vm.beat();
+        let own = vm.beat(now);
         let members = vm.peers.members(home);
         let address = vm.record.gossip_address;
         let round = vm
@@ -260,11 +273,38 @@
 }
 
 impl Vm {
+    fn knows(&self, rules: u64) -> Knows {
+        Knows {
+            rules: self.rules >= rules,
+            endpoints: true,
+        }
+    }
+
+    /// Asks the store for rules and endpoints where it is this VM's turn.
+    fn prove(&mut self, now: Duration, own: Own, newest_rules: u64) {
+        let place = self.peers.place_to_prove(now, own);
+        for subject in [Subject::Rules, Subject::Endpoints] {
+            let patience = proofs::patience(subject, place, self.peers.is_large());
+            let due = patience.is_some_and(|p| self.proofs.due_in(now, subject, p).is_zero());
+            if !due {
+                continue;
+            }
+            self.proof_calls += 1;
+            if self.unanswered {
+                // The call fails, and with it the VM knows that the store doesn't answer it.
+                self.store = false;
+                continue;
+            }
+            self.rules = self.rules.max(newest_rules);
+            self.proofs.proved(subject, now);
+        }
+    }
+
     /// Takes newer rules from whoever has them, the time of a fetch after it has heard of them.
     fn fetch_rules(&mut self, now: Duration) {
         if self
             .peers
-            .ahead(now, self.record.domain, self.rules, u64::MAX)
+            .ahead(now, self.record.domain, (self.rules, u64::MAX), |_| true)
             .rules
             .is_none()
         {
@@ -291,6 +331,7 @@
         match datagram {
             Datagram::Heartbeat(beat) => {
                 if self.peers.heard(now, from, &beat) {
+                    self.proofs.told(now, beat.proofs, self.knows(beat.rules));
                     let rows = beat.rows.iter().map(|row| (row.endpoint, row.uses));
                     self.usage.said(now, id::of(&beat.name), rows);
                 }
@@ -304,6 +345,8 @@
         if summary.by == self.id() || !self.peers.domains.take(now, &summary) {
             return Vec::new();
         }
+        let knows = self.knows(summary.rules);
+        self.proofs.told(now, summary.proofs, knows);
         let near = summary.domain == self.record.domain;
         if near && self.peers.is_delegate(self.id()) {
             return Vec::new();
@@ -528,7 +571,7 @@
     for vm in &fleet.vms {
         let asked = vm
             .peers
-            .ahead(fleet.now, vm.record.domain, 1, u64::MAX)
+            .ahead(fleet.now, vm.record.domain, (1, u64::MAX), |_| true)
             .rules
             .unwrap();
         let of = |other: &&Vm| other.record.gossip_address.ip() == asked.ip();
@@ -586,3 +629,110 @@
     }
     quickcheck(holds as fn(Vec<u8>, u8) -> bool);
 }
+
+/// Sizes of fleets as they are run, and their failure domains.
+const RUN: [(usize, u64); 3] = [(6, 3), (51, 4), (295, 5)];
+
+// Each VM asking the store on its own would be paid for by the VM, and exceed what it serves. Proofs that rules and
+// endpoints are the newest cost the same with 6 VMs as with 51, and by the failure domain with 295.
+#[test]
+fn proofs_shared() {
+    for (vms, domains) in RUN {
+        let mut fleet = Fleet::new(vms, domains);
+        fleet.vms.iter_mut().for_each(|vm| vm.proof_calls = 0);
+        let time = Duration::from_secs(10);
+        fleet.run(time, |_| false);
+        let calls: u64 = fleet.vms.iter().map(|vm| vm.proof_calls).sum();
+        let a_second = calls as f64 / time.as_secs_f64();
+        println!("{vms} VMs, {domains} domains: {a_second:.1} calls a second");
+        // Two subjects, each 0.6 s by one VM, or each second by one of each failure domain.
+        let most = if vms <= 64 { 3.4 } else { 2.0 * domains as f64 };
+        assert!(a_second <= most * 1.1, "{vms}: {a_second}");
+    }
+}
+
+/// Time within which rules are in force: of the tightest deployments, and of those with hundreds of VMs.
+fn bound(vms: usize) -> Duration {
+    Duration::from_secs(if vms <= 64 { 2 } else { 4 })
+}
+
+// Rules change and every watch is silent. Whoever asks the store for the others finds them, and all serve by them in
+// time: also when the first one dies, or two get no answer, as they change.
+#[test]
+fn unheard_rules() {
+    for (vms, domains) in RUN {
+        for (dead, unanswered) in [(0, 0), (1, 0), (0, 1)] {
+            let mut fleet = Fleet::new(vms, domains);
+            let mut first = provers(&fleet);
+            first.truncate(dead + unanswered);
+            for (place, at) in first.into_iter().enumerate() {
+                fleet.vms[at].dead = place < dead;
+                fleet.vms[at].unanswered = place >= dead;
+            }
+            fleet.newest_rules = RULES;
+            let all = |fleet: &Fleet| fleet.vms.iter().all(|vm| vm.dead || vm.rules == RULES);
+            let took = fleet.run(bound(vms), all);
+            println!("{vms} VMs, {dead} dead, {unanswered} unanswered: {took:?}");
+            assert!(
+                took.is_some(),
+                "{vms}, {dead} dead, {unanswered} unanswered"
+            );
+        }
+    }
+}
+
+/// VMs that prove for the others, those in the first places first.
+fn provers(fleet: &Fleet) -> Vec<usize> {
+    let place = |vm: &Vm| vm.peers.place_to_prove(fleet.now, vm.own());
+    let mut places: Vec<(usize, usize)> = fleet
+        .vms
+        .iter()
+        .enumerate()
+        .filter_map(|(at, vm)| Some((place(vm)?, at)))
+        .collect();
+    places.sort();
+    places.into_iter().map(|(_, at)| at).collect()
+}
+
+// No VM's belief grows old while the store answers, and none seems younger than it is: a proof is told by those who
+// had it from the store, so that it does not go round among VMs that nobody tells anything.
+#[test]
+fn proofs_age() {
+    for (vms, domains) in RUN {
+        let mut fleet = Fleet::new(vms, domains);
+        let oldest = |fleet: &Fleet| {
+            let ages = fleet
+                .vms
+                .iter()
+                .map(|vm| vm.proofs.age(fleet.now, Subject::Rules));
+            ages.map(|age| age.unwrap_or(Duration::MAX)).max().unwrap()
+        };
+        let old = |fleet: &Fleet| oldest(fleet) >= Duration::from_millis(1800);
+        assert!(fleet.run(Duration::from_secs(5), old).is_none(), "{vms}");
+        // The store answers nobody any more.
+        fleet.vms.iter_mut().for_each(|vm| vm.unanswered = true);
+        let silent_at = fleet.now;
+        fleet.run(Duration::from_secs(5), |_| false);
+        let passed = fleet.now - silent_at;
+        for vm in &fleet.vms {
+            let age = vm.proofs.age(fleet.now, Subject::Rules).unwrap();
+            assert!(age >= passed - STEP * 2, "{vms}: {age:?} after {passed:?}");
+        }
+    }
+}
+
+// The store answers nobody for long. Each VM asking for proofs again and again is paid for and brings nothing: one that
+// gets no answer leaves it to the others, so that each asks once at the most, and few do where delegates speak.
+#[test]
+fn outage_unproved() {
+    for (vms, domains) in RUN {
+        let mut fleet = Fleet::new(vms, domains);
+        fleet.vms.iter_mut().for_each(|vm| vm.unanswered = true);
+        fleet.vms.iter_mut().for_each(|vm| vm.proof_calls = 0);
+        fleet.run(Duration::from_secs(10), |_| false);
+        let calls: u64 = fleet.vms.iter().map(|vm| vm.proof_calls).sum();
+        println!("{vms} VMs: {calls} calls");
+        let asking = if vms <= 64 { vms as u64 } else { 4 * domains };
+        assert!(calls <= 2 * asking, "{vms}: {calls} calls");
+    }
+}
--- a/tests/vms_heard.rs
+++ b/tests/vms_heard.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bramleyseam::decide::peers::{Heartbeat, Peers, VmRecord};
+use bramleyseam::decide::proofs::ProofAges;
 use bramleyseam::id;
 
 const OWN: (u64, u64) = (1, 100);
@@ -22,6 +23,7 @@
         store: true,
         rules: 1,
         endpoints: 1,
+        proofs: ProofAges::default(),
         jobs: 1,
         waiting: 0,
         backlog: Vec::new(),
