An answer on a connection that has gone silent, or at an endpoint that has gone, is given up

What callers saw: nothing until their deadline, and then a late or no answer. Cause: silence was looked for on all connections of an endpoint together, and only while its entry stood; one silent connection beside others that work, or an endpoint that left and then died, was waited for. Class: one party waits for another's word without a bound.

Change: each try has its own time since something last came: 1 s within an answer, 1.5 s before one where a slot was free. It is given up and goes on elsewhere where that may be. Before: silent_in_stream, silent_from_start and gone_in_stream fail; after: pass.

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -26,6 +26,9 @@
 pub const SILENCE: Duration = Duration::from_millis(400);
 /// The same while all its slots are taken and this VM's requests may stand in its queue.
 pub const SILENCE_CROWDED: Duration = Duration::from_millis(1500);
+/// An answer that has begun and brings nothing for so long is given up, whatever else its endpoint sends: events come each
+/// few tens of milliseconds, and a stream with a pause of a second is late already.
+pub const ANSWER_SILENCE: Duration = Duration::from_secs(1);
 /// Ticks this far apart mean that this process itself was paused.
 const PAUSE_SEEN: Duration = Duration::from_millis(250);
 /// Weight of the newest service time in the moving average.
@@ -111,6 +114,8 @@
     arrival: Arrival,
     arrived_at: Duration,
     sent_at: Duration,
+    /// When this try was sent, or something of its answer last came.
+    heard_at: Duration,
     endpoint: Option<EndpointId>,
     attempts: u32,
     /// Whether any try may have run.
@@ -121,6 +126,22 @@
     given_up: bool,
 }
 
+impl Row {
+    /// Gives this try up where another one may follow.
+    fn give_up(&mut self, out: &mut Vec<Action>) {
+        let again = match self.answering {
+            true => self.arrival.resumable,
+            false => self.arrival.idempotent,
+        };
+        if again && !self.given_up && self.attempts < self.arrival.attempts_max {
+            self.given_up = true;
+            out.push(Action::GiveUp {
+                request: self.arrival.request,
+            });
+        }
+    }
+}
+
 #[derive(Debug, Default, Clone)]
 struct Lane {
     in_flight: usize,
@@ -186,6 +207,13 @@
         }
     }
 
+    /// Something of a request's answer has come.
+    pub fn heard(&mut self, now: Duration, request: RequestId) {
+        if let Some(row) = self.rows.get_mut(&request) {
+            row.heard_at = now;
+        }
+    }
+
     /// Sends what has room by now and gives up what cannot come in time.
     pub fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         if now > self.ticked_at + PAUSE_SEEN {
@@ -195,6 +223,7 @@
         self.endpoints.eject_slow(now);
         if self.watch_silence {
             self.give_up_silent(now, out);
+            self.give_up_unanswered(now, out);
         }
         let services: Vec<ServiceId> = self.lanes.keys().copied().collect();
         for service in services {
@@ -224,6 +253,7 @@
         let row = Row {
             arrived_at: now,
             sent_at: now,
+            heard_at: now,
             endpoint: None,
             attempts: 0,
             may_have_run: false,
@@ -283,6 +313,7 @@
             self.budget.earn();
         }
         row.sent_at = now;
+        row.heard_at = now;
         if let Some(endpoint) = self.endpoints.get_mut(to) {
             endpoint.online_here += 1;
         }
@@ -518,16 +549,29 @@
             endpoint.eject(now);
             let stuck = |row: &&mut Row| row.endpoint == Some(id) && row.attempts > 0;
             for row in self.rows.values_mut().filter(stuck) {
-                let again = match row.answering {
-                    true => row.arrival.resumable,
-                    false => row.arrival.idempotent,
-                };
-                if again && !row.given_up && row.attempts < row.arrival.attempts_max {
-                    row.given_up = true;
-                    out.push(Action::GiveUp {
-                        request: row.arrival.request,
-                    });
-                }
+                row.give_up(out);
+            }
+        }
+    }
+
+    /// Gives up tries from which nothing comes any more, while their endpoint speaks on other connections or has left.
+    ///
+    /// The failure: one connection goes silent for good, or an endpoint dies after its entry has gone; no other
+    /// request shows it, and the caller waits until its deadline. A request that stands in the queue of a
+    /// crowded endpoint hears nothing either, so one without an answer is given up only where a slot was free for it.
+    fn give_up_unanswered(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let (endpoints, awake_since) = (&self.endpoints, self.awake_since);
+        let waits = |row: &&mut Row| row.endpoint.is_some() && row.attempts > 0;
+        for row in self.rows.values_mut().filter(waits) {
+            let endpoint = row.endpoint.and_then(|id| endpoints.get(id));
+            let crowded = endpoint.is_some_and(|endpoint| endpoint.crowded(now));
+            let bound = match row.answering {
+                true => ANSWER_SILENCE,
+                false if crowded => continue,
+                false => SILENCE_CROWDED,
+            };
+            if now >= row.heard_at.max(awake_since) + bound {
+                row.give_up(out);
             }
         }
     }
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -382,6 +382,11 @@
         }
     }
 
+    /// Something of a request's answer came.
+    pub fn heard_answer(&self, request: RequestId) {
+        self.core.borrow_mut().online.heard(clock::now(), request);
+    }
+
     /// Where an endpoint is; `None` when it is gone by now.
     pub fn target(&self, endpoint: EndpointId) -> Option<Target> {
         let core = self.core.borrow();
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -269,6 +269,7 @@
             Woken::Late => return Tried::Late,
             Woken::GivenUp => return Tried::Failed(silent(Reach::MaybeSent)),
         };
+        node.heard_answer(self.request);
         let streams = is_events(&answer.head.headers) && answer.head.status == StatusCode::OK;
         match streams {
             true => self.relay_events(target, answer).await,
@@ -356,6 +357,7 @@
             match frame {
                 Some(Ok(frame)) => {
                     self.node.heard(target.endpoint);
+                    self.node.heard_answer(self.request);
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bramleyseam::decide::online::{
-    Action, Arrival, Event, Online, Outcome, Service, SILENCE, SILENCE_CROWDED,
+    Action, Arrival, Event, Online, Outcome, Service, ANSWER_SILENCE, SILENCE, SILENCE_CROWDED,
 };
 use bramleyseam::decide::refusal::Kind;
 use bramleyseam::decide::retry::Reach;
@@ -132,6 +132,49 @@
     assert!(sent_to(&world.failed(1, Reach::Answering)).is_some());
 }
 
+// A stream stops in its middle and its caller waits until the deadline. Its connection has gone silent for good, while
+// other requests at the same engine go on, so that the engine does not look dead. The stream goes on elsewhere; one that
+// still gets events stays.
+#[test]
+fn silent_in_stream() {
+    let mut world = World::new(1);
+    let endpoint = sent_to(&world.arrive(1, true, 2)).unwrap();
+    world.arrive(2, true, 2);
+    world.event(Event::FirstToken { request: 1 });
+    world.event(Event::FirstToken { request: 2 });
+    let mut given = Vec::new();
+    for _ in 0..3 {
+        world.online.heard(world.now, 2);
+        given.extend(gave_up(&world.pass(ANSWER_SILENCE / 2, Some(endpoint))));
+    }
+    assert_eq!(given, [1]);
+}
+
+// A caller waits until the deadline for an answer that never begins: the request went out on a connection that had been
+// kept and had gone silent. The engine has free slots and answers others.
+#[test]
+fn silent_from_start() {
+    let mut world = World::new(2);
+    let endpoint = sent_to(&world.arrive(1, true, 2)).unwrap();
+    let actions = world.pass(SILENCE_CROWDED + TICK, Some(endpoint));
+    assert_eq!(gave_up(&actions), [1]);
+}
+
+// A caller waits until the deadline for the rest of a stream. Its engine left, its entry is gone, and then it died; silence
+// was only looked for at engines whose entries stand.
+#[test]
+fn gone_in_stream() {
+    let mut world = World::new(2);
+    let first = sent_to(&world.arrive(1, true, 2)).unwrap();
+    world.event(Event::FirstToken { request: 1 });
+    let mut left: Vec<_> = declared(2, SERVICE, SLOTS, |_| 1).into_iter().collect();
+    left.retain(|(id, _)| *id != first);
+    world.online.endpoints.declare(left);
+    let actions = world.pass(ANSWER_SILENCE + TICK, None);
+    assert_eq!(gave_up(&actions), [1]);
+    assert!(sent_to(&world.failed(1, Reach::Answering)).is_some());
+}
+
 // A renewal would be filed twice. It may not be repeated, so nobody gives it up: the answer may come.
 #[test]
 fn unrepeatable_waits() {
