Connections from other VMs have a longest life; the soak lets waiting connections go silent

What callers would see: a VM that takes no connections any more. Cause: another VM's connection went silent before it asked anything, its asker gave up, nothing of that arrived, and the descriptor stayed in use for ever.

Soak: watches' connections silent on all VMs or one, one way, all connections of a VM and the one after them, and idle connections to an endpoint; new rules and a leaving endpoint follow once the VMs count as sound. Seeds that failed before draw from the kinds that there were then.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -22,7 +22,7 @@
 /// Time in which no item of a job runs any more that was ended.
 const CANCELLED: Duration = Duration::from_millis(3500);
 /// A fault still shows for so long after its end: leases, watches and ejections last that long.
-const AFTERMATH: Duration = Duration::from_secs(4);
+pub const AFTERMATH: Duration = Duration::from_secs(4);
 
 /// Checks everything, once the faults are over; what broke on the way comes first.
 pub fn at_the_end(fleet: &Fleet, ledger: &Ledger) -> Vec<String> {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use bramleyseam::clock;
-use bramleyseam::standin::relay::Mode;
+use bramleyseam::standin::relay::{Mode, Silence};
 use bramleyseam::util::lock;
 use bramleyseam_platform_standin::endpoint::Behaviour;
 use bramleyseam_platform_standin::fleet::{register_at, route, rules, set_tries, Fleet};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 
+use super::checks::AFTERMATH;
 use super::ledger::{Done, Ledger};
 use super::plan::{Fault, Step};
 
@@ -18,6 +19,12 @@
 /// Calls on the store that go wrong in one fault.
 const CALLS: u32 = 3;
 const SLOW: Duration = Duration::from_millis(150);
+/// A connection to the store that carries nothing for so long is one on which a watch waits.
+const WAITING: Duration = Duration::from_millis(1200);
+/// A connection to an engine that carries nothing for so long waits for the next request, or for an answer that has stopped.
+const IDLE: Duration = Duration::from_millis(100);
+/// Rules are in force so soon after they were written, at VMs that nothing disturbs.
+const RULES_KNOWN: Duration = Duration::from_millis(2000);
 /// A process that was told to end has ended by then; its settings give it 6 s.
 pub const STOP_MAX: Duration = Duration::from_secs(9);
 
@@ -34,6 +41,8 @@
     version: u64,
     routes: Vec<String>,
     left: Vec<usize>,
+    /// Versions that were written, and when.
+    written: Vec<(u64, Duration)>,
 }
 
 impl<'a> Disturber<'a> {
@@ -47,6 +56,7 @@
             version: FIRST_RULES,
             routes: Vec::new(),
             left: Vec::new(),
+            written: Vec::new(),
         }
     }
 
@@ -59,12 +69,14 @@
             while let Some(step) = next.next_if(|step| started + step.at <= now) {
                 self.begin(now, step);
             }
+            self.check_rules(now);
             let ended = |(until, ..): &mut (Duration, Step, usize)| *until <= now;
             let ended: Vec<_> = self.under_way.extract_if(.., ended).collect();
             for (_, step, place) in ended {
                 self.end(&step, place);
             }
-            let over = now >= started + length && self.under_way.is_empty();
+            let over =
+                now >= started + length && self.under_way.is_empty() && self.written.is_empty();
             if over && next.peek().is_none() {
                 return;
             }
@@ -103,7 +115,11 @@
             until: Duration::MAX,
         });
         drop(done);
-        self.under_way.push((now + step.lasts, *step, place));
+        let lasts = match step.fault.at_once() {
+            true => Duration::ZERO,
+            false => step.lasts,
+        };
+        self.under_way.push((now + lasts, *step, place));
         self.apply(step);
     }
 
@@ -138,6 +154,23 @@
             Fault::EngineLinkReset => self.fleet.links[target].reset(),
             Fault::EngineLeaves => self.leave(target),
             Fault::RulesChange => self.change_rules(),
+            Fault::WatchesSilent => {
+                for vm in &self.fleet.vms {
+                    vm.store.silence_idle(WAITING, Silence::Both);
+                }
+            }
+            Fault::WatchSilentOneWay => {
+                self.fleet.vms[target]
+                    .store
+                    .silence_idle(WAITING, Silence::Down);
+            }
+            Fault::StoreLinkForgets => {
+                self.fleet.vms[target].store.silence_open();
+                self.fleet.vms[target].store.silence_next(1);
+            }
+            Fault::EngineIdleSilent => {
+                self.fleet.links[target].silence_idle(IDLE, Silence::Both);
+            }
         }
     }
 
@@ -196,6 +229,28 @@
         self.routes.push(format!("/added-{}/", self.version));
         let changed = rules_with(self.version, &self.routes);
         self.fleet.put_rules(&changed);
+        self.written.push((self.version, clock::now()));
+    }
+
+    /// Rules are in force in time at each VM that has been sound for long enough.
+    fn check_rules(&mut self, now: Duration) {
+        let due = |(_, at): &mut (u64, Duration)| *at + RULES_KNOWN <= now;
+        let due: Vec<(u64, Duration)> = self.written.extract_if(.., due).collect();
+        for (version, at) in due {
+            let from = at.saturating_sub(AFTERMATH);
+            for (vm, known) in self.fleet.vms.iter().enumerate() {
+                let unsound =
+                    |done: &Done| !done.fault.planned() || done.fault.stops(vm, done.target);
+                if self.ledger.disturbed(from, now, unsound) {
+                    continue;
+                }
+                let rules = known.dump()["rules"].as_u64().unwrap_or(0);
+                if rules < version {
+                    let what = format!("{} has rules {rules} and not {version}", known.name);
+                    self.ledger.broken(now, what);
+                }
+            }
+        }
     }
 }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -9,6 +9,9 @@
 use bramleyseam_soak::{run, Report};
 use clap::{value_parser, Arg, ArgMatches, Command};
 
+/// More kinds of faults than there are.
+const KINDS_ALL: &str = "1000";
+
 fn usage() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         let number = Arg::new(name).long(name).help(help);
@@ -30,6 +33,11 @@
         .arg(number("endpoints", "3", "Endpoints of one seed"))
         .arg(number("seconds", "5", "Time in which faults begin"))
         .arg(number("faults", "6", "Faults of one seed"))
+        .arg(number(
+            "kinds",
+            KINDS_ALL,
+            "Kinds of faults, the first so many",
+        ))
 }
 
 fn main() -> ExitCode {
@@ -67,6 +75,7 @@
         endpoints: number("endpoints") as usize,
         length: Duration::from_secs(number("seconds")),
         faults: number("faults") as usize,
+        kinds: number("kinds") as usize,
     };
     let program = matches.get_one::<String>("program");
     match run(program.map_or("", String::as_str), seed, &size) {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -42,6 +42,14 @@
     EngineLeaves,
     /// Planned: new rules with one more route.
     RulesChange,
+    /// The connections on which watches wait at the store go silent for good, of all VMs.
+    WatchesSilent,
+    /// The same of one VM, and only the store's answers are lost.
+    WatchSilentOneWay,
+    /// All connections of one VM to the store go silent for good, and so does the first that takes their place.
+    StoreLinkForgets,
+    /// Connections to an endpoint that carry nothing for a while go silent for good.
+    EngineIdleSilent,
 }
 
 impl Fault {
@@ -53,6 +61,24 @@
         )
     }
 
+    /// Whether operators change something soon after, beside which it is to show what it does.
+    pub fn followed(self) -> bool {
+        matches!(
+            self,
+            Fault::WatchesSilent | Fault::WatchSilentOneWay | Fault::StoreLinkForgets
+        )
+    }
+
+    /// Whether what it does to connections lasts, while the fault itself is over at once.
+    pub fn at_once(self) -> bool {
+        self.followed() || self == Fault::EngineIdleSilent
+    }
+
+    /// Whether it is planned work that stops this VM.
+    pub fn stops(self, vm: usize, target: usize) -> bool {
+        matches!(self, Fault::VmStopped | Fault::VmReloaded) && vm == target
+    }
+
     /// Whether it is done to a VM or its link to the store.
     pub fn on_vm(self) -> bool {
         let name: &'static str = self.into();
@@ -78,6 +104,8 @@
     /// Time in which faults begin.
     pub length: Duration,
     pub faults: usize,
+    /// Kinds that are drawn from, the first so many: a seed that ever failed draws what it drew then.
+    pub kinds: usize,
 }
 
 impl Size {
@@ -88,14 +116,33 @@
             endpoints: 3,
             length: Duration::from_secs(5),
             faults: 6,
+            kinds: Fault::iter().count(),
         }
     }
 }
 
+/// Time after connections have gone silent by which VMs count as sound again, and a little more.
+const SOUND_AGAIN: Duration = Duration::from_millis(4200);
+
+/// New rules, and an engine that leaves, once the VMs count as sound.
+fn followers(step: &Step) -> Vec<Step> {
+    if !step.fault.followed() {
+        return Vec::new();
+    }
+    let change = |fault, after_ms| Step {
+        at: step.at + SOUND_AGAIN + Duration::from_millis(after_ms),
+        fault,
+        lasts: Duration::from_millis(200),
+        target: 0,
+    };
+    let rules = change(Fault::RulesChange, 0);
+    vec![rules, change(Fault::EngineLeaves, 300)]
+}
+
 /// Draws the faults of a seed, in order of their start. They overlap as they come.
 pub fn draw(seed: u64, size: &Size) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let kinds: Vec<Fault> = Fault::iter().collect();
+    let kinds: Vec<Fault> = Fault::iter().take(size.kinds).collect();
     let length_ms = size.length.as_millis() as u64;
     let mut steps: Vec<Step> = (0..size.faults)
         .map(|_| {
@@ -113,6 +160,8 @@
             }
         })
         .collect();
+    let followers: Vec<Step> = steps.iter().flat_map(followers).collect();
+    steps.extend(followers);
     steps.sort_by_key(|step| step.at);
     // Two engines always stay, so that callers can be served when all is over.
     let mut leaving = 0;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -85,9 +85,24 @@
     let socket = Rc::new(UdpSocket::bind(settings.gossip_address).await?);
     node.core.borrow_mut().peers.seeds = seeds(settings);
     spawn_local(callers::serve(node.clone(), callers));
-    spawn_local(inside::serve(node.clone(), ready, inside::readiness));
-    spawn_local(inside::serve(node.clone(), operators, inside::operators));
-    spawn_local(inside::serve(node.clone(), peers, inside::peers));
+    spawn_local(inside::serve(
+        node.clone(),
+        ready,
+        inside::PAGE_LIFE,
+        inside::readiness,
+    ));
+    spawn_local(inside::serve(
+        node.clone(),
+        operators,
+        inside::PAGE_LIFE,
+        inside::operators,
+    ));
+    spawn_local(inside::serve(
+        node.clone(),
+        peers,
+        inside::PEER_LIFE,
+        inside::peers,
+    ));
     spawn_local(peers::send(node.clone(), socket.clone()));
     spawn_local(peers::receive(node.clone(), socket.clone()));
     spawn_local(delegate::speak(node.clone(), socket));
--- a/src/serve/inside.rs
+++ b/src/serve/inside.rs
@@ -15,7 +15,7 @@
 use strum::IntoEnumIterator;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::job_table::Job;
 use super::jobs;
@@ -79,6 +79,13 @@
     runs_here: bool,
 }
 
+/// Longest life of a connection from another VM, which asks one question on it and waits for 2.6 s at the most.
+///
+/// The failure: the connection goes silent, its asker gives up, and nothing of that arrives here. Its descriptor would stay
+/// in use until the process ends, and after thousands of them no caller could connect.
+pub const PEER_LIFE: Duration = Duration::from_secs(10);
+/// Longest life of a connection from the balancer or an operator, whose scrapes may come a minute apart.
+pub const PAGE_LIFE: Duration = Duration::from_secs(600);
 /// Time between two tries to take a connection, as when descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -92,10 +99,11 @@
     }
 }
 
-/// Serves pages on one listener until the process ends.
+/// Serves pages on one listener until the process ends; no connection lasts for longer than `life`.
 pub async fn serve<F: Future<Output = Reply> + 'static>(
     node: Rc<Node>,
     listener: TcpListener,
+    life: Duration,
     pages: impl Fn(Rc<Node>, Request<Incoming>) -> F + Copy + 'static,
 ) {
     loop {
@@ -106,10 +114,9 @@
                 let reply = pages(node.clone(), request);
                 async move { Ok::<Reply, Infallible>(reply.await) }
             });
-            // An error is an asker that broke off.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // An error is an asker that broke off, or whose time was up.
+            let _ = timeout(life, served).await;
         });
     }
 }
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -167,7 +167,7 @@
     let mut world = World::new(2);
     let first = sent_to(&world.arrive(1, true, 2)).unwrap();
     world.event(Event::FirstToken { request: 1 });
-    let mut left: Vec<_> = declared(2, SERVICE, SLOTS, |_| 1).into_iter().collect();
+    let mut left: Vec<_> = declared(2, SERVICE, SLOTS, |_| 1).collect();
     left.retain(|(id, _)| *id != first);
     world.online.endpoints.declare(left);
     let actions = world.pass(ANSWER_SILENCE + TICK, None);
