--- a/src/decide/proofs.rs
+++ b/src/decide/proofs.rs
@@ -63,7 +63,7 @@
 const PATIENCE_LIVE: Duration = Duration::from_secs(2);
 
 /// Oldest proof on which "there is no such route" is answered: rules are in force within 2 s of the store's word on the
-/// tightest deployments. While proofs come it is never above 1.6 s.
+/// tightest deployments. While proofs come and no datagram is lost it is 1.1 s at the most, in a large fleet 1.7 s.
 const SURE: Duration = Duration::from_millis(1800);
 /// Oldest proof on which a VM answers those that ask it for jobs and VMs, where all its calls on the store are answered:
 /// its patience, and once more the time of a call and of a reading.
