--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,6 +3,7 @@
 //! Each part is a table with functions over it. A host feeds events and the present time, and reads
 //! the actions that come back; randomness comes from a generator that the host passes in.
 
+pub mod access;
 pub mod backlog;
 pub mod batch;
 pub mod commit;
@@ -20,6 +21,7 @@
 pub mod peers;
 pub mod proofs;
 pub mod quarantine;
+pub mod quota;
 pub mod refusal;
 pub mod retry;
 pub mod routes;
--- /dev/null
+++ b/src/decide/access.rs
@@ -0,0 +1,190 @@
+//! Whose request it is: the workspace that a caller's key names, or why it is refused.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::proofs::Proofs;
+use super::quota::{self, Quota, WorkspaceKey};
+use super::refusal::Kind;
+use crate::id::{self, Name, WorkspaceId};
+
+/// BLAKE3 digest of a key. The key itself is dropped where it was read.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// The digest of a key.
+    pub fn of(key: &[u8]) -> KeyDigest {
+        KeyDigest(*blake3::hash(key).as_bytes())
+    }
+
+    /// Reads a digest in hexadecimal; `None` for any other text.
+    pub fn from_hex(text: &str) -> Option<KeyDigest> {
+        let hash = blake3::Hash::from_hex(text.to_ascii_lowercase()).ok()?;
+        Some(KeyDigest(*hash.as_bytes()))
+    }
+}
+
+impl PartialEq for KeyDigest {
+    /// Takes the same time wherever the first difference is.
+    fn eq(&self, other: &KeyDigest) -> bool {
+        blake3::Hash::from(self.0) == blake3::Hash::from(other.0)
+    }
+}
+
+impl Eq for KeyDigest {}
+
+impl Hash for KeyDigest {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        state.write(&self.0);
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str("KeyDigest(..)")
+    }
+}
+
+/// What a caller shows to say who it is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Credential {
+    #[default]
+    Missing,
+    /// Something that is no key: another scheme, two keys, bytes that are no text.
+    Unreadable,
+    Key(KeyDigest),
+}
+
+/// A customer, as the rules name it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Workspace {
+    pub name: Name,
+    pub keys: Vec<KeyDigest>,
+    /// Goes before the priority of the route; 0 is the most urgent.
+    pub priority: Option<u32>,
+    /// `None` for any number of requests.
+    pub quota: Option<Quota>,
+}
+
+impl Workspace {
+    /// The id of the workspace in tables.
+    pub fn id(&self) -> WorkspaceId {
+        id::of(&self.name)
+    }
+}
+
+/// Workspaces laid out for lookups by key.
+#[derive(Debug, Default)]
+pub struct KeyTable {
+    owners: HashMap<KeyDigest, usize>,
+}
+
+impl KeyTable {
+    /// Lays out the keys of workspaces, which are told by their places.
+    pub fn new(keys: impl Iterator<Item = (KeyDigest, usize)>) -> KeyTable {
+        KeyTable {
+            owners: keys.collect(),
+        }
+    }
+
+    /// Place of the workspace that a key belongs to.
+    pub fn owner(&self, key: &KeyDigest) -> Option<usize> {
+        self.owners.get(key).copied()
+    }
+}
+
+/// What the rules say of workspaces.
+#[derive(Debug)]
+pub struct Workspaces {
+    rows: Vec<Workspace>,
+    keys: KeyTable,
+    by_key: HashMap<WorkspaceKey, usize>,
+}
+
+impl Workspaces {
+    /// Lays out the workspaces of rules.
+    pub fn new(rows: Vec<Workspace>) -> Workspaces {
+        let places = rows.iter().enumerate();
+        let keys = places.flat_map(|(at, row)| row.keys.iter().map(move |key| (*key, at)));
+        Workspaces {
+            keys: KeyTable::new(keys),
+            by_key: rows
+                .iter()
+                .enumerate()
+                .map(|(at, row)| (quota::key(row.id()), at))
+                .collect(),
+            rows,
+        }
+    }
+
+    /// The workspace that a key belongs to.
+    pub fn of_key(&self, key: &KeyDigest) -> Option<&Workspace> {
+        self.keys.owner(key).and_then(|at| self.rows.get(at))
+    }
+
+    /// The workspace that VMs tell each other of by this key.
+    pub fn by_key(&self, key: WorkspaceKey) -> Option<&Workspace> {
+        self.by_key.get(&key).and_then(|at| self.rows.get(*at))
+    }
+
+    /// The workspace of that name.
+    pub fn named(&self, name: &str) -> Option<&Workspace> {
+        let found = self.by_key(quota::key(id::of(name)));
+        found.filter(|row| *row.name == *name)
+    }
+
+    /// All workspaces.
+    pub fn rows(&self) -> &[Workspace] {
+        &self.rows
+    }
+}
+
+/// Who asks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Caller<'a> {
+    /// The rules know no workspaces, or the route is open to everybody.
+    Anyone,
+    Workspace(&'a Workspace),
+}
+
+impl Caller<'_> {
+    /// The name of the workspace.
+    pub fn name(&self) -> Option<Name> {
+        match self {
+            Caller::Anyone => None,
+            Caller::Workspace(workspace) => Some(workspace.name.clone()),
+        }
+    }
+}
+
+/// Tells whose request it is; `workspaces` is `None` where the rules ask for no keys.
+///
+/// The failure: a key is added, this VM has not heard of it, and its callers are told that the key is wrong, which ends
+/// their tries. So a key is refused for good only by rules that were proved of late; else the caller is told to come
+/// back.
+pub fn caller<'a>(
+    now: Duration,
+    workspaces: Option<&'a Workspaces>,
+    public: bool,
+    shown: Credential,
+    proofs: &Proofs,
+) -> Result<Caller<'a>, Kind> {
+    let Some(workspaces) = workspaces else {
+        return Ok(Caller::Anyone);
+    };
+    let known = match shown {
+        Credential::Key(key) => workspaces.of_key(&key),
+        Credential::Missing | Credential::Unreadable => None,
+    };
+    match known {
+        Some(workspace) => Ok(Caller::Workspace(workspace)),
+        None if public => Ok(Caller::Anyone),
+        None if proofs.rules_are_sure(now) => Err(Kind::Unauthorized),
+        None => Err(Kind::NotReady),
+    }
+}
--- a/src/decide/backlog.rs
+++ b/src/decide/backlog.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{JobId, Nonce};
+use crate::id::{self, JobId, Nonce};
 
 /// A VM has heard of a job that another one took: the pace of heartbeats across failure domains and the
 /// time to handle one.
@@ -44,9 +44,17 @@
 /// at the queue is worth.
 pub const RETURN_MAX: Duration = Duration::from_secs(20);
 
-/// Hash of a route's name.
+/// Hash of a route's name, and of the workspace whose items are counted there.
 pub type RouteKey = u64;
 
+/// The key of a route's tokens; those of each workspace have a limit of their own.
+pub fn key(route: &str, workspace: Option<&str>) -> RouteKey {
+    let of_route = id::of(route);
+    workspace.map_or(of_route, |workspace| {
+        id::weight(of_route, id::of(workspace))
+    })
+}
+
 /// What a VM knows of one route when a job asks to be let in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct View {
@@ -226,6 +234,12 @@
         self.rows.remove(job);
     }
 
+    /// Keys of the jobs that are being written here.
+    pub fn keys_being_written(&self) -> impl Iterator<Item = RouteKey> + '_ {
+        let open = |row: &&Admission| matches!(row.write, Write::Open { .. });
+        self.rows.values().filter(open).map(|row| row.route)
+    }
+
     /// Tokens of jobs that are being written here and are not known from their records.
     pub fn being_written(&self, route: RouteKey, known: impl Fn(&JobId) -> bool) -> u64 {
         let open = |(job, row): &(&JobId, &Admission)| {
--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -33,6 +33,8 @@
 const PAUSE_SEEN: Duration = Duration::from_millis(250);
 /// Dead endpoints that one request may meet beside its attempts, a millisecond each; by then this VM knows them all.
 const TURNED_AWAY_MAX: u32 = 8;
+/// Priorities beyond this one weigh as much as it.
+const PRIORITY_MAX: u32 = 8;
 /// Weight of the newest service time in the moving average.
 const AVERAGE_NEW: f64 = 0.1;
 
@@ -53,6 +55,8 @@
 pub struct Arrival {
     pub request: RequestId,
     pub workspace: WorkspaceId,
+    /// 0 is the most urgent.
+    pub priority: u32,
     pub service: ServiceId,
     pub prefix: u64,
     /// Monotonic.
@@ -643,7 +647,8 @@
         }
     }
 
-    /// Sends waiting requests while there is room, the workspace furthest below its share first.
+    /// Sends waiting requests while there is room, the workspace furthest below its share first. A less urgent one has a
+    /// smaller share, but is never left without any.
     fn drain(&mut self, now: Duration, service: ServiceId, out: &mut Vec<Action>) {
         let cap = self.services.get(&service).map_or(0, |s| s.max_in_flight);
         loop {
@@ -672,17 +677,28 @@
     }
 
     fn neediest(&self, service: ServiceId, lane: &Lane) -> Option<WorkspaceId> {
-        let use_of = |workspace: &WorkspaceId| {
-            let in_flight = lane.by_workspace.get(workspace).copied().unwrap_or(0);
-            (in_flight as f64 + 1.0) / self.share(service, *workspace).max(f64::EPSILON)
+        let use_of = |workspace: WorkspaceId, first: &RequestId| {
+            let in_flight = lane.by_workspace.get(&workspace).copied().unwrap_or(0);
+            let row = self.rows.get(first);
+            let weight = row.map_or(1.0, |row| priority_weight(row.arrival.priority));
+            let share = self.share(service, workspace) * weight;
+            (in_flight as f64 + 1.0) / share.max(f64::EPSILON)
         };
-        let waiting = lane.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        let waiting = lane.queues.iter().filter_map(|(workspace, queue)| {
+            let first = queue.front()?;
+            Some((*workspace, use_of(*workspace, first)))
+        });
         waiting
-            .map(|(workspace, _)| *workspace)
-            .min_by(|a, b| use_of(a).total_cmp(&use_of(b)).then(a.cmp(b)))
+            .min_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)))
+            .map(|(workspace, _)| workspace)
     }
 }
 
+/// Factor of the share of a workspace, by the priority of its first request in the queue.
+fn priority_weight(priority: u32) -> f64 {
+    0.5f64.powi(priority.min(PRIORITY_MAX) as i32)
+}
+
 /// Requests expected to be served before one with `own` of its workspace ahead of it: with a share
 /// of the slots, its own queue moves at that share of the pace, but never slower than all of it.
 fn own_position(own: usize, share: f64, all: usize) -> usize {
--- a/src/decide/peers.rs
+++ b/src/decide/peers.rs
@@ -19,7 +19,7 @@
 pub use self::asking::{Ahead, Versions};
 pub use self::delegates::{MESH_MAX, ROUND};
 pub use self::domains::Domains;
-pub use self::messages::{Heartbeat, Row, Summary, VmRecord};
+pub use self::messages::{Counts, Heartbeat, Row, Summary, VmRecord};
 pub use self::round::Round;
 pub use self::uses::{DomainUses, Uses};
 use super::backlog::RouteKey;
@@ -217,6 +217,11 @@
         owners.filter(|owner| *owner != 0).collect()
     }
 
+    /// The process of a VM that was last known.
+    pub fn owner_of(&self, vm: VmId) -> Option<OwnerId> {
+        self.rows.get(&vm).map(|peer| peer.owner)
+    }
+
     /// Whether a newer process of its VM runs in its place: a VM has one at a time, so this one is gone
     /// for certain, and nobody needs to wait whether it comes back.
     pub fn is_replaced(&self, owner: OwnerId) -> bool {
--- a/src/decide/peers/messages.rs
+++ b/src/decide/peers/messages.rs
@@ -6,6 +6,7 @@
 
 use crate::decide::backlog::RouteKey;
 use crate::decide::proofs::ProofAges;
+use crate::decide::quota::Count;
 use crate::decide::usage::{Elsewhere, Use};
 use crate::id::{ConfigVersion, DomainId, EndpointId, Name, OwnerId, Revision, VmId};
 
@@ -55,9 +56,19 @@
     /// Tokens of its jobs' open items, by route with a limit.
     pub backlog: Vec<(RouteKey, u64)>,
     pub peer_port: u16,
+    /// Requests against quotas at this VM.
+    pub counts: Counts,
     pub rows: Vec<Row>,
 }
 
+/// Requests of workspaces within the window of quotas.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// For how long they were counted, at the most the window.
+    pub counted_for_ms: u32,
+    pub rows: Vec<Count>,
+}
+
 /// What a delegate says of its failure domain, to the VMs of it and to the delegates of the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
@@ -92,6 +103,10 @@
     pub rivals: Vec<(VmId, u32)>,
     /// Items that the addressed VM may keep at an endpoint that has more than it runs.
     pub keeps: Vec<(EndpointId, u32)>,
+    /// VMs that the delegate has heard, itself included.
+    pub vms: u32,
+    /// Requests against quotas at the VMs of the failure domain, but for the addressed one's own.
+    pub counts: Counts,
     /// Use of endpoints by the VMs of the failure domain, but for the addressed one's own.
     pub rows: Vec<(EndpointId, Elsewhere)>,
 }
--- a/src/decide/peers/round.rs
+++ b/src/decide/peers/round.rs
@@ -3,10 +3,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use super::messages::{Heartbeat, Summary};
+use super::messages::{Counts, Heartbeat, Summary};
 use super::speaking::Summed;
 use super::uses::{DomainUses, Uses};
 use crate::decide::endpoints::Endpoints;
+use crate::decide::quota::{Count, DomainCounts};
 use crate::id::{self, EndpointId, VmId};
 
 /// Bytes of a summary's lists in one datagram of 1,400, with its other fields and its authentication beside them.
@@ -25,8 +26,10 @@
 const UNREGISTERED_MAX: usize = 48;
 /// VMs that drain in one summary: more are not stopped at a time.
 const LEAVING_MAX: usize = 12;
-/// Routes with a limit in one summary; those left out count by the reservations in the store.
-const BACKLOG_MAX: usize = 4;
+/// Routes and workspaces with waiting tokens in one summary; those left out count by the reservations in the store.
+const BACKLOG_MAX: usize = 16;
+/// Workspaces with requests in one summary, those that asked most.
+const COUNTS_MAX: usize = 40;
 
 /// What a delegate has to tell.
 #[derive(Debug)]
@@ -34,6 +37,7 @@
     /// Without rows.
     summary: Summary,
     uses: DomainUses,
+    counts: DomainCounts,
     rivals: Vec<(VmId, u32)>,
     keeps: HashMap<VmId, Vec<(EndpointId, u32)>>,
 }
@@ -45,6 +49,7 @@
         peer_address: SocketAddr,
         summed: Summed,
         uses: DomainUses,
+        counts: DomainCounts,
         endpoints: &Endpoints,
     ) -> Round {
         let keeps = uses.keeps(endpoints);
@@ -68,11 +73,17 @@
             leaving: first(summed.leaving, LEAVING_MAX),
             rivals: Vec::new(),
             keeps: Vec::new(),
+            vms: counts.vms,
+            counts: Counts {
+                counted_for_ms: counts.counted_for.as_millis() as u32,
+                rows: Vec::new(),
+            },
             rows: Vec::new(),
         };
         Round {
             summary,
             uses,
+            counts,
             rivals: summed.rivals,
             keeps,
         }
@@ -90,6 +101,7 @@
         let first = Summary {
             rivals: others.take(RIVALS_MAX).copied().collect(),
             keeps: keeps.iter().take(KEEPS_MAX).copied().collect(),
+            counts: self.told_counts(self.counts.without(vm)),
             ..self.summary.clone()
         };
         self.parts(first, &self.uses.without(vm))
@@ -97,7 +109,18 @@
 
     /// What the delegates of the other failure domains are told.
     pub fn for_delegates(&self) -> Vec<Summary> {
-        self.parts(self.summary.clone(), &self.uses.all())
+        let first = Summary {
+            counts: self.told_counts(self.counts.rows.clone()),
+            ..self.summary.clone()
+        };
+        self.parts(first, &self.uses.all())
+    }
+
+    fn told_counts(&self, rows: Vec<Count>) -> Counts {
+        Counts {
+            rows: first(rows, COUNTS_MAX),
+            ..self.summary.counts.clone()
+        }
     }
 
     /// A summary with all its rows, in as many parts as they take. The first one has the other lists.
@@ -106,7 +129,8 @@
             + first.keeps.len()
             + first.unregistered.len()
             + first.leaving.len()
-            + first.backlog.len();
+            + first.backlog.len()
+            + first.counts.rows.len();
         let left = BYTES_MAX.saturating_sub(entries * ENTRY_BYTES);
         let (own, rest) = rows.split_at(rows.len().min(left / ROW_BYTES));
         let rest = rest.chunks(BYTES_MAX / ROW_BYTES);
--- a/src/decide/peers/speaking.rs
+++ b/src/decide/peers/speaking.rs
@@ -11,6 +11,7 @@
 use super::{Own, Peer, Peers, HEARD_LIFE};
 use crate::decide::backlog::RouteKey;
 use crate::decide::endpoints::Endpoints;
+use crate::decide::quota::DomainCounts;
 use crate::decide::usage::{Elsewhere, Usage};
 use crate::id::{self, ranked, DomainId, OwnerId, Revision, VmId};
 
@@ -119,6 +120,12 @@
         rows.map(|(vm, peer)| (*vm, peer.gossip_address)).collect()
     }
 
+    /// The processes of the other VMs of a failure domain.
+    pub fn owners(&self, home: DomainId) -> Vec<(VmId, OwnerId)> {
+        let rows = self.rows.iter().filter(|(_, peer)| peer.domain == home);
+        rows.map(|(vm, peer)| (*vm, peer.owner)).collect()
+    }
+
     /// Whether a delegate tells the other failure domains in this one of its rounds.
     pub fn is_far_round(&self, round: u64) -> bool {
         let others = self.far_delegates.len().div_ceil(DELEGATES);
@@ -147,6 +154,7 @@
         own: &Heartbeat,
         peer_address: SocketAddr,
         usage: &Usage,
+        counts: DomainCounts,
         endpoints: &Endpoints,
     ) -> Round {
         let own_uses = own.rows.iter();
@@ -157,7 +165,7 @@
         let said = members.map(|(vm, _)| (vm, usage.of_vm(vm)));
         let uses = DomainUses::new(said.chain([(id::of(&own.name), own_uses)]));
         let summed = self.summed(now, own.domain, own);
-        Round::new(own, peer_address, summed, uses, endpoints)
+        Round::new(own, peer_address, summed, uses, counts, endpoints)
     }
 
     /// What this delegate has heard of the VMs of its failure domain, for a summary; `own` of itself.
--- /dev/null
+++ b/src/decide/quota.rs
@@ -0,0 +1,643 @@
+//! Limits on the requests of workspaces, kept by all VMs together.
+//!
+//! Each VM counts what its callers asked for and what it let in over a sliding window, and tells the others. A request
+//! comes in when three conditions hold:
+//!
+//! | condition | guards against |
+//! | --- | --- |
+//! | what all VMs are known to have let in leaves room below the limit | demand at one VM, or at all |
+//! | what this VM let in and the others may not have heard of is within its share of that room, by demand | demand at many VMs within the time that news takes |
+//! | the shares of VMs that are silent are left free, for as long as they may serve callers that this VM can't see | a failure domain that is cut off and serves on |
+//!
+//! Processes that have just started know nothing of what their predecessors let in, so the limit grows with the time for
+//! which the fleet has counted.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{OwnerId, VmId, WorkspaceId};
+
+/// Steps in which the sliding window moves. It counts one step too many, never one too few.
+const STEP: Duration = Duration::from_millis(250);
+/// By then all other VMs have heard of what this VM let in, while a workspace is near its limit.
+const HEARD_AFTER: Duration = Duration::from_millis(500);
+/// The same in a large fleet, where word goes by two delegates.
+const HEARD_AFTER_LARGE: Duration = Duration::from_millis(900);
+/// A VM that was not heard for so long may be cut off.
+const SILENT_AFTER: Duration = Duration::from_millis(1700);
+/// A VM that is silent is taken to serve on for so long. Its own share ends at the same time.
+const HOLD: Duration = Duration::from_secs(12);
+/// Part of a limit that is divided evenly; the rest goes by demand.
+const EVEN_PART: f64 = 0.2;
+/// Requests that are taken to be spread evenly when demand is divided among those that are silent and the rest: a few
+/// requests say little about where the next ones come.
+const EVEN_REQUESTS: f64 = 10.0;
+/// Part of its limit that a workspace may use at once after a restart of the whole fleet.
+const START_PART: f64 = 0.1;
+/// Part of its limit that a workspace keeps at VMs that have been cut off for longer than [`HOLD`].
+const ISOLATED_PART: f64 = 0.1;
+/// While so much of the limit is free, a VM lets one request in beyond its share: a share of few requests is less
+/// than one.
+const SPARE_PART: f64 = 0.25;
+/// A workspace that uses so much of its limit is told of at once.
+const PRESSED_PART: f64 = 0.5;
+/// Demand is remembered for so long, to divide by it when VMs fall silent.
+const DEMAND_MEMORY: Duration = Duration::from_secs(3);
+/// Shortest time after which a refused caller is told to come back.
+const RETRY_MIN: Duration = Duration::from_millis(500);
+
+/// A workspace in what VMs tell each other: half of its id.
+pub type WorkspaceKey = u32;
+
+/// The key of a workspace.
+pub fn key(workspace: WorkspaceId) -> WorkspaceKey {
+    (workspace ^ (workspace >> 32)) as WorkspaceKey
+}
+
+/// Requests that a workspace may make, over all VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    pub rate_per_s: f64,
+    /// On top of the rate.
+    pub burst: f64,
+}
+
+/// Requests of a failure domain, as its delegate adds them up.
+#[derive(Debug, Clone, Default)]
+pub struct DomainCounts {
+    pub vms: u32,
+    /// On average.
+    pub counted_for: Duration,
+    /// Those with most first.
+    pub rows: Vec<Count>,
+    by_vm: HashMap<VmId, Vec<Count>>,
+}
+
+impl DomainCounts {
+    /// The rows without one VM's own requests.
+    pub fn without(&self, vm: VmId) -> Vec<Count> {
+        let own = self.by_vm.get(&vm).map_or(&[][..], Vec::as_slice);
+        let less = |row: &Count| {
+            let own = own.iter().find(|own| own.workspace == row.workspace);
+            Count {
+                workspace: row.workspace,
+                admitted: row.admitted - own.map_or(0, |own| own.admitted),
+                asked: row.asked - own.map_or(0, |own| own.asked),
+            }
+        };
+        self.rows.iter().map(less).collect()
+    }
+}
+
+impl Count {
+    fn add_to(&self, sums: &mut HashMap<WorkspaceKey, Count>) {
+        let sum = sums.entry(self.workspace).or_insert(Count {
+            workspace: self.workspace,
+            admitted: 0,
+            asked: 0,
+        });
+        sum.admitted += self.admitted;
+        sum.asked += self.asked;
+    }
+}
+
+/// How quotas are measured.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Measure {
+    /// The window in which requests are counted.
+    pub window: Duration,
+    /// Part of a limit by which it may be exceeded for a while.
+    pub overage: f64,
+    /// Requests by which any limit may be exceeded for a while.
+    pub slack: f64,
+}
+
+impl Measure {
+    /// Requests of a workspace in one window, with half of what it may be exceeded by: the other half is for what several VMs
+    /// let in before they hear of each other.
+    pub fn limit(&self, quota: Quota) -> f64 {
+        let owed = quota.rate_per_s * self.window.as_secs_f64() + quota.burst;
+        owed * (1.0 + self.overage / 2.0) + self.slack / 2.0
+    }
+}
+
+/// Requests of one workspace within the window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    pub workspace: WorkspaceKey,
+    pub admitted: u32,
+    /// Admitted or refused.
+    pub asked: u32,
+}
+
+/// Who told counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// A VM's process.
+    Process(OwnerId),
+    /// A delegate, for a failure domain.
+    Domain(u64),
+}
+
+/// What is known of the fleet when a request asks to be let in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct View {
+    /// The metadata store answers this VM.
+    pub store: bool,
+    /// VMs tell their delegates only.
+    pub large: bool,
+}
+
+/// One word of another VM or of a delegate.
+#[derive(Debug, Clone)]
+pub struct Word<'a> {
+    /// VMs that it stands for.
+    pub vms: u32,
+    /// For how long they have counted, at the most the window.
+    pub counted_for: Duration,
+    /// They are about to stop, so that nothing is kept for them once they are silent.
+    pub leaving: bool,
+    pub counts: &'a [Count],
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Step {
+    number: u64,
+    admitted: u32,
+    asked: u32,
+}
+
+/// This VM's own counts of one workspace, the newest step last.
+#[derive(Debug, Default)]
+struct Own {
+    steps: VecDeque<Step>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    at: Duration,
+    admitted: u32,
+    asked: u32,
+}
+
+#[derive(Debug)]
+struct Row {
+    vms: u32,
+    counted_for: Duration,
+    heard_at: Duration,
+    leaving: bool,
+    counts: HashMap<WorkspaceKey, Told>,
+    /// Its part of all demand, by workspace, when it fell silent; `None` while it is heard.
+    shares: Option<HashMap<WorkspaceKey, f64>>,
+}
+
+/// What is used of a workspace's limit, for operators.
+#[derive(Debug, Clone, Serialize)]
+pub struct Use {
+    pub workspace: String,
+    pub limit: f64,
+    pub admitted_here: u32,
+    pub asked_here: u32,
+    /// By all VMs, as far as this one has heard.
+    pub admitted: u32,
+    /// Kept for VMs that are silent.
+    pub kept_for_silent: f64,
+    /// This VM's part of the limit, by demand.
+    pub share: f64,
+}
+
+/// The quotas of all workspaces as one VM sees them.
+#[derive(Debug)]
+pub struct Quotas {
+    measure: Measure,
+    started_at: Duration,
+    own: HashMap<WorkspaceKey, Own>,
+    told: HashMap<Source, Row>,
+    /// All demand by workspace, the oldest first.
+    demand: VecDeque<(Duration, HashMap<WorkspaceKey, u32>)>,
+    /// Since when most of the fleet is silent and the store is away.
+    alone_since: Option<Duration>,
+    heard_after: Duration,
+}
+
+impl Quotas {
+    /// No request was counted yet.
+    pub fn new(measure: Measure, now: Duration) -> Quotas {
+        Quotas {
+            measure,
+            started_at: now,
+            own: HashMap::new(),
+            told: HashMap::new(),
+            demand: VecDeque::new(),
+            alone_since: None,
+            heard_after: HEARD_AFTER,
+        }
+    }
+
+    /// Lets a request in, or says when its caller may come back. `draw` is uniform in 0 to 1: it rounds shares that are no
+    /// whole numbers, since many VMs with a share of less than one would let nothing in.
+    pub fn admit(
+        &mut self,
+        now: Duration,
+        workspace: WorkspaceKey,
+        quota: Quota,
+        draw: f64,
+    ) -> Result<(), Duration> {
+        let measure = self.measure;
+        let own = self.own.entry(workspace).or_default();
+        own.expire(now, measure.window);
+        own.step(now).asked += 1;
+        let state = self.state(now, workspace, quota);
+        match state.fits(draw) {
+            true => {
+                let own = self.own.entry(workspace).or_default();
+                own.step(now).admitted += 1;
+                Ok(())
+            }
+            false => Err(state.retry_after(measure.window)),
+        }
+    }
+
+    /// Takes back a request that was let in and never ran.
+    pub fn give_back(&mut self, workspace: WorkspaceKey, admitted_at: Duration) {
+        let number = step_number(admitted_at);
+        let own = self.own.get_mut(&workspace);
+        let mut steps = own.into_iter().flat_map(|own| &mut own.steps);
+        if let Some(step) = steps.find(|step| step.number == number) {
+            step.admitted = step.admitted.saturating_sub(1);
+        }
+    }
+
+    /// Takes what another VM, or a delegate, tells.
+    pub fn told(&mut self, now: Duration, source: Source, word: Word<'_>) {
+        let row = self.told.entry(source).or_insert_with(|| Row {
+            vms: 0,
+            counted_for: Duration::ZERO,
+            heard_at: now,
+            leaving: false,
+            counts: HashMap::new(),
+            shares: None,
+        });
+        row.vms = word.vms;
+        row.counted_for = word.counted_for;
+        row.heard_at = now;
+        row.leaving = word.leaving;
+        row.shares = None;
+        for count in word.counts {
+            let told = Told {
+                at: now,
+                admitted: count.admitted,
+                asked: count.asked,
+            };
+            row.counts.insert(count.workspace, told);
+        }
+    }
+
+    /// A process is gone for certain: nothing is kept for it.
+    pub fn replaced(&mut self, owner: OwnerId) {
+        if let Some(row) = self.told.get_mut(&Source::Process(owner)) {
+            row.leaving = true;
+        }
+    }
+
+    /// Forgets what processes told, where a delegate tells it from now on, or the other way round.
+    pub fn forget_told(&mut self) {
+        self.told.clear();
+    }
+
+    /// Looks at what time alone changes; each few tens of milliseconds.
+    pub fn tick(&mut self, now: Duration, view: View) {
+        self.heard_after = match view.large {
+            true => HEARD_AFTER_LARGE,
+            false => HEARD_AFTER,
+        };
+        self.remember_demand(now);
+        let before = self.demand.front().map(|(_, demand)| demand);
+        let window = self.measure.window;
+        for row in self.told.values_mut() {
+            let silent = now >= row.heard_at + SILENT_AFTER;
+            if silent && !row.leaving && row.shares.is_none() {
+                row.shares = Some(row.shares_of(before));
+            }
+        }
+        self.told.retain(|_, row| {
+            let life = if row.leaving { window } else { HOLD };
+            now < row.heard_at + life.max(window)
+        });
+        for own in self.own.values_mut() {
+            own.expire(now, window);
+        }
+        self.own.retain(|_, own| !own.steps.is_empty());
+        self.note_alone(now, view);
+    }
+
+    /// Own counts of all workspaces that asked for something within the window, those with most first.
+    pub fn counts(&self, now: Duration) -> Vec<Count> {
+        let count = |(workspace, own): (&WorkspaceKey, &Own)| Count {
+            workspace: *workspace,
+            admitted: own.admitted_since(now.saturating_sub(self.measure.window)),
+            asked: own.asked_since(now.saturating_sub(self.measure.window)),
+        };
+        let mut counts: Vec<Count> = self.own.iter().map(count).collect();
+        counts.retain(|count| count.asked > 0);
+        counts.sort_by_key(|count| std::cmp::Reverse((count.asked, count.workspace)));
+        counts
+    }
+
+    /// Counts of a failure domain: of this VM and of all processes that were heard, also of those that are gone by now.
+    /// `others` are the VMs and their processes of now.
+    pub fn of_domain(&self, now: Duration, others: &[(VmId, OwnerId)]) -> DomainCounts {
+        let mut sums: HashMap<WorkspaceKey, Count> = HashMap::new();
+        let mut by_vm: HashMap<VmId, Vec<Count>> = HashMap::new();
+        let (mut vms, mut counted_for) = (1, self.counted_for(now));
+        self.counts(now)
+            .iter()
+            .for_each(|count| count.add_to(&mut sums));
+        for (source, row) in &self.told {
+            let Source::Process(process) = source else {
+                continue;
+            };
+            let counts = row.counts_at(now, self.measure.window);
+            counts.iter().for_each(|count| count.add_to(&mut sums));
+            if let Some((vm, _)) = others.iter().find(|(_, owner)| owner == process) {
+                by_vm.insert(*vm, counts);
+                vms += 1;
+                counted_for += row.counted_for;
+            }
+        }
+        let mut rows: Vec<Count> = sums.into_values().filter(|sum| sum.asked > 0).collect();
+        rows.sort_by_key(|sum| std::cmp::Reverse((sum.asked, sum.workspace)));
+        DomainCounts {
+            vms,
+            counted_for: counted_for / vms,
+            rows,
+            by_vm,
+        }
+    }
+
+    /// Whether a workspace uses so much of its limit that other VMs are to hear of it at once.
+    pub fn is_pressed(&self, now: Duration, workspace: WorkspaceKey, quota: Quota) -> bool {
+        let limit = self.measure.limit(quota) * self.counted_part(now);
+        let admitted = self.admitted_elsewhere(now, workspace) + self.admitted_here(now, workspace);
+        f64::from(admitted) > limit * PRESSED_PART
+    }
+
+    /// For how long this VM has counted, at the most the window.
+    pub fn counted_for(&self, now: Duration) -> Duration {
+        let counted = now.saturating_sub(self.started_at);
+        counted.min(self.measure.window)
+    }
+
+    /// What is used of a workspace's limit.
+    pub fn used(&self, now: Duration, name: &str, workspace: WorkspaceKey, quota: Quota) -> Use {
+        let state = self.state(now, workspace, quota);
+        let own = self.own.get(&workspace);
+        let since = now.saturating_sub(self.measure.window);
+        Use {
+            workspace: name.to_owned(),
+            limit: self.measure.limit(quota),
+            admitted_here: own.map_or(0, |own| own.admitted_since(since)),
+            asked_here: own.map_or(0, |own| own.asked_since(since)),
+            admitted: state.admitted as u32,
+            kept_for_silent: state.kept,
+            share: state.share,
+        }
+    }
+
+    fn state(&self, now: Duration, workspace: WorkspaceKey, quota: Quota) -> State {
+        let limit = self.measure.limit(quota);
+        let here = self.admitted_here(now, workspace);
+        let own = self.own.get(&workspace);
+        let unheard = own.map_or(0, |own| {
+            own.admitted_since(now.saturating_sub(self.heard_after))
+        });
+        let asked_here = own.map_or(0, |own| {
+            own.asked_since(now.saturating_sub(self.measure.window))
+        });
+        // Those that are silent have their part by what is kept for them.
+        let heard = || self.told.values().filter(|row| row.shares.is_none());
+        let window = self.measure.window;
+        let told = heard().filter_map(|row| row.told_at(now, workspace, window));
+        let asked = asked_here + told.map(|told| told.asked).sum::<u32>();
+        let others = heard().filter(|row| !row.leaving).map(|row| row.vms);
+        let vms = f64::from(1 + others.sum::<u32>());
+        let by_demand = f64::from(asked_here) / f64::from(asked.max(1));
+        State {
+            limit: limit * self.counted_part(now) * self.isolated_part(now),
+            admitted: f64::from(here + self.admitted_elsewhere(now, workspace)),
+            unheard: f64::from(unheard),
+            kept: self.kept_for_silent(now, workspace, limit),
+            share: (1.0 - EVEN_PART) * by_demand + EVEN_PART / vms,
+            asked: f64::from(asked),
+        }
+    }
+
+    fn admitted_here(&self, now: Duration, workspace: WorkspaceKey) -> u32 {
+        let own = self.own.get(&workspace);
+        own.map_or(0, |own| {
+            own.admitted_since(now.saturating_sub(self.measure.window))
+        })
+    }
+
+    fn admitted_elsewhere(&self, now: Duration, workspace: WorkspaceKey) -> u32 {
+        let rows = self.told.values();
+        let told = rows.filter_map(|row| row.told_at(now, workspace, self.measure.window));
+        told.map(|told| told.admitted).sum()
+    }
+
+    /// All VMs that may let requests in, this one included.
+    fn vms(&self) -> u32 {
+        let others = self.told.values().filter(|row| !row.leaving);
+        1 + others.map(|row| row.vms).sum::<u32>()
+    }
+
+    /// What silent VMs may have let in, beyond what they are known to have.
+    fn kept_for_silent(&self, now: Duration, workspace: WorkspaceKey, limit: f64) -> f64 {
+        let before = self.demand.front();
+        let before = before.and_then(|(_, demand)| demand.get(&workspace));
+        let before = f64::from(before.copied().unwrap_or(0));
+        let vms = f64::from(self.vms());
+        let kept = |row: &Row| {
+            let shares = row.shares.as_ref()?;
+            let even = f64::from(row.vms) / vms;
+            let by_demand = shares.get(&workspace).copied().unwrap_or(0.0);
+            let share = (by_demand * before + even * EVEN_REQUESTS) / (before + EVEN_REQUESTS);
+            let told = row.told_at(now, workspace, self.measure.window);
+            let admitted = told.map_or(0, |told| told.admitted);
+            Some((limit * share - f64::from(admitted)).max(0.0))
+        };
+        self.told.values().filter_map(kept).sum()
+    }
+
+    /// Part of the limit that may be used, by how long the fleet has counted.
+    ///
+    /// The failure: all processes are killed at once while a workspace asks for many times its limit. Those that start in
+    /// their place know nothing of what was let in a second ago, and let as much in again.
+    fn counted_part(&self, now: Duration) -> f64 {
+        let window = self.measure.window.as_secs_f64();
+        let rows = self.told.values().filter(|row| row.shares.is_none());
+        let heard = rows.map(|row| (f64::from(row.vms), row.counted_for));
+        let all = heard.chain([(1.0, self.counted_for(now))]);
+        let (mut vms, mut counted) = (0.0, 0.0);
+        for (of, counted_for) in all {
+            vms += of;
+            counted += of * (counted_for.as_secs_f64() / window).min(1.0);
+        }
+        (counted / vms).max(START_PART)
+    }
+
+    fn isolated_part(&self, now: Duration) -> f64 {
+        let long = self.alone_since.is_some_and(|since| now >= since + HOLD);
+        if long {
+            ISOLATED_PART
+        } else {
+            1.0
+        }
+    }
+
+    fn note_alone(&mut self, now: Duration, view: View) {
+        let heard = |row: &&Row| row.shares.is_none() && !row.leaving;
+        let heard: u32 = self.told.values().filter(heard).map(|row| row.vms).sum();
+        let all = self.vms();
+        let alone = !view.store && 2 * (heard + 1) < all;
+        // What was silent for long is forgotten, so that nobody is left to be in the majority.
+        let stays = !view.store && self.alone_since.is_some();
+        self.alone_since = match alone || (stays && heard == 0) {
+            true => self.alone_since.or(Some(now)),
+            false => None,
+        };
+    }
+
+    /// Notes all demand once a second.
+    fn remember_demand(&mut self, now: Duration) {
+        let newest = self.demand.back().map(|(at, _)| *at);
+        if newest.is_some_and(|at| now < at + Duration::from_secs(1)) {
+            return;
+        }
+        let mut demand: HashMap<WorkspaceKey, u32> = HashMap::new();
+        for count in self.counts(now) {
+            *demand.entry(count.workspace).or_default() += count.asked;
+        }
+        for row in self.told.values() {
+            for (workspace, told) in &row.counts {
+                if now < told.at + self.measure.window {
+                    *demand.entry(*workspace).or_default() += told.asked;
+                }
+            }
+        }
+        self.demand.push_back((now, demand));
+        while self.demand.len() > 1 && now >= self.demand[1].0 + DEMAND_MEMORY {
+            self.demand.pop_front();
+        }
+    }
+}
+
+/// What decides on one request.
+#[derive(Debug, Clone, Copy)]
+struct State {
+    limit: f64,
+    /// Known to be let in within the window, by all VMs.
+    admitted: f64,
+    /// Let in here of late, so that the others may not know of it.
+    unheard: f64,
+    kept: f64,
+    share: f64,
+    asked: f64,
+}
+
+impl State {
+    fn fits(&self, draw: f64) -> bool {
+        let room = self.limit - self.kept - self.admitted;
+        if room < 1.0 {
+            return false;
+        }
+        // Room before what this VM let in unheard: its share is one of all of them.
+        let spare = if room >= self.limit * SPARE_PART {
+            1.0
+        } else {
+            0.0
+        };
+        self.unheard + draw <= (room + self.unheard) * self.share + spare
+    }
+
+    /// By then the callers that come back are as many as fit.
+    fn retry_after(&self, window: Duration) -> Duration {
+        let over = self.asked / self.limit.max(1.0) - 1.0;
+        window
+            .mul_f64(over.clamp(0.0, 1.0))
+            .clamp(RETRY_MIN, window)
+    }
+}
+
+impl Row {
+    /// What was told of a workspace, while it is still within the window.
+    fn told_at(&self, now: Duration, workspace: WorkspaceKey, window: Duration) -> Option<&Told> {
+        let told = self.counts.get(&workspace);
+        told.filter(|told| now < told.at + window)
+    }
+
+    fn counts_at(&self, now: Duration, window: Duration) -> Vec<Count> {
+        let counts = self
+            .counts
+            .iter()
+            .filter(|(_, told)| now < told.at + window);
+        let count = |(workspace, told): (&WorkspaceKey, &Told)| Count {
+            workspace: *workspace,
+            admitted: told.admitted,
+            asked: told.asked,
+        };
+        counts.map(count).collect()
+    }
+
+    fn shares_of(&self, demand: Option<&HashMap<WorkspaceKey, u32>>) -> HashMap<WorkspaceKey, f64> {
+        let share = |(workspace, told): (&WorkspaceKey, &Told)| {
+            let all = demand?.get(workspace).copied()?;
+            let share = f64::from(told.asked) / f64::from(all.max(told.asked).max(1));
+            Some((*workspace, share))
+        };
+        self.counts.iter().filter_map(share).collect()
+    }
+}
+
+impl Own {
+    fn step(&mut self, now: Duration) -> &mut Step {
+        let number = step_number(now);
+        if self.steps.back().is_none_or(|step| step.number != number) {
+            self.steps.push_back(Step {
+                number,
+                admitted: 0,
+                asked: 0,
+            });
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+
+    fn expire(&mut self, now: Duration, window: Duration) {
+        let oldest = step_number(now.saturating_sub(window));
+        while self.steps.front().is_some_and(|step| step.number < oldest) {
+            self.steps.pop_front();
+        }
+    }
+
+    fn admitted_since(&self, at: Duration) -> u32 {
+        let steps = self.since(at);
+        steps.map(|step| step.admitted).sum()
+    }
+
+    fn asked_since(&self, at: Duration) -> u32 {
+        let steps = self.since(at);
+        steps.map(|step| step.asked).sum()
+    }
+
+    fn since(&self, at: Duration) -> impl Iterator<Item = &Step> {
+        let oldest = step_number(at);
+        self.steps.iter().filter(move |step| step.number >= oldest)
+    }
+}
+
+fn step_number(at: Duration) -> u64 {
+    (at.as_millis() / STEP.as_millis()) as u64
+}
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -24,6 +24,8 @@
     SlowRequest,
     #[strum(message = "the workspace has used its share")]
     ShareUsed,
+    #[strum(message = "the workspace has used its quota of requests")]
+    QuotaUsed,
     #[strum(message = "too much batch work waits on this route")]
     TooMuchWaiting,
     #[strum(message = "the service is full")]
@@ -56,7 +58,7 @@
             Kind::SlowRequest => 408,
             Kind::Conflict | Kind::OutcomeUnknown => 409,
             Kind::TooLarge => 413,
-            Kind::ShareUsed | Kind::TooMuchWaiting => 429,
+            Kind::ShareUsed | Kind::QuotaUsed | Kind::TooMuchWaiting => 429,
             Kind::HeadTooLarge => 431,
             Kind::EndpointFailed => 502,
             Kind::DeadlinePassed => 504,
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::access::{Workspace, Workspaces};
 use crate::id::{ConfigVersion, Name, ServiceId};
 
 /// What a route carries, and so what may be repeated.
@@ -52,6 +53,10 @@
     pub goal: Duration,
     /// Not empty.
     pub shares: Vec<Share>,
+    /// Open to callers without a key.
+    pub public: bool,
+    /// 0 is the most urgent.
+    pub priority: u32,
     /// Endpoints that one try of the caller may be sent to.
     pub attempts_max: u32,
     /// A stream may go on at another endpoint after the last event that came.
@@ -60,7 +65,7 @@
     pub due: Duration,
     /// Batch: how long after the first submission an item may be given up.
     pub retention: Duration,
-    /// Batch: tokens of items that may wait, over all VMs; `None` for any number.
+    /// Batch: tokens of items of one workspace that may wait, over all VMs; `None` for any number.
     pub waiting_tokens_max: Option<u64>,
 }
 
@@ -102,12 +107,15 @@
     pub version: ConfigVersion,
     pub routes: Vec<Route>,
     pub limits: CallerLimits,
+    /// `None` where callers need no keys.
+    pub workspaces: Option<Vec<Workspace>>,
 }
 
 /// Rules laid out for lookups.
 #[derive(Debug)]
 pub struct RouteTable {
     pub rules: Rules,
+    pub workspaces: Option<Workspaces>,
     /// Positions in `rules.routes` by host, the longest prefix first.
     by_host: HashMap<Name, Vec<usize>>,
 }
@@ -122,7 +130,11 @@
         for positions in by_host.values_mut() {
             positions.sort_by_key(|at| std::cmp::Reverse(rules.routes[*at].prefix.len()));
         }
-        RouteTable { rules, by_host }
+        RouteTable {
+            workspaces: rules.workspaces.clone().map(Workspaces::new),
+            rules,
+            by_host,
+        }
     }
 
     /// The route of a request: of its host's, the one with the longest prefix of the path.
--- a/src/decide/small_jobs.rs
+++ b/src/decide/small_jobs.rs
@@ -62,6 +62,9 @@
     /// Route that it was submitted by; its limit counts the job's tokens.
     #[serde(default)]
     pub route: Name,
+    /// Whose it is; nobody else may read or end it. `None` where callers need no keys.
+    #[serde(default)]
+    pub workspace: Option<Name>,
     /// Process that runs the items; 0 when it was handed over.
     pub owner: OwnerId,
     /// Grows with each claim. Invariant: results are listed under the epoch of their claim.
--- a/src/entry/online.rs
+++ b/src/entry/online.rs
@@ -96,6 +96,7 @@
         node.online(Event::Arrived(Arrival {
             request: number,
             workspace: id::of(&asker.workspace),
+            priority: 0,
             service: id::of(&service.name),
             prefix,
             deadline,
--- a/src/entry/plan.rs
+++ b/src/entry/plan.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::config::{Service, ServiceKind, State, Versioned};
+use crate::decide::access::{KeyDigest, KeyTable};
 use crate::decide::endpoints::Declared;
 use crate::decide::online;
 use crate::decide::window::Knob;
@@ -15,7 +16,7 @@
 #[derive(Debug)]
 pub struct Plan {
     pub versioned: Arc<Versioned>,
-    workspaces: HashMap<String, Name>,
+    keys: KeyTable,
     addresses: HashMap<EndpointId, Name>,
     knobs: HashMap<ServiceId, Knob>,
 }
@@ -24,14 +25,19 @@
     /// Lays out a configuration.
     pub fn new(versioned: Arc<Versioned>) -> Plan {
         let state = &versioned.state;
-        let keys = state.workspaces.iter().flat_map(|workspace| {
-            let digests = workspace.key_digests.iter();
-            digests.map(|digest| (digest.to_ascii_lowercase(), workspace.name.clone()))
-        });
+        let keys = state
+            .workspaces
+            .iter()
+            .enumerate()
+            .flat_map(|(at, workspace)| {
+                let digests = workspace.key_digests.iter();
+                let digests = digests.filter_map(|digest| KeyDigest::from_hex(digest));
+                digests.map(move |digest| (digest, at))
+            });
         let endpoints = state.endpoints.iter();
         let services = state.services.iter();
         Plan {
-            workspaces: keys.collect(),
+            keys: KeyTable::new(keys),
             addresses: endpoints
                 .map(|e| (id::of(&e.name), e.address.clone()))
                 .collect(),
@@ -60,9 +66,9 @@
         let key = header
             .strip_prefix("Bearer ")
             .or_else(|| header.strip_prefix("bearer "))?;
-        self.workspaces
-            .get(&id::digest(key.trim().as_bytes()))
-            .cloned()
+        let at = self.keys.owner(&KeyDigest::of(key.trim().as_bytes()))?;
+        let workspace = self.state().workspaces.get(at)?;
+        Some(workspace.name.clone())
     }
 
     /// The address of an endpoint.
--- a/src/model/fleet/online.rs
+++ b/src/model/fleet/online.rs
@@ -16,6 +16,7 @@
         let arrival = online::Arrival {
             request,
             workspace: WORKSPACE,
+            priority: 0,
             service: SERVICE,
             prefix: asked.prompt[0].id,
             deadline: asked.first_at + self.load.deadline,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -23,6 +23,7 @@
 pub mod pool;
 mod proving;
 mod quarantine;
+mod quotas;
 pub mod registration;
 pub mod relay;
 pub mod replies;
--- a/src/serve/admit.rs
+++ b/src/serve/admit.rs
@@ -3,15 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::jobs::{encode, reread, write};
+use super::jobs::{accepted_before, encode, reread, write};
 use super::node::Node;
 use super::replies::{self, Reply};
 use crate::clock;
-use crate::decide::backlog::{Reservations, Reserved, RouteKey, View, Way, RETURN_MIN};
+use crate::decide::backlog::{self, Reservations, Reserved, RouteKey, View, Way, RETURN_MIN};
 use crate::decide::refusal::Kind;
 use crate::decide::routes::Route;
 use crate::decide::small_jobs::Record;
-use crate::id::{self, JobId, Revision};
+use crate::id::{JobId, Name, Revision};
 use crate::store::{Settled, Txn};
 use crate::util;
 
@@ -32,7 +32,8 @@
         job: record.id.clone(),
         tokens: record.open_tokens(),
     };
-    let key = id::of(&route.name);
+    let key = backlog::key(&route.name, record.workspace.as_deref());
+    let workspace = &record.workspace;
     let way = {
         let now = clock::now();
         let view = view(node, now, key, limit_tokens);
@@ -51,8 +52,8 @@
     };
     match way {
         Way::Share => Ok(()),
-        Way::Reserve => reserve(node, key, limit_tokens, &asked).await,
-        Way::Full => Err(full(node, key, limit_tokens, &asked).await),
+        Way::Reserve => reserve(node, key, workspace, limit_tokens, &asked).await,
+        Way::Full => Err(full(node, key, workspace, limit_tokens, &asked).await),
     }
 }
 
@@ -76,10 +77,12 @@
     };
     for route in &routes.rules.routes {
         if let Some(limit_tokens) = route.waiting_tokens_max {
-            let key = id::of(&route.name);
-            let waiting = view(node, now, key, limit_tokens).waiting_tokens;
-            let mut core = node.core.borrow_mut();
-            core.backlog.note_waiting(now, key, waiting);
+            let keys = node.core.borrow().jobs.route_keys(&route.name);
+            for key in keys {
+                let waiting = view(node, now, key, limit_tokens).waiting_tokens;
+                let mut core = node.core.borrow_mut();
+                core.backlog.note_waiting(now, key, waiting);
+            }
         }
     }
 }
@@ -116,6 +119,7 @@
 async fn reserve(
     node: &Rc<Node>,
     route: RouteKey,
+    workspace: &Option<Name>,
     limit_tokens: u64,
     asked: &Reserved,
 ) -> Result<(), Reply> {
@@ -133,7 +137,7 @@
                 .reserve(now, route, &before, asked, view, known, nonce)
         };
         let Some(after) = after else {
-            return Err(full(node, route, limit_tokens, asked).await);
+            return Err(full(node, route, workspace, limit_tokens, asked).await);
         };
         let txn = Txn {
             expect: vec![(key.clone(), revision)],
@@ -186,11 +190,16 @@
 
 /// The answer to a job that has no room. One that was accepted before, and comes again because its
 /// caller never saw the answer, is accepted again: only the store knows of all jobs.
-async fn full(node: &Rc<Node>, route: RouteKey, limit_tokens: u64, asked: &Reserved) -> Reply {
+async fn full(
+    node: &Rc<Node>,
+    route: RouteKey,
+    workspace: &Option<Name>,
+    limit_tokens: u64,
+    asked: &Reserved,
+) -> Reply {
     let standing = reread(node, &asked.job).await;
-    if standing.is_ok() {
-        log::info!(job = *asked.job; "job had been accepted before");
-        return replies::empty(202);
+    if let Ok(record) = &standing {
+        return accepted_before(record, workspace);
     }
     if standing.is_err_and(|reply| reply.status() != 404) {
         return away();
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION, HOST};
+use hyper::header::{HeaderValue, AUTHORIZATION, CONNECTION, HOST};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::Request;
@@ -25,9 +25,10 @@
 use super::replies::{self, Reply};
 use super::results;
 use crate::clock;
+use crate::decide::access;
 use crate::decide::proofs::Subject;
 use crate::decide::refusal::Kind;
-use crate::decide::routes::{RouteKind, RouteTable};
+use crate::decide::routes::{RouteKind, RouteTable, Rules};
 use crate::pages;
 use crate::util;
 
@@ -113,12 +114,60 @@
         log::info!(path = head.uri.path(); "refused: no rules are known yet");
         return replies::refusal(Kind::NotReady, true, Some(STARTING_RETRY));
     };
-    match (node.dialect.call)(&head) {
-        Call::Routed => routed(node, routes, head, body).await,
-        Call::Results { job, after, wait } => results::results(node, job, after, wait).await,
-        Call::ItemBody { job, item } => jobs::item_body(node, job, item).await,
-        Call::Cancel { job } => jobs::cancel(node, job).await,
+    let call = (node.dialect.call)(&head);
+    if call == Call::Routed {
+        return routed(node, routes, head, body).await;
     }
+    let public = has_public_jobs(&routes.rules);
+    let caller = match identify(&node, &routes, public, &head) {
+        Ok(caller) => caller.name(),
+        Err(kind) => return unidentified(kind),
+    };
+    match call {
+        Call::Results { job, after, wait } => {
+            results::results(node, &caller, job, after, wait).await
+        }
+        Call::ItemBody { job, item } => jobs::item_body(node, &caller, job, item).await,
+        Call::Cancel { job } => jobs::cancel(node, &caller, job).await,
+        // Returned above.
+        Call::Routed => replies::empty(404),
+    }
+}
+
+/// Whether jobs may be submitted, and so looked at, without a key.
+fn has_public_jobs(rules: &Rules) -> bool {
+    let mut routes = rules.routes.iter();
+    routes.any(|route| route.kind == RouteKind::Batch && route.public)
+}
+
+/// Tells who asks, or why it can't be told.
+fn identify<'a>(
+    node: &Node,
+    routes: &'a RouteTable,
+    public: bool,
+    head: &hyper::http::request::Parts,
+) -> Result<access::Caller<'a>, Kind> {
+    let now = clock::now();
+    let shown = (node.dialect.credential)(&head.headers);
+    let workspaces = routes.workspaces.as_ref();
+    let caller = {
+        let core = node.core.borrow();
+        access::caller(now, workspaces, public, shown, &core.proofs)
+    };
+    caller.inspect_err(|kind| {
+        let reason: &'static str = kind.into();
+        let version = routes.rules.version;
+        let proof_age_ms = node.proof_age_ms(Subject::Rules);
+        let path = head.uri.path();
+        node.counters.refused.with_label_values(&[reason]).inc();
+        log::info!(path, reason, version, proof_age_ms; "refused: no workspace is known by this key");
+    })
+}
+
+/// The answer to a caller whose workspace is not known.
+fn unidentified(kind: Kind) -> Reply {
+    let retry = (kind == Kind::NotReady).then_some(UNSURE_RETRY);
+    replies::refusal(kind, true, retry)
 }
 
 async fn routed(
@@ -139,18 +188,26 @@
             false => replies::refusal(Kind::NotReady, true, Some(UNSURE_RETRY)),
         };
     };
+    let caller = match identify(&node, &routes, route.public, &head) {
+        Ok(caller) => caller,
+        Err(kind) => return unidentified(kind),
+    };
     let body = match read(body, routes.rules.limits.body_bytes).await {
         Ok(body) => body,
         Err(kind) => return replies::refusal(kind, true, None),
     };
     if route.kind == RouteKind::Batch {
-        return jobs::submit(node, route, ask, body).await;
+        return jobs::submit(node, route, caller.name(), ask, body).await;
     }
     let target = head
         .uri
         .path_and_query()
         .map_or("/", |target| target.as_str());
     let mut headers = exchange::end_to_end(&head.headers);
+    if routes.workspaces.is_some() {
+        // Endpoints are told whose request it is; the key is nobody else's business.
+        headers.remove(AUTHORIZATION);
+    }
     if let Ok(host) = HeaderValue::from_str(&ask.host) {
         headers.insert(HOST, host);
     }
@@ -161,9 +218,11 @@
         headers,
         body,
         repeatable: route.repeatable(),
+        workspace: caller.name(),
     };
     let service = route.pick(util::rng().random());
-    online::serve(node, route, ask, out, service).await
+    let shown = (node.dialect.credential)(&head.headers);
+    online::serve(node, route, ask, out, shown, service).await
 }
 
 /// Reads a body whole.
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -9,6 +9,8 @@
     pub metrics: Metrics,
     /// Answers to callers, by route kind and outcome.
     pub requests: IntCounterVec,
+    /// Refusals of this system's own, by reason.
+    pub refused: IntCounterVec,
     /// Tries at endpoints, by outcome.
     pub attempts: IntCounterVec,
     /// New connections to endpoints.
@@ -55,6 +57,7 @@
                 "Answers to callers.",
                 &["kind", "outcome"],
             ),
+            refused: metrics.counters("bramley_refusals_total", "Refusals by reason.", &["reason"]),
             attempts: metrics.counters(
                 "bramley_attempts_total",
                 "Tries at endpoints.",
--- a/src/serve/delegate.rs
+++ b/src/serve/delegate.rs
@@ -8,9 +8,11 @@
 use tokio::time::{sleep, timeout};
 
 use super::node::Node;
-use super::peers::{heartbeat, seal, Datagram};
+use super::peers::{heartbeat, seal, word, Datagram, COUNTS_ALL};
+use super::quotas;
 use crate::clock;
 use crate::decide::peers::{Round, Summary, Versions, ROUND};
+use crate::decide::quota::Source as CountSource;
 use crate::id::VmId;
 
 /// Time between two words to VMs whose items are to make way. Without them a burst of online requests stands
@@ -21,6 +23,7 @@
 pub async fn speak(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let (mut sequence, mut rounds) = (0, 0);
     let mut round_due = Duration::ZERO;
+    let mut counts_due = Duration::ZERO;
     loop {
         sleep(PRESSED_PAUSE).await;
         let left = round_due.saturating_sub(clock::now());
@@ -30,13 +33,17 @@
             continue;
         }
         sequence += 1;
-        let round = round(&node, sequence);
+        let all_counts = clock::now() >= counts_due;
+        let round = round(&node, sequence, all_counts);
         if pressed && clock::now() < round_due {
             tell_members(&node, &socket, &round, |vm| round.presses(vm));
             continue;
         }
         round_due = clock::now() + ROUND;
         rounds += 1;
+        if all_counts && node.core.borrow().peers.is_far_round(rounds) {
+            counts_due = clock::now() + COUNTS_ALL;
+        }
         tell_members(&node, &socket, &round, |_| true);
         if node.core.borrow().peers.is_far_round(rounds) {
             tell_delegates(&node, &socket, &round);
@@ -44,13 +51,20 @@
     }
 }
 
-fn round(node: &Node, sequence: u64) -> Round {
+fn round(node: &Node, sequence: u64, all_counts: bool) -> Round {
     let now = clock::now();
     let own = heartbeat(node, sequence);
     let core = node.core.borrow();
     let address = node.settings.peer_address;
     let endpoints = &core.online.endpoints;
-    core.peers.round(now, &own, address, &core.usage, endpoints)
+    let mut counts = core.quotas.of_domain(now, &core.peers.owners(node.domain));
+    if !all_counts {
+        counts
+            .rows
+            .retain(|row| quotas::is_pressed(&core, now, row));
+    }
+    core.peers
+        .round(now, &own, address, &core.usage, counts, endpoints)
 }
 
 /// Tells the VMs of the failure domain that fit.
@@ -110,6 +124,13 @@
         // It has heard the VMs themselves.
         return;
     }
+    if summary.part == 0 {
+        let source = CountSource::Domain(summary.domain);
+        // Towards the own failure domain this VM itself is left out.
+        let vms = summary.vms - u32::from(near);
+        let told = word(vms, false, &summary.counts);
+        core.quotas.told(now, source, told);
+    }
     let passes_on = !near && core.peers.passes_on(node.vm, &summary);
     let part = (summary.part, summary.parts);
     let touched = core
--- a/src/serve/dialect.rs
+++ b/src/serve/dialect.rs
@@ -9,6 +9,7 @@
 use hyper::http::request;
 use hyper::StatusCode;
 
+use crate::decide::access::Credential;
 use crate::decide::discovery::Registration;
 use crate::decide::routes::Rules;
 use crate::decide::small_jobs::{Item, Outcome};
@@ -61,6 +62,8 @@
     pub left: Option<Duration>,
     /// Go on after this event.
     pub last_event: Option<u64>,
+    /// Whose request it is; `None` where nobody is known to ask.
+    pub workspace: Option<&'a str>,
 }
 
 /// What the head of an endpoint's answer says.
@@ -107,6 +110,8 @@
     pub call: fn(&request::Parts) -> Call,
     /// Reads what the headers say.
     pub ask: fn(&request::Parts) -> Ask,
+    /// Reads what a caller shows to say who it is.
+    pub credential: fn(&HeaderMap) -> Credential,
     /// Header with the id of a try, for items that this system sends by itself.
     pub id_header: &'static str,
     /// Adds what one try tells the endpoint.
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -14,13 +14,15 @@
 use super::pool::{self, Connection};
 use crate::decide::quarantine::{Asked, Fingerprint};
 use crate::decide::retry::Reach;
-use crate::id::EndpointId;
+use crate::id::{EndpointId, Name};
 
 /// Headers that concern one connection only, and those that the client library writes itself.
-const OF_CONNECTION: [&str; 8] = [
+const OF_CONNECTION: [&str; 10] = [
     "connection",
     "keep-alive",
     "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
     "te",
     "trailer",
     "transfer-encoding",
@@ -41,13 +43,15 @@
     pub body: Bytes,
     /// Whether it may run twice.
     pub repeatable: bool,
+    /// Whose it is; `None` where nobody is known to ask.
+    pub workspace: Option<Name>,
 }
 
 impl Outgoing {
     /// What counts as the same request when it comes again.
     pub fn fingerprint(&self) -> Fingerprint {
         Fingerprint::of(&Asked {
-            caller: self.header(header::AUTHORIZATION),
+            caller: self.workspace.as_deref().unwrap_or_default().as_bytes(),
             method: self.method.as_str(),
             host: self.header(header::HOST),
             target: &self.target,
@@ -226,6 +230,7 @@
         instance: &target.instance,
         left,
         last_event,
+        workspace: out.workspace.as_deref(),
     };
     (node.dialect.attempt)(request.headers_mut(), &attempt);
     Ok(request)
--- a/src/serve/inside.rs
+++ b/src/serve/inside.rs
@@ -23,6 +23,7 @@
 use super::node::Node;
 use super::peers;
 use super::quarantine;
+use super::quotas;
 use super::relay;
 use super::replies::{self, Reply};
 use super::results;
@@ -33,6 +34,7 @@
 use crate::decide::online::Waiting;
 use crate::decide::proofs::Subject;
 use crate::decide::quarantine::Listed;
+use crate::decide::quota::Use;
 
 /// What the process knows and does, for operators.
 #[derive(Serialize)]
@@ -54,6 +56,8 @@
     jobs: Vec<JobRow>,
     /// Requests that endpoints ended under.
     quarantine: Vec<Listed>,
+    /// Workspaces with a quota and requests here of late.
+    quotas: Vec<Use>,
     store_answers: bool,
 }
 
@@ -239,6 +243,7 @@
         endpoints: core.online.endpoints.rows.iter().map(endpoint).collect(),
         jobs: core.jobs.rows.values().map(job).collect(),
         quarantine: quarantine::listed(&core),
+        quotas: quotas::uses(&core, now),
         store_answers: node.store_answers.get(),
     };
     // Plain numbers and strings: there is nothing that JSON can't hold.
--- a/src/serve/job_table.rs
+++ b/src/serve/job_table.rs
@@ -1,20 +1,20 @@
 //! The batch jobs that a process knows, as the store or another VM last told of them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 
 use super::parts::Parts;
-use crate::decide::backlog::RouteKey;
+use crate::decide::backlog::{self, RouteKey};
 use crate::decide::small_jobs::Record;
-use crate::id::{self, JobId, Name, OwnerId, Revision};
+use crate::id::{JobId, Name, OwnerId, Revision};
 
 /// One job as the store last told of it.
 pub struct Job {
     pub record: Rc<Record>,
-    /// Hash of its route's name.
+    /// Of its route and workspace.
     route: RouteKey,
     /// Tokens of its open items. Invariant: worked out anew with each record.
     open_tokens: u64,
@@ -59,7 +59,8 @@
     ) -> Option<(RouteKey, u64)> {
         self.revision = self.revision.max(revision);
         let id = record.id.clone();
-        let (route, open_tokens) = (id::of(&record.route), record.open_tokens());
+        let route = backlog::key(&record.route, record.workspace.as_deref());
+        let open_tokens = record.open_tokens();
         match self.rows.get_mut(&id) {
             Some(job) if revision < job.revision => None,
             Some(job) => {
@@ -93,6 +94,14 @@
         }
     }
 
+    /// Keys under which tokens of a route's jobs are counted, one for each workspace with jobs there.
+    pub fn route_keys(&self, route: &str) -> HashSet<RouteKey> {
+        let jobs = self.rows.values();
+        let jobs = jobs.filter(|job| *job.record.route == *route);
+        let keys = jobs.map(|job| job.route);
+        keys.chain([backlog::key(route, None)]).collect()
+    }
+
     /// Tokens of open items on a route, by the records.
     pub fn open_tokens(&self, route: RouteKey) -> u64 {
         self.open_tokens_of(route, |_| true)
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -41,14 +41,20 @@
 }
 
 /// Takes a submitted job.
-pub async fn submit(node: Rc<Node>, route: &Route, ask: Ask, body: Bytes) -> Reply {
+pub async fn submit(
+    node: Rc<Node>,
+    route: &Route,
+    caller: Option<Name>,
+    ask: Ask,
+    body: Bytes,
+) -> Reply {
     let Some(id) = ask.id else {
         return replies::refusal(Kind::BadRequest, true, None);
     };
     let id: JobId = id.into();
-    if node.core.borrow().jobs.rows.contains_key(&id) {
-        log::info!(job = *id; "job submitted again");
-        return replies::empty(202);
+    let standing = node.core.borrow().jobs.standing(&id);
+    if let Some((record, _)) = standing {
+        return accepted_before(&record, &caller);
     }
     let items = match (node.dialect.submission)(&body) {
         Ok(items) => items,
@@ -65,7 +71,8 @@
         Some(parts) if items.len() <= small_jobs::ITEMS_MAX && !items.is_empty() => parts,
         _ => return replies::refusal(Kind::TooLarge, true, None),
     };
-    let record = new_record(&node, id.clone(), &ask.host, route, &items, &parts);
+    let mut record = new_record(&node, id.clone(), &ask.host, route, &items, &parts);
+    record.workspace = caller;
     // A task of its own: a caller that leaves must not keep the write from being settled.
     let accepted = accept(node.clone(), route.clone(), record, parts);
     let settled = tokio::task::spawn_local(accepted).await;
@@ -91,6 +98,7 @@
         id,
         host: host.into(),
         route: route.name.clone(),
+        workspace: None,
         // A VM that drains accepts for the others.
         owner: if node.is_draining() { 0 } else { node.owner },
         epoch: 1,
@@ -130,10 +138,10 @@
             runs::adopt(&node, &id);
             replies::empty(202)
         }
-        Settled::Lost(_) => {
-            log::info!(job = *id, took_ms; "job had been accepted before");
-            replies::empty(202)
-        }
+        Settled::Lost(_) => match node.core.borrow().jobs.standing(&id) {
+            Some((standing, _)) => accepted_before(&standing, &record.workspace),
+            None => replies::empty(202),
+        },
         Settled::Away(detail) => {
             log::warn!(job = *id, took_ms, detail; "job refused: the store is away");
             replies::refusal(Kind::PlatformAway, true, Some(STORE_AWAY_RETRY))
@@ -145,6 +153,16 @@
     }
 }
 
+/// The answer to a job that stands already. An id belongs to the workspace that took it first.
+pub(super) fn accepted_before(standing: &Record, caller: &Option<Name>) -> Reply {
+    let same = standing.workspace == *caller;
+    log::info!(job = *standing.id, same_workspace = same; "job had been accepted before");
+    match same {
+        true => replies::empty(202),
+        false => replies::refusal(Kind::Conflict, true, None),
+    }
+}
+
 /// A write without a lease.
 pub fn write(key: String, value: Bytes) -> Write {
     Write {
@@ -163,6 +181,23 @@
     }
 }
 
+/// Like [`find`], for a caller: jobs of other workspaces don't exist for it.
+pub(super) async fn find_for(
+    node: &Rc<Node>,
+    caller: &Option<Name>,
+    job: &JobId,
+) -> Result<Rc<Record>, Reply> {
+    let record = find(node, job).await?;
+    let routes = node.routes();
+    let keyless = routes.is_some_and(|routes| routes.workspaces.is_none());
+    if keyless || record.workspace.is_none() || record.workspace == *caller {
+        return Ok(record);
+    }
+    let asked_by = caller.as_deref().unwrap_or_default();
+    log::info!(job = **job, asked_by; "refused: the job is another workspace's");
+    Err(replies::refusal(Kind::NotFound, true, None))
+}
+
 /// The job's record from the store, else what to answer instead: 404 only on the store's word.
 pub(super) async fn reread(node: &Rc<Node>, job: &JobId) -> Result<Rc<Record>, Reply> {
     let key = record_key(job);
@@ -189,8 +224,8 @@
 }
 
 /// Answers with the body of an item.
-pub async fn item_body(node: Rc<Node>, job: JobId, item: Name) -> Reply {
-    let record = match find(&node, &job).await {
+pub async fn item_body(node: Rc<Node>, caller: &Option<Name>, job: JobId, item: Name) -> Reply {
+    let record = match find_for(&node, caller, &job).await {
         Ok(record) => record,
         Err(reply) => return reply,
     };
@@ -216,9 +251,9 @@
 }
 
 /// Ends a job.
-pub async fn cancel(node: Rc<Node>, job: JobId) -> Reply {
+pub async fn cancel(node: Rc<Node>, caller: &Option<Name>, job: JobId) -> Reply {
     for _ in 0..CANCEL_TRIES {
-        let record = match find(&node, &job).await {
+        let record = match find_for(&node, caller, &job).await {
             Ok(record) => record,
             Err(reply) => return reply,
         };
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -20,13 +20,15 @@
 use super::relay::relayed;
 use super::runs::Runs;
 use crate::clock;
+use crate::decide::access::Workspace;
 use crate::decide::backlog::Backlog;
 use crate::decide::discovery::{Discovery, CUT_OFF_AFTER};
 use crate::decide::items::Items;
-use crate::decide::online::{Action, Event, Online, Service};
+use crate::decide::online::{Action, Event, Online, Service, SHARE_DEFAULT};
 use crate::decide::peers::{Own, Peers, Versions};
 use crate::decide::proofs::{Knows, ProofAges, Proofs, Subject};
 use crate::decide::quarantine::Quarantine;
+use crate::decide::quota::{self, Measure, Quotas};
 use crate::decide::routes::{RouteKind, RouteTable, Rules};
 use crate::decide::small_jobs::Record;
 use crate::decide::usage::Usage;
@@ -44,8 +46,8 @@
 const QUEUE_LIMIT: usize = 256;
 /// Requests in flight of one VM for each service; bounds its memory, not its endpoints.
 const IN_FLIGHT_MAX: usize = 2000;
-/// The only workspace there is: routes name none.
-pub const WORKSPACE: WorkspaceId = 0;
+/// The workspace of callers who need no key.
+pub const NOBODY: WorkspaceId = 0;
 
 /// Where a process stands in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -72,6 +74,8 @@
     pub proofs: Proofs,
     /// Requests that end their endpoints.
     pub quarantine: Quarantine,
+    /// Requests of workspaces against their quotas.
+    pub quotas: Quotas,
     pub stage: Stage,
     callers: HashMap<RequestId, mpsc::UnboundedSender<Action>>,
     next_request: RequestId,
@@ -176,6 +180,7 @@
             peers: Peers::new(settings.mesh_max),
             proofs: Proofs::default(),
             quarantine: Quarantine::default(),
+            quotas: Quotas::new(measure(&settings), clock::now()),
             stage: Stage::Serving,
             callers: HashMap::new(),
             next_request: 1,
@@ -431,7 +436,11 @@
         if core.peers.tick(now, own) {
             // What others have would be counted twice for a while: as they say it and as it is summed up.
             core.usage = Usage::default();
+            core.quotas.forget_told();
         }
+        let store = self.store_answers.get();
+        let large = core.peers.is_large();
+        core.quotas.tick(now, quota::View { store, large });
         core.online.endpoints.late_news = core.peers.is_large();
         let changed = core.discovery.tick(now);
         note_uses(core);
@@ -490,8 +499,18 @@
     core.items.note_uses(clock::now(), endpoints, &core.usage);
 }
 
+/// How the settings say that quotas are measured.
+fn measure(settings: &settings::Serve) -> Measure {
+    Measure {
+        window: Duration::from_secs_f64(settings.quota_window_s),
+        overage: settings.quota_overage,
+        slack: settings.quota_slack,
+    }
+}
+
 /// The services as admission takes them: the tightest goal of the routes that lead there.
 fn services(rules: &Rules) -> HashMap<ServiceId, Service> {
+    let shares = shares(rules);
     let mut services: HashMap<ServiceId, Service> = HashMap::new();
     for route in rules.routes.iter().filter(|r| r.kind != RouteKind::Batch) {
         for share in &route.shares {
@@ -500,10 +519,23 @@
                 queue_limit: QUEUE_LIMIT,
                 max_in_flight: IN_FLIGHT_MAX,
                 learn: false,
-                shares: HashMap::from([(WORKSPACE, 1.0)]),
+                shares: shares.clone(),
             });
             service.first_token_goal = service.first_token_goal.min(route.goal);
         }
     }
     services
 }
+
+/// Parts of the slots that workspaces may count on when all are taken: by their quotas.
+fn shares(rules: &Rules) -> HashMap<WorkspaceId, f64> {
+    let workspaces = rules.workspaces.as_deref().unwrap_or_default();
+    let rate = |workspace: &Workspace| workspace.quota.map_or(0.0, |quota| quota.rate_per_s);
+    let all: f64 = workspaces.iter().map(rate).sum();
+    let share = |workspace: &Workspace| {
+        let share = rate(workspace) / all.max(f64::EPSILON);
+        (workspace.id(), share.max(SHARE_DEFAULT))
+    };
+    let shares = workspaces.iter().map(share);
+    shares.chain([(NOBODY, 1.0)]).collect()
+}
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -17,15 +17,17 @@
 use super::dialect::{Ask, PromptPart};
 use super::events::{check_next, Splitter};
 use super::exchange::{self, Answer, Failure, Outgoing, Target};
-use super::node::{Node, WORKSPACE};
+use super::node::{Node, NOBODY};
 use super::quarantine::{self, Trial};
+use super::quotas::{self, Counted};
 use super::replies::{self, Reply};
 use crate::clock;
+use crate::decide::access::{self, Credential};
 use crate::decide::online::{Action, Arrival, Event, Outcome};
 use crate::decide::refusal::Kind;
 use crate::decide::retry::Reach;
 use crate::decide::routes::{Route, RouteKind};
-use crate::id::{EndpointId, RequestId, ServiceId};
+use crate::id::{self, EndpointId, RequestId, ServiceId, WorkspaceId};
 
 /// Pieces that may wait for a slow caller; beyond that the endpoint's connection is read no faster.
 const PIECES_WAITING: usize = 32;
@@ -41,11 +43,16 @@
     route: &Route,
     ask: Ask,
     out: Outgoing,
+    shown: Credential,
     service: ServiceId,
 ) -> Reply {
     let (head_sender, head) = oneshot::channel();
     let (pieces_sender, pieces) = mpsc::channel(PIECES_WAITING);
     let now = clock::now();
+    let counted = match quotas::admit(&node, &out) {
+        Ok(counted) => counted,
+        Err(after) => return replies::refusal(Kind::QuotaUsed, true, Some(after)),
+    };
     let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
     let (request, actions) = node.register();
     let work = Work {
@@ -63,6 +70,9 @@
         head: Some(head_sender),
         pieces: pieces_sender,
         kept: None,
+        public: route.public,
+        shown,
+        counted,
         attempts: 0,
         sent_at: None,
         sent_to: String::new(),
@@ -70,7 +80,8 @@
     };
     let arrival = Arrival {
         request,
-        workspace: WORKSPACE,
+        workspace: workspace_id(&work.out),
+        priority: priority(&node, &work.out, route),
         service,
         prefix: shared_prefix(&ask.prompt),
         deadline: now + patience,
@@ -89,6 +100,21 @@
     }
 }
 
+/// The workspace as admission counts it.
+fn workspace_id(out: &Outgoing) -> WorkspaceId {
+    out.workspace.as_deref().map_or(NOBODY, id::of)
+}
+
+/// That of the workspace goes before that of the route.
+fn priority(node: &Node, out: &Outgoing, route: &Route) -> u32 {
+    let routes = node.routes();
+    let workspaces = routes.as_ref().and_then(|table| table.workspaces.as_ref());
+    let workspace = workspaces.zip(out.workspace.as_deref());
+    let workspace = workspace.and_then(|(workspaces, name)| workspaces.named(name));
+    let own = workspace.and_then(|workspace| workspace.priority);
+    own.unwrap_or(route.priority)
+}
+
 /// The part of the prompt that other requests are likeliest to share, as a key: the last part but
 /// one stands for all before it, since parts are kept only after the same parts. 0 for none.
 fn shared_prefix(prompt: &[PromptPart]) -> u64 {
@@ -151,6 +177,12 @@
     /// Taken once an answer began.
     head: Option<oneshot::Sender<Head>>,
     pieces: Sender<Piece>,
+    /// The route asks for no key.
+    public: bool,
+    /// What the caller showed to say who it is.
+    shown: Credential,
+    /// Where the request was counted against a quota.
+    counted: Option<Counted>,
     /// A failure that an endpoint answered, to pass on when no other try does better.
     kept: Option<(response::Parts, Bytes)>,
     attempts: u32,
@@ -208,6 +240,11 @@
 
     /// Makes one try; true when the request has ended.
     async fn send(&mut self, endpoint: EndpointId) -> bool {
+        if let Err(kind) = self.identify_again() {
+            self.tell_ended(Outcome::Abandoned);
+            self.refuse(kind, true, None).await;
+            return true;
+        }
         if let Err(back_in) = quarantine::admit(&self.node, &self.out, Trial::OneOfAll) {
             self.tell_ended(Outcome::Abandoned);
             let not_run = !self.may_have_run;
@@ -252,6 +289,35 @@
         }
     }
 
+    /// Whose request it is by the rules in force now, which may be newer than when it came in and waited. A run that may
+    /// have begun goes on for whom it began.
+    fn identify_again(&mut self) -> Result<(), Kind> {
+        if self.may_have_run {
+            return Ok(());
+        }
+        let Some(routes) = self.node.routes() else {
+            return Ok(());
+        };
+        let caller = {
+            let core = self.node.core.borrow();
+            let workspaces = routes.workspaces.as_ref();
+            access::caller(
+                clock::now(),
+                workspaces,
+                self.public,
+                self.shown,
+                &core.proofs,
+            )?
+        };
+        let workspace = caller.name();
+        if workspace != self.out.workspace {
+            let mut out = (*self.out).clone();
+            out.workspace = workspace;
+            self.out = Rc::new(out);
+        }
+        Ok(())
+    }
+
     /// A try failed; the deciding part says what follows.
     async fn failed(&mut self, endpoint: EndpointId, failure: Failure) {
         self.may_have_run |= matches!(failure.reach, Reach::MaybeSent | Reach::Answering);
@@ -501,6 +567,10 @@
     async fn refuse(&mut self, kind: Kind, not_run: bool, after: Option<Duration>) {
         let name: &'static str = kind.into();
         self.log("refused", name);
+        self.node.counters.refused.with_label_values(&[name]).inc();
+        if let Some(counted) = self.counted.take().filter(|_| not_run) {
+            quotas::give_back(&self.node, counted);
+        }
         let Some(head) = self.head.take() else {
             // The connection is closed without the end of the body, so that it can't look whole.
             let _ = self.pieces.send(Err(BrokenOff)).await;
@@ -554,6 +624,7 @@
         log::info!(
             request = self.out.id,
             kind,
+            workspace = self.out.workspace.as_deref().unwrap_or_default(),
             outcome,
             detail,
             attempts = self.attempts,
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -1,7 +1,7 @@
 //! What serving processes tell each other: by UDP what they have in flight and which versions they
 //! know, by TCP the rules and endpoints that another one lacks.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,13 +16,15 @@
 use super::delegate;
 use super::node::{Core, Node, Stage};
 use super::quarantine;
+use super::quotas;
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::backlog::RouteKey;
 use crate::decide::discovery::{Known, Source};
 use crate::decide::endpoints::Endpoint;
-use crate::decide::peers::{Ahead, Heartbeat, Row, Summary, Versions};
+use crate::decide::peers::{Ahead, Counts, Heartbeat, Row, Summary, Versions};
 use crate::decide::quarantine::Told;
+use crate::decide::quota::{Count, Source as CountSource, Word, WorkspaceKey};
 use crate::decide::routes::{Route, Rules};
 use crate::decide::usage::Use;
 use crate::id::{self, EndpointId, JobId, OwnerId, Revision};
@@ -39,6 +41,10 @@
 const TOLD_AGAIN_LARGE: Duration = Duration::from_millis(50);
 /// Changes that press nobody wait so long for others to be told with them.
 const CALM: Duration = Duration::from_millis(100);
+/// Counts of workspaces near their quotas go to other failure domains at most this often.
+const COUNTS_AGAIN: Duration = Duration::from_millis(200);
+/// All other counts go there this often: they are needed only where a failure domain falls silent.
+pub const COUNTS_ALL: Duration = Duration::from_millis(2500);
 /// Before a newer version is fetched from another VM, the store's own watch may bring it.
 const FETCH_AFTER: Duration = Duration::from_millis(150);
 /// Time for one fetch. An answer takes milliseconds between failure domains, and 0.2 s from a VM whose core is used up;
@@ -49,6 +55,11 @@
 /// Endpoints in one heartbeat; keeps the datagram within one packet.
 const ROWS_MAX: usize = 96;
 
+/// Routes and workspaces with waiting tokens in one heartbeat. Those left out count by the reservations in the store.
+const BACKLOG_MAX: usize = 24;
+/// Workspaces with requests in one heartbeat, those that asked most.
+const COUNTS_MAX: usize = 32;
+
 /// Path under which another VM is asked for the rules.
 pub const RULES_PATH: &str = "/rules";
 /// Path under which another VM is asked for the endpoints.
@@ -79,6 +90,7 @@
 pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
     let mut far_due = Duration::ZERO;
+    let (mut counts_due, mut all_counts_due) = (Duration::ZERO, Duration::ZERO);
     let mut told_far = None;
     let mut told_waiting = 0;
     loop {
@@ -91,12 +103,23 @@
         let waiting: u64 = beat.backlog.iter().map(|(_, tokens)| tokens).sum();
         let lets_in = waiting > told_waiting;
         let far = now >= far_due || pressed(&node) || versions != told_far || lets_in;
+        let near_quota = near_quota(&node, now, &beat);
+        let far = far || (!near_quota.is_empty() && now >= counts_due);
         if far {
             far_due = now + HEARTBEAT;
+            counts_due = now + COUNTS_AGAIN;
             told_far = versions;
             told_waiting = waiting;
         }
-        send_once(&node, &socket, beat, far);
+        let all_counts = now >= all_counts_due;
+        if far && all_counts {
+            all_counts_due = now + COUNTS_ALL;
+        }
+        send_near(&node, &socket, &beat);
+        if far {
+            let told = |count: &Count| all_counts || near_quota.contains(&count.workspace);
+            send_far(&node, &socket, without_counts(beat, told));
+        }
         let _ = timeout(HEARTBEAT, node.tell_peers.notified()).await;
         let pause = match (pressed(&node), node.core.borrow().peers.is_large()) {
             (_, true) => TOLD_AGAIN_LARGE,
@@ -107,15 +130,33 @@
     }
 }
 
-/// Sends a heartbeat to the own failure domain, and to the others when `far`.
-fn send_once(node: &Node, socket: &UdpSocket, beat: Heartbeat, far: bool) {
+/// Workspaces with requests here that are near their quotas.
+fn near_quota(node: &Node, now: Duration, beat: &Heartbeat) -> HashSet<WorkspaceKey> {
+    let core = node.core.borrow();
+    let rows = beat.counts.rows.iter();
+    let near = rows.filter(|row| quotas::is_pressed(&core, now, row));
+    near.map(|row| row.workspace).collect()
+}
+
+fn without_counts(mut beat: Heartbeat, told: impl Fn(&Count) -> bool) -> Heartbeat {
+    beat.counts.rows.retain(told);
+    beat
+}
+
+fn send_near(node: &Node, socket: &UdpSocket, beat: &Heartbeat) {
+    let targets = node.core.borrow().peers.targets(node.domain, true);
+    send_to(node, socket, beat.clone(), targets);
+}
+
+fn send_far(node: &Node, socket: &UdpSocket, beat: Heartbeat) {
+    let targets = node.core.borrow().peers.targets(node.domain, false);
+    send_to(node, socket, beat, targets);
+}
+
+fn send_to(node: &Node, socket: &UdpSocket, beat: Heartbeat, targets: Vec<SocketAddr>) {
     let Some(sealed) = seal(node, &Datagram::Heartbeat(beat)) else {
         return;
     };
-    let mut targets = node.core.borrow().peers.targets(node.domain, true);
-    if far {
-        targets.extend(node.core.borrow().peers.targets(node.domain, false));
-    }
     for to in targets {
         // A datagram that can't be sent is a datagram lost: the next one says it again.
         let _ = socket.try_send_to(&sealed, to);
@@ -159,6 +200,7 @@
         }
     };
     let rows = core.online.endpoints.rows.iter().map(row);
+    let counts = quotas::counts(&core, now, COUNTS_MAX);
     Heartbeat {
         name: node.settings.name.clone(),
         domain: node.domain,
@@ -175,8 +217,9 @@
         peer_port: node.settings.peer_address.port(),
         rows: rows
             .filter(|row| row.uses != Use::default())
-            .take(ROWS_MAX)
+            .take(ROWS_MAX.saturating_sub(counts.rows.len()))
             .collect(),
+        counts,
     }
 }
 
@@ -184,13 +227,21 @@
 fn backlog(core: &Core, owner: OwnerId) -> Vec<(RouteKey, u64)> {
     let routes = core.routes.iter().flat_map(|table| &table.rules.routes);
     let limited = routes.filter(|route| route.waiting_tokens_max.is_some());
-    let of = |route: &Route| {
-        let key = id::of(&route.name);
+    let of = |key: RouteKey| {
         let own = core.jobs.open_tokens_of(key, |of| of == owner);
         let known = |job: &JobId| core.jobs.rows.contains_key(job);
         (key, own + core.backlog.being_written(key, known))
     };
-    limited.map(of).collect()
+    let keys = limited.flat_map(|route: &Route| {
+        let standing = core.jobs.route_keys(&route.name).into_iter();
+        standing.chain(core.backlog.keys_being_written())
+    });
+    let keys: HashSet<RouteKey> = keys.collect();
+    let mut tokens: Vec<(RouteKey, u64)> = keys.into_iter().map(of).collect();
+    tokens.retain(|(_, tokens)| *tokens > 0);
+    tokens.sort_by_key(|(_, tokens)| std::cmp::Reverse(*tokens));
+    tokens.truncate(BACKLOG_MAX);
+    tokens
 }
 
 /// Takes heartbeats until the process ends.
@@ -229,14 +280,21 @@
     let mut guard = node.core.borrow_mut();
     let core = &mut *guard;
     let is_new = !core.peers.has_heard(&beat);
+    let before = core.peers.owner_of(id::of(&beat.name));
     if !core.peers.heard(now, from, &beat) {
         return false;
     }
+    if let Some(before) = before.filter(|owner| *owner != beat.owner) {
+        core.quotas.replaced(before);
+    }
     let theirs = Versions {
         rules: beat.rules,
         endpoints: beat.endpoints,
     };
     core.take_proofs(now, beat.proofs, theirs);
+    let source = CountSource::Process(beat.owner);
+    core.quotas
+        .told(now, source, word(1, beat.draining, &beat.counts));
     let rows = beat.rows.into_iter().map(|row| (row.endpoint, row.uses));
     let touched = core.usage.said(now, id::of(&beat.name), rows);
     let endpoints = &mut core.online.endpoints;
@@ -257,6 +315,16 @@
     is_new
 }
 
+/// What others tell of requests against quotas.
+pub fn word(vms: u32, leaving: bool, counts: &Counts) -> Word<'_> {
+    Word {
+        vms,
+        counted_for: Duration::from_millis(counts.counted_for_ms.into()),
+        leaving,
+        counts: &counts.rows,
+    }
+}
+
 /// Fetches what other VMs know and this one does not, until the process ends.
 ///
 /// The failure: the store turns this VM away, or its watch has gone silent, while the others have
--- /dev/null
+++ b/src/serve/quotas.rs
@@ -0,0 +1,114 @@
+//! Counts requests against the quotas of their workspaces.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::exchange::Outgoing;
+use super::node::{Core, Node};
+use crate::clock;
+use crate::decide::peers::Counts;
+use crate::decide::quota::{self, Quota, Use, WorkspaceKey};
+use crate::decide::refusal::Kind;
+use crate::decide::routes::RouteTable;
+use crate::id;
+use crate::util;
+
+/// Where a request was counted.
+#[derive(Debug, Clone, Copy)]
+pub struct Counted {
+    workspace: WorkspaceKey,
+    at: Duration,
+}
+
+/// Lets a request in below the quota of its workspace, or says when its caller may come back. `None` where there is no quota.
+pub fn admit(node: &Node, out: &Outgoing) -> Result<Option<Counted>, Duration> {
+    let Some((name, quota)) = of(node, out) else {
+        return Ok(None);
+    };
+    let now = clock::now();
+    let workspace = quota::key(id::of(&name));
+    let admitted = {
+        let mut core = node.core.borrow_mut();
+        let draw = util::rng().random();
+        core.quotas.admit(now, workspace, quota, draw)
+    };
+    node.tell_peers.notify_one();
+    let Err(after) = admitted else {
+        return Ok(Some(Counted { workspace, at: now }));
+    };
+    let kind = Kind::QuotaUsed;
+    let reason: &'static str = kind.into();
+    node.counters.refused.with_label_values(&[reason]).inc();
+    let used = node.core.borrow().quotas.used(now, &name, workspace, quota);
+    log::info!(
+        request = out.id,
+        workspace = *name,
+        limit = used.limit,
+        admitted = used.admitted,
+        asked_here = used.asked_here,
+        kept_for_silent = used.kept_for_silent,
+        share = used.share,
+        after_ms = after.as_millis() as u64,
+        rules = node.core.borrow().rules_version();
+        "refused: the workspace's quota is used"
+    );
+    let after = after.mul_f64(util::rng().random_range(0.5..1.5));
+    Err(after)
+}
+
+/// Takes back a request that never ran.
+pub fn give_back(node: &Node, counted: Counted) {
+    let mut core = node.core.borrow_mut();
+    core.quotas.give_back(counted.workspace, counted.at);
+}
+
+fn of(node: &Node, out: &Outgoing) -> Option<(id::Name, Quota)> {
+    let name = out.workspace.clone()?;
+    let routes = node.routes()?;
+    let quota = routes.workspaces.as_ref()?.named(&name)?.quota?;
+    Some((name, quota))
+}
+
+/// What this VM tells the others of its counts.
+pub fn counts(core: &Core, now: Duration, counts_max: usize) -> Counts {
+    let mut rows = core.quotas.counts(now);
+    rows.truncate(counts_max);
+    Counts {
+        counted_for_ms: core.quotas.counted_for(now).as_millis() as u32,
+        rows,
+    }
+}
+
+/// Whether a workspace with requests here is near its quota, so that the others are to hear of it soon.
+pub fn is_pressed(core: &Core, now: Duration, row: &quota::Count) -> bool {
+    let quota = core
+        .routes
+        .as_ref()
+        .and_then(|routes| quota_of(routes, row.workspace));
+    quota.is_some_and(|quota| core.quotas.is_pressed(now, row.workspace, quota))
+}
+
+fn quota_of(routes: &RouteTable, workspace: WorkspaceKey) -> Option<Quota> {
+    routes.workspaces.as_ref()?.by_key(workspace)?.quota
+}
+
+/// What is used of each workspace's quota, for operators: those with requests here.
+pub fn uses(core: &Core, now: Duration) -> Vec<Use> {
+    let Some(workspaces) = core
+        .routes
+        .as_ref()
+        .and_then(|routes| routes.workspaces.as_ref())
+    else {
+        return Vec::new();
+    };
+    let used = |count: &quota::Count| {
+        let workspace = workspaces.by_key(count.workspace)?;
+        let quota = workspace.quota?;
+        Some(
+            core.quotas
+                .used(now, &workspace.name, count.workspace, quota),
+        )
+    };
+    core.quotas.counts(now).iter().filter_map(used).collect()
+}
--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -9,7 +9,7 @@
 
 use super::ask::{ask, reply};
 use super::dialect::ResultRow;
-use super::jobs::{find, reread, STORE_AWAY_RETRY};
+use super::jobs::{find_for, reread, STORE_AWAY_RETRY};
 use super::node::Node;
 use super::parts;
 use super::peers;
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::decide::refusal::Kind;
 use crate::decide::small_jobs::{self, Record};
-use crate::id::{JobId, OwnerId};
+use crate::id::{JobId, Name, OwnerId};
 
 /// Path under which the process that runs a job is asked for its results; job, position and wait follow.
 pub const PATH: &str = "/results/";
@@ -37,10 +37,16 @@
 const PAGE_BYTES_MAX: usize = 600 * 1024;
 
 /// Answers with the results from a position on.
-pub async fn results(node: Rc<Node>, job: JobId, after: usize, wait: Duration) -> Reply {
+pub async fn results(
+    node: Rc<Node>,
+    caller: &Option<Name>,
+    job: JobId,
+    after: usize,
+    wait: Duration,
+) -> Reply {
     let until = clock::now() + wait.min(WAIT_MAX);
     let record = loop {
-        let record = match find(&node, &job).await {
+        let record = match find_for(&node, caller, &job).await {
             Ok(record) => record,
             Err(reply) => return reply,
         };
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -6,7 +6,7 @@
 use base64::prelude::{Engine, BASE64_STANDARD};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, HOST};
 use hyper::{Method, StatusCode};
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -305,15 +305,19 @@
 /// The item as a request; `None` when it can't be one.
 fn outgoing(node: &Node, key: &ItemKey, items: &[Item]) -> Option<Outgoing> {
     let item = items.get(key.item as usize)?;
-    let host = node.core.borrow().jobs.host(&key.job)?;
+    let (record, _) = node.core.borrow().jobs.standing(&key.job)?;
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
         let name: HeaderName = name.parse().ok()?;
         headers.append(name, HeaderValue::from_str(value).ok()?);
     }
+    let mut headers = exchange::end_to_end(&headers);
+    if record.workspace.is_some() {
+        headers.remove(AUTHORIZATION);
+    }
     let id_header: HeaderName = node.dialect.id_header.parse().ok()?;
     headers.insert(id_header, HeaderValue::from_str(&item.id).ok()?);
-    headers.insert(HOST, HeaderValue::from_str(&host).ok()?);
+    headers.insert(HOST, HeaderValue::from_str(&record.host).ok()?);
     Some(Outgoing {
         id: item.id.to_string(),
         method: Method::POST,
@@ -321,5 +325,6 @@
         headers,
         body: BASE64_STANDARD.decode(&item.body).ok()?.into(),
         repeatable: true,
+        workspace: record.workspace.clone(),
     })
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -140,6 +140,15 @@
     /// Part of a route's limit on waiting tokens by which it may be exceeded for a while.
     #[serde(default)]
     pub waiting_overage: f64,
+    /// Seconds of the sliding window over which requests of a workspace are counted.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Part of a workspace's quota by which it may be exceeded for a while.
+    #[serde(default)]
+    pub quota_overage: f64,
+    /// Requests by which any quota may be exceeded for a while.
+    #[serde(default)]
+    pub quota_slack: f64,
     #[serde(default)]
     pub log: Log,
 }
@@ -222,6 +231,10 @@
     1.0
 }
 
+fn default_quota_window_s() -> f64 {
+    5.0
+}
+
 fn default_mesh_max() -> usize {
     MESH_MAX
 }
@@ -355,15 +368,22 @@
     let mut found = common(&settings.cluster_key, &settings.log);
     found.extend(stop_times(settings.drain_ms, settings.stop_limit_ms));
     found.extend(gossip(settings.gossip_address));
-    found.extend(overage(settings.waiting_overage));
+    let overage = (0.0..=1.0, "0 to 1");
+    let window_s = (0.5..=3600.0, "0.5 to 3600");
+    let slack = (0.0..=1e6, "0 to 1000000");
+    let numbers = [
+        ("waiting_overage", settings.waiting_overage, overage.clone()),
+        ("quota_overage", settings.quota_overage, overage),
+        ("quota_window_s", settings.quota_window_s, window_s),
+        ("quota_slack", settings.quota_slack, slack),
+    ];
+    let wrong = numbers
+        .into_iter()
+        .filter(|(_, value, (range, _))| !range.contains(value));
+    found.extend(wrong.map(|(field, value, (_, allowed))| (field, value.to_string(), allowed)));
     found
 }
 
-fn overage(part: f64) -> Option<Found> {
-    let wrong = !(0.0..=1.0).contains(&part);
-    wrong.then(|| ("waiting_overage", part.to_string(), "0 to 1"))
-}
-
 /// Checks settings of `bramley-batch`.
 pub fn check_batch(settings: &Batch) -> Vec<Found> {
     let mut found = common(&settings.cluster_key, &settings.log);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -15,7 +15,7 @@
 use crate::id::{ConfigVersion, EndpointId, OwnerId, Revision, ServiceId};
 
 /// Version of all formats in this module.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Largest datagram; below one packet's payload with room for tunnels.
 pub const DATAGRAM_BYTES: usize = 1400;
 /// Largest frame.
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -6,9 +6,10 @@
 
 use bramleyseam::decide::endpoints::Endpoints;
 use bramleyseam::decide::peers::{
-    DomainUses, Heartbeat, Own, Peers, Row, Summary, Versions, VmRecord, ROUND,
+    Counts, DomainUses, Heartbeat, Own, Peers, Row, Summary, Versions, VmRecord, ROUND,
 };
 use bramleyseam::decide::proofs::{self, Knows, Proofs, Subject};
+use bramleyseam::decide::quota::DomainCounts;
 use bramleyseam::decide::usage::{Elsewhere, Usage, Use};
 use bramleyseam::id;
 use bramleyseam::wire::DATAGRAM_BYTES;
@@ -107,6 +108,7 @@
             waiting: 0,
             backlog: Vec::new(),
             peer_port: 2,
+            counts: Counts::default(),
             rows: (0..USED).map(row).collect(),
         }
     }
@@ -238,9 +240,14 @@
         let own = vm.beat(now);
         let members = vm.peers.members(home);
         let address = vm.record.gossip_address;
-        let round = vm
-            .peers
-            .round(now, &own, address, &vm.usage, &Endpoints::default());
+        let round = vm.peers.round(
+            now,
+            &own,
+            address,
+            &vm.usage,
+            DomainCounts::default(),
+            &Endpoints::default(),
+        );
         let far = vm.peers.far_delegates();
         let is_far = vm.peers.is_far_round(rounds);
         for (member, to) in members {
--- a/tests/online_rules.rs
+++ b/tests/online_rules.rs
@@ -41,6 +41,7 @@
     Arrival {
         request,
         workspace,
+        priority: 0,
         service: SERVICE,
         prefix: request % 7,
         deadline: now + ms(2_000),
--- a/tests/route_rules.rs
+++ b/tests/route_rules.rs
@@ -17,6 +17,8 @@
             service: 1,
             weight: 1.0,
         }],
+        public: false,
+        priority: 0,
         attempts_max: 2,
         resumable: true,
         due: Duration::from_secs(18),
@@ -34,6 +36,7 @@
             body_bytes: 1 << 20,
             idle_timeout: Duration::from_secs(15),
         },
+        workspaces: None,
     })
 }
 
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -51,6 +51,7 @@
         self.event(Event::Arrived(Arrival {
             request,
             workspace: 0,
+            priority: 0,
             service: SERVICE,
             prefix: 0,
             deadline: self.now + ms(5_000),
--- a/tests/small_jobs.rs
+++ b/tests/small_jobs.rs
@@ -14,6 +14,7 @@
         id: "job".into(),
         host: "a.example".into(),
         route: "batch".into(),
+        workspace: None,
         owner: 1,
         epoch: 1,
         created_ms: 0,
--- a/tests/vms_heard.rs
+++ b/tests/vms_heard.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bramleyseam::decide::peers::{Heartbeat, Peers, Versions, VmRecord};
+use bramleyseam::decide::peers::{Counts, Heartbeat, Peers, Versions, VmRecord};
 use bramleyseam::decide::proofs::ProofAges;
 use bramleyseam::id;
 
@@ -28,6 +28,7 @@
         waiting: 0,
         backlog: Vec::new(),
         peer_port: 2,
+        counts: Counts::default(),
         rows: Vec::new(),
     }
 }
