Above 30 VMs delegates speak between failure domains; VMs of one still tell each other

Tried and left: VMs without callers look at endpoints each 1.5 s only: seven tests of beliefs showed the news late.

Tests: large_fleet plays VMs that hear their failure domain, as the product does; its bounds stand (a domain of 20 in a fleet of 100 took 16.9 KB/s, so the near mesh ends at 19).

--- a/src/decide/peers.rs
+++ b/src/decide/peers.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 pub use self::asking::{Ahead, Versions};
-pub use self::delegates::{MESH_MAX, ROUND};
+pub use self::delegates::{MESH_MAX, NEAR_MESH_MAX, ROUND};
 pub use self::domains::Domains;
 pub use self::messages::{Counts, Heartbeat, Row, Summary, VmRecord};
 pub use self::round::Round;
@@ -258,6 +258,18 @@
         self.rows.len() + 1 > self.mesh_max
     }
 
+    /// Whether a VM hears the others of its failure domain themselves, and not only what delegates tell of them. `own` is of
+    /// the failure domain `home`.
+    pub fn hears_home(&self, own: VmId, home: DomainId) -> bool {
+        !self.is_large() || self.is_delegate(own) || self.is_meshed(home)
+    }
+
+    /// Whether the VMs of a failure domain tell each other.
+    pub fn is_meshed(&self, domain: DomainId) -> bool {
+        let near = self.rows.values().filter(|peer| peer.domain == domain);
+        !self.is_large() || near.count() < NEAR_MESH_MAX
+    }
+
     /// Whether a VM is a delegate of the own failure domain.
     pub fn is_delegate(&self, vm: VmId) -> bool {
         self.delegates.contains(&vm)
@@ -315,6 +327,13 @@
         self.rows.len() as u32
     }
 
+    /// Other VMs that are registered or were heard of late.
+    pub fn expected(&self, now: Duration) -> u32 {
+        let rows = self.rows.values();
+        let expected = rows.filter(|peer| peer.registered || peer.lives(now));
+        expected.count() as u32
+    }
+
     /// VMs that live, for the dump.
     pub fn living(&self, now: Duration) -> usize {
         let large = self.is_large();
@@ -327,13 +346,6 @@
 impl VmRecord {
     fn peer_address(&self) -> Option<SocketAddr> {
         let port = Some(self.peer_port).filter(|port| *port > 0);
-    /// Other VMs that are registered or were heard of late.
-    pub fn expected(&self, now: Duration) -> u32 {
-        let rows = self.rows.values();
-        let expected = rows.filter(|peer| peer.registered || peer.lives(now));
-        expected.count() as u32
-    }
-
         port.map(|port| SocketAddr::new(self.gossip_address.ip(), port))
     }
 }
--- a/src/decide/peers/delegates.rs
+++ b/src/decide/peers/delegates.rs
@@ -2,26 +2,32 @@
 //!
 //! In a small fleet every VM tells every other one what it has in flight. What one VM hears and handles then
 //! grows with the fleet, and what all of them do with its square: with 250 VMs of an eighth of a core,
-//! heartbeats took all of it and callers got nothing. So above [`MESH_MAX`] VMs each one tells two delegates of its
-//! failure domain, and these tell the others in summaries, whose size grows with endpoints, not with VMs.
+//! heartbeats took all of it and callers got nothing. So above [`MESH_MAX`] VMs each one tells its failure domain, or two delegates
+//! of it where it is large, and these tell the others in summaries, whose size grows with endpoints, not with VMs.
 
 use std::time::Duration;
 
 use crate::id::{weight, DomainId, VmId};
 
-/// Largest fleet in which every VM tells every other one. At 52 VMs with a quarter of a core heartbeats
-/// cost a VM 3% of a core, and news is a tenth of a second old; that is the largest size where both hold.
-pub const MESH_MAX: usize = 64;
+/// Largest fleet in which every VM tells every other one. Above it the calls on the metadata store and the bytes between
+/// failure domains cost more than news of the other failure domains that is half a second old.
+pub const MESH_MAX: usize = 30;
+/// Other VMs of a failure domain below which each one tells every other one of it, also where delegates speak with the other
+/// failure domains: counts of the own endpoints are a tenth of a second old then.
+pub const NEAR_MESH_MAX: usize = 19;
 /// Delegates of a failure domain: one may go without its VMs being told nothing meanwhile.
 pub const DELEGATES: usize = 2;
 /// Time between two rounds of a delegate to the VMs of its failure domain. With two delegates a VM hears
 /// each 50 ms. Played with 54 VMs and 32 engines near their limit (`tests/late_news.rs`), 93 in 100 requests are in
 /// time with news of 0.1 s and 83 with news of 0.2 s.
 pub const ROUND: Duration = Duration::from_millis(100);
+/// Rounds between two words to VMs that hear each other themselves. They need it only to know that the delegate speaks, and
+/// what it knows.
+pub const ROUNDS_MESHED: u64 = 4;
 /// Rounds between two summaries to other failure domains, whose endpoints are used when the own are full: at the
-/// least, with few of them, so that a VM hears of each one each 300 ms through two delegates; at the most, so that
+/// least, with few of them, so that a VM hears of each one each 150 ms through two delegates; at the most, so that
 /// a delegate is not taken for silent.
-const FAR_ROUNDS_MIN: u64 = 6;
+const FAR_ROUNDS_MIN: u64 = 3;
 const FAR_ROUNDS_MAX: u64 = 12;
 
 /// Rounds between two summaries to other failure domains. Their bytes are dear, and a VM takes in one of each
--- a/src/decide/peers/speaking.rs
+++ b/src/decide/peers/speaking.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::delegates::{far_rounds, ordered, Candidate, DELEGATES};
+use super::delegates::{far_rounds, ordered, Candidate, DELEGATES, ROUNDS_MESHED};
 use super::messages::{Heartbeat, Summary};
 use super::round::Round;
 use super::uses::{DomainUses, Uses};
@@ -70,7 +70,8 @@
     /// known by address alone; in a large fleet the delegates.
     pub fn targets(&self, home: DomainId, near: bool) -> Vec<SocketAddr> {
         let rows = self.rows.values();
-        if self.is_large() {
+        let large = self.is_large();
+        if large && !(near && self.is_meshed(home)) {
             return match near {
                 true => self.addresses(&self.delegates),
                 false => Vec::new(),
@@ -126,6 +127,11 @@
         rows.map(|(vm, peer)| (*vm, peer.owner)).collect()
     }
 
+    /// Whether a delegate tells its failure domain in this one of its rounds.
+    pub fn is_near_round(&self, round: u64, home: DomainId) -> bool {
+        !self.is_meshed(home) || round.is_multiple_of(ROUNDS_MESHED)
+    }
+
     /// Whether a delegate tells the other failure domains in this one of its rounds.
     pub fn is_far_round(&self, round: u64) -> bool {
         let others = self.far_delegates.len().div_ceil(DELEGATES);
--- a/src/decide/peers/waiting.rs
+++ b/src/decide/peers/waiting.rs
@@ -21,7 +21,7 @@
         if !self.is_large() {
             return heard.collect();
         }
-        let mut rivals: Vec<Rival> = match self.is_delegate(own) {
+        let mut rivals: Vec<Rival> = match self.hears_home(own, home) {
             true => heard.filter(|rival| rival.domain == home).collect(),
             false => self.told_rivals(now, home),
         };
@@ -64,8 +64,7 @@
     pub fn backlog(&self, now: Duration, route: RouteKey, home: DomainId, own: VmId) -> u64 {
         let living = self.rows.values().filter(|peer| peer.lives(now));
         let heard = living.flat_map(|peer| &peer.backlog);
-        // A delegate has heard its own failure domain itself.
-        let heard_home = !self.is_large() || self.is_delegate(own);
+        let heard_home = self.hears_home(own, home);
         let told = self.domains.living(now);
         let told = told.filter(|(domain, _)| *domain != home || !heard_home);
         let told = told.flat_map(|(_, told)| &told.backlog);
--- a/src/serve/delegate.rs
+++ b/src/serve/delegate.rs
@@ -44,13 +44,25 @@
         if all_counts && node.core.borrow().peers.is_far_round(rounds) {
             counts_due = clock::now() + COUNTS_ALL;
         }
-        tell_members(&node, &socket, &round, |_| true);
-        if node.core.borrow().peers.is_far_round(rounds) {
+        if node.core.borrow().peers.is_near_round(rounds, node.domain) {
+            tell_members(&node, &socket, &round, |_| true);
+        }
+        if node.core.borrow().peers.is_far_round(rounds) || is_crowded(&node) {
             tell_delegates(&node, &socket, &round);
         }
     }
 }
 
+/// Whether an endpoint has more than it runs: other failure domains are about to look for free slots, and old counts
+/// would send them where none are left.
+fn is_crowded(node: &Node) -> bool {
+    let now = clock::now();
+    let core = node.core.borrow();
+    let meshed = core.peers.is_meshed(node.domain);
+    let mut rows = core.online.endpoints.rows.iter();
+    meshed && rows.any(|row| row.crowded(now))
+}
+
 fn round(node: &Node, sequence: u64, all_counts: bool) -> Round {
     let now = clock::now();
     let own = heartbeat(node, sequence);
@@ -120,7 +132,7 @@
     };
     core.take_proofs(now, summary.proofs, theirs);
     let near = summary.domain == node.domain;
-    if near && core.peers.is_delegate(node.vm) {
+    if near && core.peers.hears_home(node.vm, node.domain) {
         // It has heard the VMs themselves.
         return;
     }
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -442,7 +442,7 @@
         let large = core.peers.is_large();
         let vms = core.peers.expected(now) + 1;
         core.quotas.tick(now, quota::View { store, large, vms });
-        core.online.endpoints.late_news = core.peers.is_large();
+        core.online.endpoints.late_news = !core.peers.hears_home(self.vm, self.domain);
         let changed = core.discovery.tick(now);
         note_uses(core);
         let mut out = Vec::new();
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -121,10 +121,11 @@
             send_far(&node, &socket, without_counts(beat, told));
         }
         let _ = timeout(HEARTBEAT, node.tell_peers.notified()).await;
-        let pause = match (pressed(&node), node.core.borrow().peers.is_large()) {
-            (_, true) => TOLD_AGAIN_LARGE,
-            (true, false) => TOLD_AGAIN,
-            (false, false) => CALM,
+        let meshed = node.core.borrow().peers.hears_home(node.vm, node.domain);
+        let pause = match (pressed(&node), meshed) {
+            (_, false) => TOLD_AGAIN_LARGE,
+            (true, true) => TOLD_AGAIN,
+            (false, true) => CALM,
         };
         sleep((now + pause).saturating_sub(clock::now())).await;
     }
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -210,7 +210,7 @@
             vm.prove(now, own, self.newest_rules);
             // Not all at the same step.
             let phase = STEP * (at as u32 % 5);
-            let large = self.vms[at].peers.is_large();
+            let large = !self.vms[at].peers.is_meshed(self.vms[at].record.domain);
             if is_due(now, if large { BEAT_LARGE } else { BEAT }, phase) {
                 self.send_beat(at, is_due(now, BEAT * 5, phase));
             }
@@ -250,7 +250,8 @@
         );
         let far = vm.peers.far_delegates();
         let is_far = vm.peers.is_far_round(rounds);
-        for (member, to) in members {
+        let near = vm.peers.is_near_round(rounds, home);
+        for (member, to) in members.into_iter().filter(|_| near) {
             for summary in round.for_member(member) {
                 self.send(at, to, Datagram::Summary(summary));
             }
@@ -355,7 +356,7 @@
         let knows = self.knows(summary.rules);
         self.proofs.told(now, summary.proofs, knows);
         let near = summary.domain == self.record.domain;
-        if near && self.peers.is_delegate(self.id()) {
+        if near && self.peers.hears_home(self.id(), self.record.domain) {
             return Vec::new();
         }
         let part = (summary.part, summary.parts);
