--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -12,15 +12,18 @@
 //! Processes that have just started know nothing of what their predecessors let in, so the limit grows with the time for
 //! which the fleet has counted.
 
+mod counts;
+mod window;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+pub use self::counts::{Count, DomainCounts};
+use self::window::Own;
 use crate::id::{OwnerId, VmId, WorkspaceId};
 
-/// Steps in which the sliding window moves. It counts one step too many, never one too few.
-const STEP: Duration = Duration::from_millis(250);
 /// By then all other VMs have heard of what this VM let in, while a workspace is near its limit.
 const HEARD_AFTER: Duration = Duration::from_millis(500);
 /// The same in a large fleet, where word goes by two delegates.
@@ -70,45 +73,6 @@
     pub burst: f64,
 }
 
-/// Requests of a failure domain, as its delegate adds them up.
-#[derive(Debug, Clone, Default)]
-pub struct DomainCounts {
-    pub vms: u32,
-    /// On average.
-    pub counted_for: Duration,
-    /// Those with most first.
-    pub rows: Vec<Count>,
-    by_vm: HashMap<VmId, Vec<Count>>,
-}
-
-impl DomainCounts {
-    /// The rows without one VM's own requests.
-    pub fn without(&self, vm: VmId) -> Vec<Count> {
-        let own = self.by_vm.get(&vm).map_or(&[][..], Vec::as_slice);
-        let less = |row: &Count| {
-            let own = own.iter().find(|own| own.workspace == row.workspace);
-            Count {
-                workspace: row.workspace,
-                admitted: row.admitted - own.map_or(0, |own| own.admitted),
-                asked: row.asked - own.map_or(0, |own| own.asked),
-            }
-        };
-        self.rows.iter().map(less).collect()
-    }
-}
-
-impl Count {
-    fn add_to(&self, sums: &mut HashMap<WorkspaceKey, Count>) {
-        let sum = sums.entry(self.workspace).or_insert(Count {
-            workspace: self.workspace,
-            admitted: 0,
-            asked: 0,
-        });
-        sum.admitted += self.admitted;
-        sum.asked += self.asked;
-    }
-}
-
 /// How quotas are measured.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Measure {
@@ -129,15 +93,6 @@
     }
 }
 
-/// Requests of one workspace within the window.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Count {
-    pub workspace: WorkspaceKey,
-    pub admitted: u32,
-    /// Admitted or refused.
-    pub asked: u32,
-}
-
 /// Who told counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Source {
@@ -170,19 +125,6 @@
     pub counts: &'a [Count],
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Step {
-    number: u64,
-    admitted: u32,
-    asked: u32,
-}
-
-/// This VM's own counts of one workspace, the newest step last.
-#[derive(Debug, Default)]
-struct Own {
-    steps: VecDeque<Step>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Told {
     at: Duration,
@@ -276,11 +218,8 @@
 
     /// Takes back a request that was let in and never ran.
     pub fn give_back(&mut self, workspace: WorkspaceKey, admitted_at: Duration) {
-        let number = step_number(admitted_at);
-        let own = self.own.get_mut(&workspace);
-        let mut steps = own.into_iter().flat_map(|own| &mut own.steps);
-        if let Some(step) = steps.find(|step| step.number == number) {
-            step.admitted = step.admitted.saturating_sub(1);
+        if let Some(own) = self.own.get_mut(&workspace) {
+            own.give_back(admitted_at);
         }
     }
 
@@ -368,7 +307,7 @@
         for own in self.own.values_mut() {
             own.expire(now, window);
         }
-        self.own.retain(|_, own| !own.steps.is_empty());
+        self.own.retain(|_, own| !own.is_empty());
         self.note_alone(now, view);
     }
 
@@ -661,44 +600,3 @@
         self.counts.iter().filter_map(share).collect()
     }
 }
-
-impl Own {
-    fn step(&mut self, now: Duration) -> &mut Step {
-        let number = step_number(now);
-        if self.steps.back().is_none_or(|step| step.number != number) {
-            self.steps.push_back(Step {
-                number,
-                admitted: 0,
-                asked: 0,
-            });
-        }
-        let last = self.steps.len() - 1;
-        &mut self.steps[last]
-    }
-
-    fn expire(&mut self, now: Duration, window: Duration) {
-        let oldest = step_number(now.saturating_sub(window));
-        while self.steps.front().is_some_and(|step| step.number < oldest) {
-            self.steps.pop_front();
-        }
-    }
-
-    fn admitted_since(&self, at: Duration) -> u32 {
-        let steps = self.since(at);
-        steps.map(|step| step.admitted).sum()
-    }
-
-    fn asked_since(&self, at: Duration) -> u32 {
-        let steps = self.since(at);
-        steps.map(|step| step.asked).sum()
-    }
-
-    fn since(&self, at: Duration) -> impl Iterator<Item = &Step> {
-        let oldest = step_number(at);
-        self.steps.iter().filter(move |step| step.number >= oldest)
-    }
-}
-
-fn step_number(at: Duration) -> u64 {
-    (at.as_millis() / STEP.as_millis()) as u64
-}
--- /dev/null
+++ b/src/decide/quota/counts.rs
@@ -0,0 +1,57 @@
+//! Counts of requests as VMs tell them to each other.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::WorkspaceKey;
+use crate::id::VmId;
+
+/// Requests of one workspace within the window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    pub workspace: WorkspaceKey,
+    pub admitted: u32,
+    /// Admitted or refused.
+    pub asked: u32,
+}
+
+/// Requests of a failure domain, as its delegate adds them up.
+#[derive(Debug, Clone, Default)]
+pub struct DomainCounts {
+    pub vms: u32,
+    /// On average.
+    pub counted_for: Duration,
+    /// Those with most first.
+    pub rows: Vec<Count>,
+    pub(super) by_vm: HashMap<VmId, Vec<Count>>,
+}
+
+impl DomainCounts {
+    /// The rows without one VM's own requests.
+    pub fn without(&self, vm: VmId) -> Vec<Count> {
+        let own = self.by_vm.get(&vm).map_or(&[][..], Vec::as_slice);
+        let less = |row: &Count| {
+            let own = own.iter().find(|own| own.workspace == row.workspace);
+            Count {
+                workspace: row.workspace,
+                admitted: row.admitted - own.map_or(0, |own| own.admitted),
+                asked: row.asked - own.map_or(0, |own| own.asked),
+            }
+        };
+        self.rows.iter().map(less).collect()
+    }
+}
+
+impl Count {
+    pub(super) fn add_to(&self, sums: &mut HashMap<WorkspaceKey, Count>) {
+        let sum = sums.entry(self.workspace).or_insert(Count {
+            workspace: self.workspace,
+            admitted: 0,
+            asked: 0,
+        });
+        sum.admitted += self.admitted;
+        sum.asked += self.asked;
+    }
+}
