--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -85,11 +85,11 @@
 }
 
 impl Measure {
-    /// Requests of a workspace in one window, with half of what it may be exceeded by: the other half is for what several VMs
-    /// let in before they hear of each other.
+    /// Requests of a workspace in one window, with half of the slack: what it may be exceeded by is for what several VMs let in
+    /// before they hear of each other.
     pub fn limit(&self, quota: Quota) -> f64 {
         let owed = quota.rate_per_s * self.window.as_secs_f64() + quota.burst;
-        owed * (1.0 + self.overage / 2.0) + self.slack / 2.0
+        owed + self.slack / 2.0
     }
 }
 
