Quotas: growth that the others may have too is reported promptly

Cause: a VM or delegate reported a workspace to the other failure domains promptly only when it was known to use half of its limit, or when this one VM had let in a twentieth of it since. A workspace far below its limit that suddenly sends nine times its load passed half of the limit in each of five failure domains before any of them told the others; until then they heard of it each 2.4 s. At second 10 the usual load has long passed half, so the same flood was clean there.

Change: what all reporters may have admitted since their last reports, if it is as much as here, counts as used when it is decided whether to report promptly. The window slides by 50 ms instead of 250 ms, which counted up to 5% too much.

--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -51,8 +51,7 @@
 const NEAR_LIMIT_FRACTION: f64 = 0.7;
 /// From this fraction of its limit on, a workspace's counts are reported promptly.
 const PROMPT_REPORT_FRACTION: f64 = 0.5;
-/// The same for requests admitted by this VM that the others don't know of yet: those admitted by
-/// other VMs may be as many.
+/// The same for requests admitted by this VM that the others don't know of yet.
 const PROMPT_GROWTH_FRACTION: f64 = 0.05;
 /// Lower bound of that growth; a few requests do no harm.
 const PROMPT_GROWTH_MIN: f64 = 3.0;
@@ -179,6 +178,9 @@
     /// Workspaces that were near their quotas when this process started.
     near_limit_at_start: HashSet<WorkspaceKey>,
     report_delay: Duration,
+    /// Admitted requests by workspace, as last reported to the other failure domains: of this VM,
+    /// or of its failure domain where this VM is a delegate.
+    reported: HashMap<WorkspaceKey, u32>,
     /// VMs that may admit requests, as of the last tick.
     expected_vms: u32,
 }
@@ -195,6 +197,7 @@
             isolated_since: None,
             near_limit_at_start: HashSet::new(),
             report_delay: REPORT_DELAY,
+            reported: HashMap::new(),
             expected_vms: 1,
         }
     }
@@ -319,6 +322,13 @@
             local.expire(now, window);
         }
         self.local.retain(|_, local| !local.is_empty());
+        let reports = &self.reports;
+        let is_counted = |workspace: &WorkspaceKey| {
+            let mut reports = reports.values();
+            self.local.contains_key(workspace)
+                || reports.any(|report| report.count_at(now, *workspace, window).is_some())
+        };
+        self.reported.retain(|workspace, _| is_counted(workspace));
         self.update_isolation(now, view);
     }
 
@@ -369,13 +379,20 @@
         }
     }
 
+    /// Records that counts were reported to the other failure domains.
+    pub fn record_report(&mut self, rows: &[WorkspaceCount]) {
+        let admitted = rows.iter().map(|row| (row.workspace, row.admitted));
+        self.reported.extend(admitted);
+    }
+
     /// Whether a workspace uses so much of its limit that its counts must be reported promptly.
-    pub fn needs_prompt_report(
-        &self,
-        now: Duration,
-        workspace: WorkspaceKey,
-        quota: Quota,
-    ) -> bool {
+    /// `row` holds the counts to report, of this VM or of its failure domain.
+    ///
+    /// All that report the workspace may have admitted as much since their last reports as this
+    /// one. Without this, a workspace far below its limit that suddenly sends many times its usual
+    /// load is admitted by each of them up to its share of a limit that seems unused.
+    pub fn needs_prompt_report(&self, now: Duration, row: &WorkspaceCount, quota: Quota) -> bool {
+        let workspace = row.workspace;
         let limit = self.measure.limit(quota) * self.counted_fraction(now, workspace);
         let admitted = self.admitted_elsewhere(now, workspace) + self.admitted_here(now, workspace);
         let unreported = self.local.get(&workspace).map_or(0, |local| {
@@ -383,7 +400,18 @@
         });
         let grows =
             f64::from(unreported) >= (limit * PROMPT_GROWTH_FRACTION).max(PROMPT_GROWTH_MIN);
-        grows || f64::from(admitted) > limit * PROMPT_REPORT_FRACTION
+        let reported = self.reported.get(&workspace).copied().unwrap_or(0);
+        let growth = row.admitted.saturating_sub(reported);
+        let expected = admitted + growth * self.reporters(now, workspace);
+        grows || f64::from(expected) > limit * PROMPT_REPORT_FRACTION
+    }
+
+    /// Number of other VMs or failure domains that have reported requests of a workspace.
+    fn reporters(&self, now: Duration, workspace: WorkspaceKey) -> u32 {
+        let reports = self.reports.values();
+        let counts =
+            reports.filter_map(|report| report.count_at(now, workspace, self.measure.window));
+        counts.filter(|count| count.asked > 0).count() as u32
     }
 
     /// For how long this VM has counted, at most the window.
--- a/src/decide/quota/window.rs
+++ b/src/decide/quota/window.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// Step by which the window slides. A sum may include one step too many, never one too few.
-const WINDOW_STEP: Duration = Duration::from_millis(250);
+const WINDOW_STEP: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Clone, Copy)]
 pub(super) struct WindowStep {
--- a/src/serve/delegate.rs
+++ b/src/serve/delegate.rs
@@ -108,6 +108,8 @@
 fn send_to_delegates(node: &Node, socket: &UdpSocket, round: &SummaryRound) {
     let targets = node.core.borrow().peers.remote_delegate_addresses();
     for summary in round.for_delegates() {
+        let rows = &summary.counts.rows;
+        node.core.borrow_mut().quotas.record_report(rows);
         let Some(sealed) = seal(node, &Datagram::Summary(summary)) else {
             continue;
         };
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -180,11 +180,14 @@
 }
 
 fn send_to_remote_domains(node: &Node, socket: &UdpSocket, heartbeat: Heartbeat) {
-    let targets = node
-        .core
-        .borrow()
-        .peers
-        .heartbeat_targets(node.domain, false);
+    let targets = {
+        let mut core = node.core.borrow_mut();
+        let targets = core.peers.heartbeat_targets(node.domain, false);
+        if !targets.is_empty() {
+            core.quotas.record_report(&heartbeat.counts.rows);
+        }
+        targets
+    };
     send_to_targets(node, socket, heartbeat, targets);
 }
 
--- a/src/serve/quotas.rs
+++ b/src/serve/quotas.rs
@@ -90,7 +90,7 @@
         .routes
         .as_ref()
         .and_then(|routes| quota_of(routes, count.workspace));
-    quota.is_some_and(|quota| core.quotas.needs_prompt_report(now, count.workspace, quota))
+    quota.is_some_and(|quota| core.quotas.needs_prompt_report(now, count, quota))
 }
 
 fn quota_of(routes: &RouteTable, workspace: WorkspaceKey) -> Option<Quota> {
--- a/tests/quota_play.rs
+++ b/tests/quota_play.rs
@@ -364,8 +364,7 @@
     }
     let is_prompt = |vm: &Vm, count: &WorkspaceCount| {
         let row = &rows[count.workspace as usize];
-        vm.quotas
-            .needs_prompt_report(now, count.workspace, row.quota)
+        vm.quotas.needs_prompt_report(now, count, row.quota)
     };
     let apply = |vm: &mut Vm,
                  counted_for: Duration,
@@ -398,6 +397,10 @@
         if remote {
             vms[from].remote_report_at = now_ms;
         }
+        if remote && !simulation.uses_delegates {
+            let counts = if remote_full { &all } else { &prompt };
+            vms[from].quotas.record_report(counts);
+        }
         if remote_full {
             vms[from].full_report_at = now_ms;
         }
@@ -448,12 +451,13 @@
     if !now_ms.is_multiple_of(24 * ROUND_MS) {
         let is_prompt = |count: &WorkspaceCount| {
             let row = &rows[count.workspace as usize];
-            vms[from]
-                .quotas
-                .needs_prompt_report(now, count.workspace, row.quota)
+            vms[from].quotas.needs_prompt_report(now, count, row.quota)
         };
         counts.rows.retain(is_prompt);
     }
+    if remote {
+        vms[from].quotas.record_report(&counts.rows);
+    }
     for (to, vm) in vms.iter_mut().enumerate() {
         let local = to % simulation.domains == domain;
         let receives_all = local && to < DELEGATES * simulation.domains;
@@ -655,3 +659,63 @@
 fn large_restart() {
     check(&fleets()[2], 1, |name| name == SURGE_AND_KILL);
 }
+
+/// All fleets, and one as large as delegates have to serve.
+fn all_fleets() -> Vec<Simulation> {
+    let largest = Simulation {
+        vms: 836,
+        ..fleets()[2].clone()
+    };
+    fleets().into_iter().chain([largest]).collect()
+}
+
+/// A workspace sends nine times its usual load from shortly after the first requests on.
+fn early_hot(start_s: f64) -> Simulation {
+    Simulation {
+        hot: (0, 9.0, start_s, 12.0),
+        seconds: 14.0,
+        ..Simulation::default()
+    }
+}
+
+fn check_early(name: &str, load: &Simulation, below_max: f64) {
+    for fleet in all_fleets() {
+        let load = on_fleet(&fleet, Policy::Shares, load.clone());
+        let (largest, below) = simulate_seeds(name, &load, 1);
+        assert!(largest <= 1.0, "{name}: {largest} of the bound");
+        assert!(
+            below <= below_max,
+            "{name}: {below} refused below the limit"
+        );
+    }
+}
+
+// Guards against a workspace that gets more than its limit when its callers send many times their
+// usual load within seconds of the first requests, when few counts were reported.
+#[test]
+fn early_flood() {
+    // Here no demand is known by which to divide the limit.
+    for start_s in [0.5, 1.5] {
+        check_early("hot at once", &early_hot(start_s), REFUSED_MAX_RESTART);
+    }
+    for start_s in [3.0, 4.0] {
+        check_early("hot early", &early_hot(start_s), REFUSED_MAX_HOT);
+    }
+}
+
+// Guards against the loss of what killed VMs admitted last: others would admit as much again.
+#[test]
+fn early_kills() {
+    for kill_s in [3.2, 3.6, 4.5] {
+        let third = Simulation {
+            kill: (0.33, kill_s),
+            ..early_hot(3.0)
+        };
+        check_early("a third killed early", &third, REFUSED_MAX_HOT_FAULT);
+        let all = Simulation {
+            kill: (1.0, kill_s),
+            ..early_hot(3.0)
+        };
+        check_early("all killed early", &all, REFUSED_MAX_RESTART);
+    }
+}
