--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,5 +28,6 @@
 pub mod routing;
 pub mod slot_grants;
 pub mod small_jobs;
+pub mod subset;
 pub mod usage;
 pub mod window;
--- a/src/decide/discovery.rs
+++ b/src/decide/discovery.rs
@@ -7,6 +7,7 @@
 
 mod ended;
 mod entry;
+mod news;
 mod outage;
 mod transition;
 
@@ -14,12 +15,15 @@
 use std::time::Duration;
 
 use self::ended::EndedEndpoints;
-pub use self::entry::{KnownEntry, Registration, SnapshotSource};
+pub use self::entry::{KnownEntry, Registration};
+use self::news::ChangeLog;
+pub use self::news::{entry_key, EndpointChanges, EndpointNews, EndpointQuery, HeldEndpoints};
 use self::outage::Outage;
 pub use self::outage::{CUT_OFF_AFTER, OUTAGE_LAPSE_WINDOW, OUTAGE_MIN};
 pub use self::transition::{Transition, TransitionEvent};
 use super::endpoints::EndpointConfig;
-use crate::id::{EndpointId, EntryId, Name, Revision};
+use super::subset::{self, Candidate, SubsetOwner, WHOLE_TABLE_MAX};
+use crate::id::{self, EndpointId, EntryId, Name, Revision};
 
 /// How long after the store's return a lapsed entry is kept. Living endpoints write their entries
 /// again within 2 s; the rest is for the write and the watch to arrive.
@@ -28,6 +32,9 @@
 /// endpoints.
 const TRANSITIONS_MAX: usize = 4096;
 
+/// Time between two checks for expired ends, which may be thousands.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// One endpoint.
 #[derive(Debug, Clone)]
 struct EntryRow {
@@ -41,14 +48,25 @@
 #[derive(Debug, Default)]
 pub struct Discovery {
     rows: HashMap<EntryId, EntryRow>,
+    /// Invariant: the entry of each process in `rows`.
+    processes: HashMap<EndpointId, EntryId>,
+    /// Entries that are kept although they are gone; may name others, which the next tick drops.
+    kept: HashSet<EntryId>,
     ended: EndedEndpoints,
     outage: Outage,
     /// Revision of the newest change applied.
     pub revision: Revision,
     /// Revision of the newest complete snapshot: an entry that is neither in it nor newer is gone.
     snapshot_revision: Revision,
-    /// Whether a complete snapshot was applied at least once.
+    /// Whether a complete snapshot or a subset was applied at least once.
     loaded: bool,
+    /// Whether `rows` has all endpoints, not a subset.
+    holds_all: bool,
+    /// Latest changes, for VMs that hold a subset.
+    changes: ChangeLog,
+    /// Processes that ended without a drain and were not yet taken.
+    ended_processes: Vec<EndpointId>,
+    expired_at: Duration,
     /// Transitions that were not yet taken for the log.
     transitions: Vec<TransitionEvent>,
 }
@@ -94,6 +112,7 @@
             Some(known) => {
                 let known = known.clone();
                 self.record_past_process(now, id, &known);
+                self.record_ended_process(&known);
                 Transition::Restarted
             }
             None => Transition::Appeared,
@@ -104,10 +123,22 @@
             revision,
             kept_until: None,
         };
-        self.rows.insert(id, row);
+        self.insert_row(id, row);
         true
     }
 
+    fn insert_row(&mut self, id: EntryId, row: EntryRow) {
+        self.remove_row(id);
+        self.processes.insert(row.entry.endpoint(), id);
+        self.rows.insert(id, row);
+    }
+
+    fn remove_row(&mut self, id: EntryId) -> Option<EntryRow> {
+        let row = self.rows.remove(&id)?;
+        self.processes.remove(&row.entry.endpoint());
+        Some(row)
+    }
+
     /// Applies a newer entry of a known process.
     fn update_entry(&mut self, id: EntryId, entry: Registration, revision: Revision) -> bool {
         let Some(row) = self.rows.get_mut(&id) else {
@@ -160,6 +191,7 @@
             .filter(|_| !row.entry.draining);
         if let Some(returned_at) = returned_at {
             row.kept_until = Some(returned_at + RETURN_GRACE);
+            self.kept.insert(id);
             let name = row.entry.name.clone();
             self.record_transition(name, Transition::Kept, revision);
             return false;
@@ -211,17 +243,30 @@
     ) -> bool {
         self.revision = self.revision.max(revision);
         self.ended.record_end(now, id, revision);
-        let Some(row) = self.rows.remove(&id) else {
+        let Some(row) = self.remove_row(id) else {
             return false;
         };
         if row.entry.draining {
             self.record_past_process(now, id, &row.entry);
         }
+        self.record_ended_process(&row.entry);
         self.record_transition(row.entry.name, transition, revision);
         true
     }
 
+    fn record_ended_process(&mut self, entry: &Registration) {
+        if !entry.draining {
+            self.ended_processes.push(entry.endpoint());
+        }
+    }
+
+    /// Takes the processes that ended without a drain since the last call.
+    pub fn take_ended_processes(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.ended_processes)
+    }
+
     fn record_transition(&mut self, name: Name, transition: Transition, revision: Revision) {
+        self.changes.record(id::of(&name), revision);
         if self.transitions.len() < TRANSITIONS_MAX {
             self.transitions.push(TransitionEvent {
                 name,
@@ -238,24 +283,16 @@
 
     /// Number of endpoints that are used although their entries are gone.
     pub fn kept_count(&self) -> usize {
-        let kept = self.rows.values().filter(|row| row.kept_until.is_some());
-        kept.count()
+        let kept = self.kept.iter().filter_map(|id| self.rows.get(id));
+        kept.filter(|row| row.kept_until.is_some()).count()
     }
 
-    /// Applies a complete snapshot: an entry that is not in it has been removed.
-    ///
-    /// A snapshot from another VM removes entries at once, and an endpoint that the other VM only
-    /// keeps after a lapse is never added again. A VM that the store refuses counts its own failed
-    /// calls as an outage, so it keeps an endpoint that has left as merely lapsed. If it reported
-    /// that endpoint as registered, the other VMs would send requests there seconds after it
-    /// announced its departure. On the days that had such requests, there were 4 to 9 of them
-    /// before this rule and none since.
+    /// Applies a complete snapshot of the store: an entry that is not in it has been removed.
     pub fn apply_snapshot(
         &mut self,
         now: Duration,
         entries: impl IntoIterator<Item = KnownEntry>,
         at: Revision,
-        source: SnapshotSource,
     ) -> bool {
         let entries: Vec<KnownEntry> = entries.into_iter().collect();
         let listed: HashSet<EntryId> = entries.iter().map(|known| known.id).collect();
@@ -264,19 +301,183 @@
         let mut changed = false;
         // The removals happened at some revision before `at`, which other VMs may know exactly.
         for id in removed_ids {
-            changed |= match source {
-                SnapshotSource::Store => self.apply_removal(now, id, at),
-                SnapshotSource::Peer => self.drop_row(now, id, at, Transition::Removed),
-            };
+            changed |= self.apply_removal(now, id, at);
         }
         for known in entries {
             changed |= self.apply_snapshot_entry(now, known);
         }
         self.snapshot_revision = self.snapshot_revision.max(at);
         self.loaded = true;
+        self.holds_all = true;
+        self.changes.restart(at);
         changed
     }
 
+    /// A request for what has changed: among all endpoints if this VM `needs_all`, else in its
+    /// subset.
+    pub fn query(&self, owner: SubsetOwner, needs_all: bool) -> EndpointQuery {
+        EndpointQuery {
+            owner,
+            after: match needs_all && !self.holds_all {
+                true => 0,
+                false => self.revision,
+            },
+            held: match needs_all {
+                true => HeldEndpoints::All,
+                false => HeldEndpoints::Subset(self.rows.keys().copied().collect()),
+            },
+        }
+    }
+
+    /// The answer to another VM's query; `None` while this VM does not have all endpoints.
+    pub fn answer(&self, now: Duration, query: &EndpointQuery) -> Option<EndpointNews> {
+        if !self.holds_all {
+            return None;
+        }
+        let held: HashSet<EntryId> = match &query.held {
+            HeldEndpoints::All => HashSet::new(),
+            HeldEndpoints::Subset(held) => held.iter().copied().collect(),
+        };
+        let wants_all = query.held == HeldEndpoints::All;
+        let complete = wants_all || self.rows.len() <= WHOLE_TABLE_MAX;
+        let listed: Vec<EntryId> = match complete {
+            true => self.rows.keys().copied().collect(),
+            false => self.subset(query.owner, &held).into_iter().collect(),
+        };
+        let is_listed: HashSet<EntryId> = listed.iter().copied().collect();
+        let outside = held.iter().copied();
+        let outside = outside.filter(|id| self.rows.contains_key(id) && !is_listed.contains(id));
+        let entries = listed.iter().filter_map(|id| {
+            let row = self.rows.get(id)?;
+            let is_new = row.revision > query.after || !(wants_all || held.contains(id));
+            is_new.then(|| row.known(*id, now))
+        });
+        Some(EndpointNews {
+            at: self.revision,
+            complete,
+            outside: outside.collect(),
+            entries: entries.collect(),
+            listed,
+        })
+    }
+
+    /// The endpoints of a VM's subset. Draining ones that it holds stay, so that it learns of their
+    /// end.
+    fn subset(&self, owner: SubsetOwner, held: &HashSet<EntryId>) -> HashSet<EntryId> {
+        let serving = self.rows.iter().filter(|(_, row)| !row.entry.draining);
+        let candidates = serving.map(|(id, row)| Candidate {
+            id: *id,
+            service: row.entry.service,
+            domain: row.entry.domain,
+        });
+        let mut chosen = subset::choose(owner, candidates);
+        let is_draining = |id: &&EntryId| self.rows.get(id).is_some_and(|row| row.entry.draining);
+        chosen.extend(held.iter().filter(is_draining));
+        chosen
+    }
+
+    /// Applies another VM's answer. Endpoints outside of the subset are forgotten unless
+    /// `is_used`; that they exist elsewhere is no news of them.
+    ///
+    /// What the other VM no longer has is removed at once, and an endpoint that it only keeps after
+    /// a lapse is never added again. A VM that the store refuses counts its own failed calls as an
+    /// outage, so it keeps an endpoint that has left as merely lapsed. If it reported that endpoint
+    /// as registered, the other VMs would send requests there seconds after it announced its
+    /// departure. On the days that had such requests, there were 4 to 9 of them before this rule
+    /// and none since.
+    pub fn apply_news(
+        &mut self,
+        now: Duration,
+        news: EndpointNews,
+        is_used: impl Fn(EndpointId) -> bool,
+    ) -> bool {
+        let listed: HashSet<EntryId> = news.listed.into_iter().collect();
+        let outside: HashSet<EntryId> = news.outside.into_iter().collect();
+        let unlisted = self.rows.keys().copied().filter(|id| !listed.contains(id));
+        let unlisted: Vec<EntryId> = unlisted.collect();
+        let mut changed = false;
+        for id in unlisted {
+            changed |= match outside.contains(&id) {
+                true => self.forget(id, &is_used),
+                false => self.drop_row(now, id, news.at, Transition::Removed),
+            };
+        }
+        // Entries of a subset may be older than an earlier list in which they were not.
+        self.snapshot_revision = 0;
+        for known in news.entries {
+            changed |= self.apply_snapshot_entry(now, known);
+        }
+        if news.complete {
+            self.snapshot_revision = news.at;
+        }
+        self.holds_all = news.complete;
+        self.revision = self.revision.max(news.at);
+        self.changes.restart(news.at);
+        self.loaded = true;
+        changed
+    }
+
+    fn forget(&mut self, id: EntryId, is_used: impl Fn(EndpointId) -> bool) -> bool {
+        let used = self
+            .rows
+            .get(&id)
+            .is_some_and(|row| is_used(row.entry.endpoint()));
+        !used && self.remove_row(id).is_some()
+    }
+
+    /// Forgets all endpoints outside of this VM's subset, which from now on is told of its changes;
+    /// true if there were any.
+    pub fn shrink_to_subset(
+        &mut self,
+        owner: SubsetOwner,
+        is_used: impl Fn(EndpointId) -> bool,
+    ) -> bool {
+        if !self.has_subset_surplus() {
+            return false;
+        }
+        let chosen = self.subset(owner, &HashSet::new());
+        let others = self.rows.keys().copied().filter(|id| !chosen.contains(id));
+        for id in others.collect::<Vec<EntryId>>() {
+            self.forget(id, &is_used);
+        }
+        self.holds_all = false;
+        self.snapshot_revision = 0;
+        true
+    }
+
+    /// Takes over a newer revision from a summary that names all changes since this VM's, if none
+    /// of them concerns an endpoint that it holds.
+    pub fn skip_changes(&mut self, to: Revision, changes: &EndpointChanges) -> bool {
+        let is_subset = self.loaded && !self.holds_all;
+        if !is_subset || to <= self.revision || self.revision < changes.since {
+            return false;
+        }
+        let named: HashSet<u32> = changes.entries.iter().copied().collect();
+        let concerned = !named.is_empty() && {
+            let mut held = self.rows.keys();
+            held.any(|id| named.contains(&entry_key(*id)))
+        };
+        if !concerned {
+            self.revision = to;
+        }
+        !concerned
+    }
+
+    /// The latest changes, for VMs that hold a subset.
+    pub fn latest_changes(&self) -> EndpointChanges {
+        self.changes.latest()
+    }
+
+    /// Whether this VM has all of so many endpoints that it uses a subset of them only.
+    pub fn has_subset_surplus(&self) -> bool {
+        self.holds_all && self.rows.len() > WHOLE_TABLE_MAX
+    }
+
+    /// Whether this VM has all endpoints, so that it can answer the queries of others.
+    pub fn holds_all(&self) -> bool {
+        self.holds_all
+    }
+
     /// Applies one endpoint of a complete snapshot.
     fn apply_snapshot_entry(&mut self, now: Duration, known: KnownEntry) -> bool {
         let Some(remaining) = known.lapsing else {
@@ -298,6 +499,7 @@
         let until = now + remaining.min(RETURN_GRACE);
         let first = row.kept_until.is_none();
         row.kept_until = Some(row.kept_until.map_or(until, |current| current.min(until)));
+        self.kept.insert(known.id);
         row.revision = known.revision;
         if first {
             self.record_transition(known.entry.name, Transition::Kept, known.revision);
@@ -307,13 +509,22 @@
 
     /// Drops entries that have not come back in time; true if any was dropped.
     pub fn tick(&mut self, now: Duration) -> bool {
+        let rows = &self.rows;
+        let is_kept = |id: &EntryId| rows.get(id).is_some_and(|row| row.kept_until.is_some());
+        self.kept.retain(is_kept);
         let is_expired = |row: &EntryRow| row.kept_until.is_some_and(|until| now >= until);
-        let rows = self.rows.iter().filter(|(_, row)| is_expired(row));
-        let lapsed: Vec<(EntryId, Revision)> = rows.map(|(id, row)| (*id, row.revision)).collect();
+        let kept = self.kept.iter().filter_map(|id| Some((*id, rows.get(id)?)));
+        let lapsed: Vec<(EntryId, Revision)> = kept
+            .filter(|(_, row)| is_expired(row))
+            .map(|(id, row)| (id, row.revision))
+            .collect();
         for (id, revision) in &lapsed {
             self.drop_row(now, *id, *revision, Transition::Lapsed);
         }
-        self.ended.tick(now);
+        if now >= self.expired_at + EXPIRY_INTERVAL {
+            self.expired_at = now;
+            self.ended.tick(now);
+        }
         !lapsed.is_empty()
     }
 
@@ -332,19 +543,48 @@
         rows
     }
 
-    /// All known endpoints, for another VM that can't reach the store.
-    pub fn export(&self, now: Duration) -> Vec<KnownEntry> {
-        let known = |(id, row): (&EntryId, &EntryRow)| KnownEntry {
-            id: *id,
-            entry: row.entry.clone(),
-            revision: row.revision,
-            lapsing: row.kept_until.map(|until| until.saturating_sub(now)),
-        };
-        self.rows.iter().map(known).collect()
+    /// Like [`Discovery::endpoint_configs`], for the endpoints that this VM uses: its subset, and
+    /// those where it has requests.
+    pub fn used_configs(
+        &self,
+        owner: SubsetOwner,
+        is_used: impl Fn(EndpointId) -> bool,
+    ) -> Vec<(EndpointId, EndpointConfig, bool)> {
+        if !self.has_subset_surplus() {
+            return self.endpoint_configs();
+        }
+        let chosen = self.subset(owner, &HashSet::new());
+        let rows = self.rows.iter().filter_map(|(id, row)| {
+            let endpoint = row.entry.endpoint();
+            (chosen.contains(id) || is_used(endpoint)).then_some((endpoint, row))
+        });
+        let declared = rows.map(|(endpoint, row)| {
+            let config = row.entry.endpoint_config();
+            (endpoint, config, row.entry.draining)
+        });
+        let mut configs: Vec<_> = declared.collect();
+        configs.sort_by_key(|(id, ..)| *id);
+        configs
+    }
+
+    /// Slots of an endpoint's process, as registered.
+    pub fn slots(&self, endpoint: EndpointId) -> Option<u32> {
+        let row = self.rows.get(self.processes.get(&endpoint)?)?;
+        Some(row.entry.slots.max(1))
     }
 }
 
 impl EntryRow {
+    /// The row in the form in which other VMs are told of it.
+    fn known(&self, id: EntryId, now: Duration) -> KnownEntry {
+        KnownEntry {
+            id,
+            entry: self.entry.clone(),
+            revision: self.revision,
+            lapsing: self.kept_until.map(|until| until.saturating_sub(now)),
+        }
+    }
+
     /// The transition that a newer entry causes; `None` if it changes nothing.
     fn transition_to(&self, entry: &Registration) -> Option<Transition> {
         if entry.draining && !self.entry.draining {
--- a/src/decide/discovery/entry.rs
+++ b/src/decide/discovery/entry.rs
@@ -51,11 +51,3 @@
     /// entry exists.
     pub lapsing: Option<Duration>,
 }
-
-/// Where a complete snapshot comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SnapshotSource {
-    Store,
-    /// Another VM, which has already determined what lapsed while the store was unavailable.
-    Peer,
-}
--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -45,6 +45,16 @@
 /// take to arrive.
 const SPARE_SLOTS_MIN: f64 = 3.0;
 
+/// Requests of all VMs at an endpoint, and its slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndpointLoad {
+    pub online: u32,
+    pub batch: u32,
+    /// Slots that urgent batch items keep.
+    pub reserved_slots: u32,
+    pub slots: u32,
+}
+
 /// Configuration of one endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointConfig {
@@ -116,6 +126,16 @@
         self.leaving.is_none() && now >= self.ejected_until
     }
 
+    /// Requests of all VMs there, in the local view.
+    pub fn counts(&self) -> EndpointLoad {
+        EndpointLoad {
+            online: self.online(),
+            batch: self.batch,
+            reserved_slots: self.reserved_slots,
+            slots: self.limit.slots() as u32,
+        }
+    }
+
     /// Online requests of all VMs there.
     pub fn online(&self) -> u32 {
         self.online_here + self.online_elsewhere
--- a/src/decide/peers/domain_usage.rs
+++ b/src/decide/peers/domain_usage.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::decide::endpoints::{Endpoint, Endpoints};
+use crate::decide::endpoints::EndpointLoad;
 use crate::decide::usage::{own_excess, RemoteUse};
 use crate::id::{EndpointId, VmId};
 
@@ -56,10 +56,13 @@
     /// A VM has only the sums over the others and can't tell how many items each of them gives up:
     /// all VMs would give up theirs, or none. The delegate has the counts of each VM and computes
     /// the result for all.
-    pub fn item_allowances(&self, endpoints: &Endpoints) -> HashMap<VmId, Vec<(EndpointId, u32)>> {
+    pub fn item_allowances(
+        &self,
+        load_of: impl Fn(EndpointId) -> Option<EndpointLoad>,
+    ) -> HashMap<VmId, Vec<(EndpointId, u32)>> {
         let mut allowances: HashMap<VmId, Vec<(EndpointId, u32)>> = HashMap::new();
         for (id, sum) in &self.all {
-            let excess = endpoints.get(*id).map_or(0, |row| excess(row, sum.batch));
+            let excess = load_of(*id).map_or(0, |load| excess(load, sum.batch));
             if excess == 0 {
                 continue;
             }
@@ -89,12 +92,12 @@
 
 /// Items that the local failure domain has to give up of its `batch` at an endpoint: its part of
 /// the excess of all failure domains there.
-fn excess(row: &Endpoint, batch: u32) -> u32 {
-    let over = (row.online() + row.batch).saturating_sub(row.limit.slots() as u32);
-    let excess = over.min(row.batch.saturating_sub(row.reserved_slots));
+fn excess(load: EndpointLoad, batch: u32) -> u32 {
+    let over = (load.online + load.batch).saturating_sub(load.slots);
+    let excess = over.min(load.batch.saturating_sub(load.reserved_slots));
     if excess == 0 || batch == 0 {
         return 0;
     }
     let part = u64::from(excess) * u64::from(batch);
-    (part.div_ceil(u64::from(row.batch.max(batch))) as u32).min(batch)
+    (part.div_ceil(u64::from(load.batch.max(batch))) as u32).min(batch)
 }
--- a/src/decide/peers/messages.rs
+++ b/src/decide/peers/messages.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::backlog::RouteKey;
+use crate::decide::discovery::EndpointChanges;
 use crate::decide::freshness::ConfirmationAges;
 use crate::decide::quota::WorkspaceCount;
 use crate::decide::usage::{EndpointUse, RemoteUse};
@@ -110,6 +111,8 @@
     /// Requests counted against quotas at the VMs of the failure domain, without the addressed
     /// VM's.
     pub counts: QuotaCounts,
+    /// Latest changes of endpoints; sent to the local failure domain only.
+    pub endpoint_changes: Option<EndpointChanges>,
     /// Use of endpoints by the VMs of the failure domain, without the addressed VM's.
     pub rows: Vec<(EndpointId, RemoteUse)>,
 }
--- a/src/decide/peers/queries.rs
+++ b/src/decide/peers/queries.rs
@@ -26,6 +26,12 @@
         self.is_large() && !self.delegates.is_empty() && !self.is_delegate(local.vm)
     }
 
+    /// Whether this VM reads the store for itself: as a delegate, or in a small fleet. In a large one
+    /// the delegates may not be chosen yet.
+    pub fn reads_for_itself(&self, local: LocalVm) -> bool {
+        !self.is_large() || self.is_delegate(local.vm)
+    }
+
     /// Whether this VM need not watch the store itself: it is no delegate of a large fleet, and a
     /// living delegate sends it updates.
     pub fn is_updated_by_delegate(&self, now: Duration, local: LocalVm) -> bool {
@@ -141,11 +147,12 @@
 
     /// Living VMs with newer rules or endpoints than `known`, among those that `answers` accepts.
     /// Of VMs with equal versions one of the local failure domain is preferred, since bytes between
-    /// failure domains are expensive.
+    /// failure domains are expensive. In a large fleet, where some endpoint changes all the time,
+    /// the local delegates alone are asked for endpoints while the store answers one of them.
     pub fn newer_peers(
         &self,
         now: Duration,
-        local_domain: DomainId,
+        (local_vm, local_domain): (VmId, DomainId),
         known: KnownVersions,
         answers: impl Fn(SocketAddr) -> bool,
     ) -> NewerPeers {
@@ -168,19 +175,49 @@
         let newest = all
             .iter()
             .max_by_key(|((rules, _), is_local, _)| (*rules, *is_local));
-        let latest = all
-            .iter()
-            .max_by_key(|((_, endpoints), is_local, _)| (*endpoints, *is_local));
+        let has_newer = |endpoints: Revision| endpoints > known.endpoints;
+        let local_delegates = self.local_endpoint_sources(now, local_domain);
+        let local_delegates: Vec<_> = local_delegates.filter(|(_, from)| answers(*from)).collect();
+        let endpoints = if local_delegates.is_empty() {
+            let latest = all
+                .iter()
+                .max_by_key(|((_, endpoints), is_local, _)| (*endpoints, *is_local));
+            latest
+                .filter(|((_, endpoints), ..)| has_newer(*endpoints))
+                .map(|(.., from)| *from)
+        } else {
+            let newer = local_delegates.iter().filter(|(at, _)| has_newer(*at));
+            pick_address(local_vm, newer.map(|(_, from)| *from))
+        };
         NewerPeers {
             rules: newest
                 .filter(|((reported, _), ..)| *reported > known.rules)
                 .map(|(.., from)| *from),
-            endpoints: latest
-                .filter(|((_, reported), ..)| *reported > known.endpoints)
-                .map(|(.., from)| *from),
+            endpoints,
         }
     }
 
+    /// Living delegates of the local failure domain that have all endpoints and are answered by the
+    /// store, with their revisions; none in a small fleet.
+    fn local_endpoint_sources(
+        &self,
+        now: Duration,
+        local_domain: DomainId,
+    ) -> impl Iterator<Item = (Revision, SocketAddr)> + '_ {
+        let delegates = self.domains.living_delegates(now);
+        let sources = delegates.filter(move |delegate| {
+            let has_all = delegate.endpoints > 0 && delegate.store_available;
+            self.is_large() && delegate.domain == local_domain && has_all
+        });
+        sources.map(|delegate| (delegate.endpoints, delegate.peer_address))
+    }
+
+    /// A delegate of the local failure domain that has all endpoints.
+    pub fn endpoint_source(&self, now: Duration, local: LocalVm) -> Option<SocketAddr> {
+        let sources = self.local_endpoint_sources(now, local.domain);
+        pick_address(local.vm, sources.map(|(_, from)| from))
+    }
+
     /// A living VM that the metadata store answers: the one with the latest heartbeat, else a
     /// delegate.
     pub fn peer_with_store(&self, now: Duration) -> Option<SocketAddr> {
--- a/src/decide/peers/summaries.rs
+++ b/src/decide/peers/summaries.rs
@@ -13,10 +13,10 @@
 use super::summary_round::SummaryRound;
 use super::{LocalVm, Peer, Peers, PEER_TIMEOUT};
 use crate::decide::backlog::RouteKey;
-use crate::decide::endpoints::Endpoints;
+use crate::decide::endpoints::EndpointLoad;
 use crate::decide::quota::DomainCounts;
 use crate::decide::usage::{RemoteUse, Usage};
-use crate::id::{self, ranked, DomainId, OwnerId, Revision, VmId};
+use crate::id::{self, ranked, DomainId, EndpointId, OwnerId, Revision, VmId};
 
 /// Totals of a failure domain, from the heartbeats that its delegate received.
 #[derive(Debug, Clone, PartialEq)]
@@ -144,6 +144,12 @@
         rows.map(|(vm, peer)| (*vm, peer.gossip_address)).collect()
     }
 
+    /// Number of other VMs of a failure domain.
+    pub fn domain_peer_count(&self, domain: DomainId) -> u32 {
+        let rows = self.rows.values();
+        rows.filter(|peer| peer.domain == domain).count() as u32
+    }
+
     /// The processes of the other VMs of a failure domain.
     pub fn domain_owners(&self, domain: DomainId) -> Vec<(VmId, OwnerId)> {
         let rows = self.rows.iter().filter(|(_, peer)| peer.domain == domain);
@@ -188,7 +194,7 @@
         peer_address: SocketAddr,
         usage: &Usage,
         counts: DomainCounts,
-        endpoints: &Endpoints,
+        load_of: impl Fn(EndpointId) -> Option<EndpointLoad>,
     ) -> SummaryRound {
         let local_uses = heartbeat.rows.iter();
         let local_uses: EndpointUses = local_uses
@@ -198,7 +204,7 @@
         let reported = peers.map(|(vm, _)| (vm, usage.uses_of_vm(vm)));
         let uses = DomainUsage::new(reported.chain([(id::of(&heartbeat.name), local_uses)]));
         let totals = self.domain_totals(now, heartbeat.domain, heartbeat);
-        SummaryRound::new(heartbeat, peer_address, totals, uses, counts, endpoints)
+        SummaryRound::new(heartbeat, peer_address, totals, uses, counts, load_of)
     }
 
     /// Totals of the VMs of the failure domain, for a summary; `heartbeat` is this delegate's.
--- a/src/decide/peers/summary_round.rs
+++ b/src/decide/peers/summary_round.rs
@@ -7,7 +7,8 @@
 use super::domain_usage::{DomainUsage, EndpointUses};
 use super::messages::{Heartbeat, QuotaCounts, Summary};
 use super::summaries::DomainTotals;
-use crate::decide::endpoints::Endpoints;
+use crate::decide::discovery::EndpointChanges;
+use crate::decide::endpoints::EndpointLoad;
 use crate::decide::quota::{DomainCounts, WorkspaceCount};
 use crate::id::{self, EndpointId, VmId};
 
@@ -45,6 +46,8 @@
     counts: DomainCounts,
     competing_vms: Vec<(VmId, u32)>,
     item_allowances: HashMap<VmId, Vec<(EndpointId, u32)>>,
+    /// Latest changes of endpoints, for the VMs of the failure domain.
+    pub endpoint_changes: EndpointChanges,
 }
 
 impl SummaryRound {
@@ -55,9 +58,9 @@
         totals: DomainTotals,
         uses: DomainUsage,
         counts: DomainCounts,
-        endpoints: &Endpoints,
+        load_of: impl Fn(EndpointId) -> Option<EndpointLoad>,
     ) -> SummaryRound {
-        let keeps = uses.item_allowances(endpoints);
+        let keeps = uses.item_allowances(load_of);
         let summary = Summary {
             delegate: id::of(&heartbeat.name),
             owner: heartbeat.owner,
@@ -84,9 +87,11 @@
                 rows: Vec::new(),
             },
             rows: Vec::new(),
+            endpoint_changes: None,
         };
         SummaryRound {
             summary,
+            endpoint_changes: EndpointChanges::default(),
             uses,
             counts,
             competing_vms: totals.competing_vms,
@@ -107,6 +112,7 @@
             competing_vms: others.take(COMPETING_VMS_MAX).copied().collect(),
             item_allowances: keeps.iter().take(ALLOWANCES_MAX).copied().collect(),
             counts: self.truncated_counts(self.counts.without(vm)),
+            endpoint_changes: Some(self.endpoint_changes.clone()),
             ..self.summary.clone()
         };
         self.parts(first, &self.uses.without(vm))
@@ -136,6 +142,10 @@
             + first.unregistered.len()
             + first.draining_vms.len()
             + first.backlog.len()
+            + first
+                .endpoint_changes
+                .as_ref()
+                .map_or(0, |changes| changes.entries.len())
             + first.counts.rows.len();
         let bytes_left = LISTS_BYTES_MAX.saturating_sub(entries * ENTRY_BYTES);
         let (first_rows, rest) = rows.split_at(rows.len().min(bytes_left / ROW_BYTES));
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -10,6 +10,7 @@
 pub mod counters;
 pub mod delegate;
 pub mod dialect;
+mod endpoint_news;
 pub mod events;
 pub mod exchange;
 pub mod internal_pages;
--- a/src/serve/delegate.rs
+++ b/src/serve/delegate.rs
@@ -7,13 +7,15 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
-use super::node::Node;
+use super::node::{Core, Node};
 use super::peers::{count_report, heartbeat, seal, Datagram, ALL_COUNTS_SEND_INTERVAL};
 use super::quotas;
 use crate::clock;
+use crate::decide::endpoints::EndpointLoad;
+use crate::decide::items::urgent_slots_max;
 use crate::decide::peers::{KnownVersions, Summary, SummaryRound, SUMMARY_INTERVAL};
 use crate::decide::quota::CountSource;
-use crate::id::VmId;
+use crate::id::{EndpointId, VmId};
 
 /// Time between two prompt summaries to VMs whose items are to be preempted. Without them a burst
 /// of online requests waits behind the items for up to a summary round.
@@ -73,7 +75,6 @@
     let own = heartbeat(node, sequence);
     let core = node.core.borrow();
     let address = node.settings.peer_address;
-    let endpoints = &core.online.endpoints;
     let mut counts = core
         .quotas
         .domain_counts(now, &core.peers.domain_owners(node.domain));
@@ -82,8 +83,27 @@
             .rows
             .retain(|row| quotas::needs_prompt_report(&core, now, row));
     }
-    core.peers
-        .summary_round(now, &own, address, &core.usage, counts, endpoints)
+    let load_of = |id| endpoint_load(&core, id);
+    let mut round = core
+        .peers
+        .summary_round(now, &own, address, &core.usage, counts, load_of);
+    round.endpoint_changes = core.discovery.latest_changes();
+    round
+}
+
+/// Load of an endpoint that this VM or another one of its failure domain uses.
+fn endpoint_load(core: &Core, id: EndpointId) -> Option<EndpointLoad> {
+    if let Some(row) = core.online.endpoints.get(id) {
+        return Some(row.counts());
+    }
+    let slots = core.discovery.slots(id)?;
+    let others = core.usage.total(id);
+    Some(EndpointLoad {
+        online: others.online,
+        batch: others.batch,
+        reserved_slots: others.urgent.min(urgent_slots_max(slots)),
+        slots,
+    })
 }
 
 /// Sends a summary to the VMs of the failure domain that fit.
@@ -144,6 +164,9 @@
         rules: summary.rules,
         endpoints: summary.endpoints,
     };
+    if let Some(changes) = &summary.endpoint_changes {
+        core.discovery.skip_changes(summary.endpoints, changes);
+    }
     core.apply_confirmation_ages(now, summary.confirmation_ages, theirs);
     let is_local = summary.domain == node.domain;
     if is_local && core.peers.receives_domain_heartbeats(node.vm, node.domain) {
--- /dev/null
+++ b/src/serve/endpoint_news.rs
@@ -0,0 +1,114 @@
+//! News of endpoints among VMs: a VM asks another one for what has changed among the endpoints that
+//! it uses.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use super::ask::{ask, reply};
+use super::node::{Core, Node};
+use super::replies::{self, Reply};
+use crate::clock;
+use crate::decide::discovery::{EndpointNews, EndpointQuery};
+use crate::decide::subset::SubsetOwner;
+use crate::id::EndpointId;
+
+/// Path under which another VM is asked for news.
+pub const PATH: &str = "/endpoints";
+/// Largest query: the ids of a subset of several thousand endpoints.
+const QUERY_BYTES_MAX: usize = 256 * 1024;
+
+impl Node {
+    /// This VM as the owner of a subset of endpoints.
+    pub fn subset_owner(&self, core: &Core) -> SubsetOwner {
+        SubsetOwner {
+            vm: self.vm,
+            domain: self.domain,
+            domain_vms: 1 + core.peers.domain_peer_count(self.domain),
+        }
+    }
+}
+
+/// Endpoints where this VM has requests; it keeps them also outside of its subset.
+pub fn endpoints_in_use(core: &Core) -> HashSet<EndpointId> {
+    let rows = core.online.endpoints.rows.iter();
+    let online = rows.filter(|row| row.online_here > 0).map(|row| row.id);
+    let batch = core.items.by_endpoint(clock::now());
+    online.chain(batch.into_keys()).collect()
+}
+
+/// Asks another VM for news; false when it did not answer.
+pub async fn fetch(node: &Rc<Node>, from: SocketAddr, within: Duration) -> bool {
+    let query = query(node);
+    let sealed = match node.key.seal(&query) {
+        Ok(sealed) => sealed,
+        Err(error) => {
+            log::error!(error:% = error; "a query for endpoints can't be encoded");
+            return true;
+        }
+    };
+    let news: EndpointNews = match ask(node, from, PATH, sealed, within).await {
+        Ok(news) => news,
+        Err(error) => {
+            log::info!(from:% = from, path = PATH, error:% = error; "request to another VM failed");
+            return false;
+        }
+    };
+    apply(node, from, news);
+    true
+}
+
+fn query(node: &Node) -> EndpointQuery {
+    let own = node.local_vm();
+    let mut guard = node.core.borrow_mut();
+    let core = &mut *guard;
+    let owner = node.subset_owner(core);
+    let needs_all = !core.peers.is_represented(own);
+    if !needs_all {
+        let used = endpoints_in_use(core);
+        if core
+            .discovery
+            .shrink_to_subset(owner, |id| used.contains(&id))
+        {
+            log::info!("only a subset of the endpoints is kept from now on");
+        }
+    }
+    core.discovery.query(owner, needs_all)
+}
+
+fn apply(node: &Node, from: SocketAddr, news: EndpointNews) {
+    let changed = {
+        let mut guard = node.core.borrow_mut();
+        let core = &mut *guard;
+        let before = core.discovery.revision;
+        if news.at < before {
+            return;
+        }
+        let (at, entries, listed) = (news.at, news.entries.len(), news.listed.len());
+        log::info!(by:% = from, before, at, entries, listed; "endpoints told by another VM");
+        let used = endpoints_in_use(core);
+        core.discovery
+            .apply_news(clock::now(), news, |id| used.contains(&id))
+    };
+    node.endpoints_reported("peer", changed);
+}
+
+/// Answers another VM's query.
+pub async fn answer(node: &Node, body: Incoming) -> Reply {
+    let Ok(body) = Limited::new(body, QUERY_BYTES_MAX).collect().await else {
+        return replies::empty(400);
+    };
+    let query = match node.key.open::<EndpointQuery>(&body.to_bytes()) {
+        Ok(query) => query,
+        Err(error) => {
+            log::warn!(error:% = error; "another VM's query for endpoints can't be read");
+            return replies::empty(400);
+        }
+    };
+    let news = node.core.borrow().discovery.answer(clock::now(), &query);
+    news.map_or_else(|| replies::empty(503), |news| reply(node.key.seal(&news)))
+}
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -17,6 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use super::endpoint_news;
 use super::job_table::Job;
 use super::jobs;
 use super::live_watch;
@@ -48,6 +49,8 @@
     living_vms: usize,
     /// Whether this VM is a delegate of its failure domain.
     delegate: bool,
+    /// Whether this VM knows all endpoints, not a subset.
+    all_endpoints: bool,
     requests: usize,
     items: usize,
     items_running: usize,
@@ -199,6 +202,7 @@
 pub async fn peer_pages(node: Rc<Node>, request: Request<Incoming>) -> Reply {
     match request.uri().path() {
         relay::PATH => relay::answer(&node, request.into_body()).await,
+        endpoint_news::PATH => endpoint_news::answer(&node, request.into_body()).await,
         path if path.starts_with(live_watch::PATH) => live_watch::answer(&node, path).await,
         path if path.starts_with(results::PATH) => results::answer(&node, path).await,
         path if path.starts_with(jobs::ENDED_PATH) => jobs::receive_ended(&node, path).await,
@@ -242,6 +246,7 @@
         endpoints_revision: core.discovery.revision,
         living_vms: core.peers.living_vms(now),
         delegate: core.peers.is_delegate(node.vm),
+        all_endpoints: core.discovery.holds_all(),
         requests: node.open_requests.get(),
         items,
         items_running,
--- a/src/serve/live_watch.rs
+++ b/src/serve/live_watch.rs
@@ -67,6 +67,8 @@
 /// State of the followed keys, apart from the jobs and the other VMs themselves.
 #[derive(Default)]
 pub struct Live {
+    /// Whether all keys were read at least once.
+    read: bool,
     /// VMs' registrations by key.
     vms: HashMap<String, (VmRecord, Revision)>,
     /// The latest deleted keys, the oldest first.
@@ -76,6 +78,11 @@
 }
 
 impl Live {
+    /// Whether the VMs' registrations have been read since the process started.
+    pub fn is_read(&self) -> bool {
+        self.read
+    }
+
     fn note_deleted(&mut self, key: &str, revision: Revision) {
         self.deleted.push_back((revision, key.to_owned()));
         if self.deleted.len() > DELETED_KEYS_MAX {
@@ -296,6 +303,7 @@
     let vms: Vec<VmRecord> = core.live.vms.values().map(|(vm, _)| vm.clone()).collect();
     core.peers
         .apply_registrations(now, (node.vm, node.owner), &vms);
+    core.live.read = true;
     core.jobs.watched_revision = core.jobs.watched_revision.max(revision);
     core.jobs.changed.notify_waiters();
     drop(guard);
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -12,6 +12,7 @@
 
 use super::counters::Counters;
 use super::dialect::Dialect;
+use super::endpoint_news::endpoints_in_use;
 use super::exchange::Target;
 use super::job_table::Jobs;
 use super::live_watch::Live;
@@ -356,7 +357,9 @@
     fn rebuild_endpoints(&self, from: &str) {
         let mut guard = self.core.borrow_mut();
         let core = &mut *guard;
-        let configured = core.discovery.endpoint_configs();
+        let used = endpoints_in_use(core);
+        let owner = self.subset_owner(core);
+        let configured = core.discovery.used_configs(owner, |id| used.contains(&id));
         let draining: Vec<EndpointId> = configured
             .iter()
             .filter(|(.., draining)| *draining)
@@ -370,8 +373,10 @@
             "endpoints taken"
         );
         let endpoints = &mut core.online.endpoints;
-        let in_service = endpoints.rows.iter().filter(|row| row.leaving.is_none());
-        let mut gone: Vec<EndpointId> = in_service.map(|row| row.id).collect();
+        let is_in_service =
+            |id: &EndpointId| endpoints.get(*id).is_some_and(|row| row.leaving.is_none());
+        let mut gone = core.discovery.take_ended_processes();
+        gone.retain(is_in_service);
         endpoints.configure(
             configured
                 .into_iter()
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -14,13 +14,13 @@
 
 use super::ask::{ask, reply};
 use super::delegate;
+use super::endpoint_news;
 use super::node::{Core, Node, Stage};
 use super::quarantine;
 use super::quotas;
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::backlog::RouteKey;
-use crate::decide::discovery::{KnownEntry, SnapshotSource};
 use crate::decide::endpoints::Endpoint;
 use crate::decide::peers::{
     EndpointUseRow, Heartbeat, KnownVersions, NewerPeers, QuotaCounts, Summary,
@@ -60,6 +60,11 @@
 /// Time for which a VM that did not answer is not asked again; by then its heartbeats have shown
 /// whether it lives.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// A delegate whose watch has brought nothing for this long while others have newer endpoints asks
+/// them.
+const WATCH_LAG_MAX: Duration = Duration::from_secs(1);
+/// Shortest time between two requests for a subset in which nothing has changed.
+const REBALANCE_INTERVAL: Duration = Duration::from_secs(15);
 /// Endpoints in one heartbeat; keeps the datagram within one packet.
 const HEARTBEAT_ROWS_MAX: usize = 96;
 
@@ -71,9 +76,6 @@
 
 /// Path under which another VM is asked for the configuration.
 pub const RULES_PATH: &str = "/rules";
-/// Path under which another VM is asked for the endpoints.
-pub const ENDPOINTS_PATH: &str = "/endpoints";
-
 /// Path under which another VM is asked for a part of a batch job; the part's key follows.
 const PART_PATH: &str = "/part/";
 
@@ -88,13 +90,6 @@
     Quarantine(Vec<QuarantineReport>),
 }
 
-/// All endpoints that a VM has, for one that can't reach the store.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct EndpointList {
-    pub entries: Vec<KnownEntry>,
-    pub at: Revision,
-}
-
 /// Sends heartbeats until the process ends.
 pub async fn send_heartbeats(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
@@ -252,7 +247,10 @@
         draining: core.stage == Stage::Draining,
         store_available: node.store_answers.get(),
         rules: core.rules_version(),
-        endpoints: core.discovery.revision,
+        endpoints: match core.discovery.holds_all() {
+            true => core.discovery.revision,
+            false => 0,
+        },
         confirmation_ages: core.freshness.own_confirmation_ages(now),
         jobs: core.jobs.revision,
         waiting: core.items.waiting_count() as u32,
@@ -382,25 +380,87 @@
 /// an old configuration for as long as that lasts.
 pub async fn fetch_newer_versions(node: Rc<Node>) {
     let mut unanswered = Unanswered::new();
+    let mut missed = MissedRevision::default();
+    let mut rebalance_at = clock::now() + rebalance_interval(&node);
     loop {
         sleep(FETCH_AFTER).await;
+        unanswered.retain(|_, until| clock::now() < *until);
         let newer = newer_peers(&node, &unanswered);
-        if newer.rules.is_none() && newer.endpoints.is_none() {
+        let rebalance = clock::now() >= rebalance_at || holds_surplus(&node);
+        if newer.rules.is_none() && newer.endpoints.is_none() && !rebalance {
             continue;
         }
         sleep(FETCH_AFTER).await;
-        unanswered.retain(|_, until| clock::now() < *until);
         if let Some(from) = newer_peers(&node, &unanswered).rules {
             let fetched = fetch_rules(&node, from).await;
             note_answer(&mut unanswered, from, fetched);
         }
-        if let Some(from) = newer_peers(&node, &unanswered).endpoints {
-            let fetched = fetch_endpoints(&node, from).await;
+        let newer = newer_peers(&node, &unanswered).endpoints;
+        let newer = newer.filter(|_| missed.is_due(&node));
+        let from = newer.or_else(|| subset_source(&node).filter(|_| rebalance));
+        if rebalance {
+            rebalance_at = clock::now() + rebalance_interval(&node);
+        }
+        if let Some(from) = from {
+            let fetched = endpoint_news::fetch(&node, from, FETCH_TIMEOUT).await;
             note_answer(&mut unanswered, from, fetched);
         }
     }
 }
 
+/// Time between two requests for a subset that nothing in it has changed: endpoints that were added
+/// since may belong to it. Differs between VMs.
+fn rebalance_interval(node: &Node) -> Duration {
+    REBALANCE_INTERVAL + REBALANCE_INTERVAL.mul_f64((node.vm % 1000) as f64 / 1000.0)
+}
+
+/// Whether this VM holds all of many endpoints although delegates represent it, as after it has
+/// been a delegate itself.
+fn holds_surplus(node: &Node) -> bool {
+    let core = node.core.borrow();
+    core.discovery.has_subset_surplus() && core.peers.is_represented(node.local_vm())
+}
+
+/// Where a VM that delegates represent asks for its subset.
+fn subset_source(node: &Node) -> Option<SocketAddr> {
+    let own = node.local_vm();
+    let core = node.core.borrow();
+    let source = core.peers.endpoint_source(clock::now(), own);
+    source.filter(|_| core.peers.is_represented(own))
+}
+
+/// A revision of the endpoints that other VMs have and this one lacks.
+///
+/// A delegate's own watch brings what other delegates have within a fraction of a second. If each
+/// of them asked another one whenever it is behind, then while some endpoint of thousands changes
+/// all the time, they would ask each other all the time, between failure domains.
+#[derive(Default)]
+struct MissedRevision {
+    /// This VM's revision when it was first behind, and since when.
+    behind_since: Option<(Revision, Duration)>,
+}
+
+impl MissedRevision {
+    /// Whether to ask now.
+    fn is_due(&mut self, node: &Node) -> bool {
+        let now = clock::now();
+        let own = node.local_vm();
+        let core = node.core.borrow();
+        let watches = core.peers.is_large() && !core.peers.is_represented(own) && own.eligible;
+        if !watches {
+            return true;
+        }
+        let revision = core.discovery.revision;
+        match self.behind_since {
+            Some((at, since)) if at == revision => now >= since + WATCH_LAG_MAX,
+            _ => {
+                self.behind_since = Some((revision, now));
+                false
+            }
+        }
+    }
+}
+
 /// VMs that did not answer, and until when they are not asked.
 ///
 /// Without this, a VM whose heartbeats arrive but that can't be asked, since it is frozen or the
@@ -417,8 +477,12 @@
 fn newer_peers(node: &Node, unanswered: &Unanswered) -> NewerPeers {
     let core = node.core.borrow();
     let answers = |from| !unanswered.contains_key(&from);
-    core.peers
-        .newer_peers(clock::now(), node.domain, core.versions(), answers)
+    core.peers.newer_peers(
+        clock::now(),
+        (node.vm, node.domain),
+        core.versions(),
+        answers,
+    )
 }
 
 /// Fetches the configuration from another VM; false when it did not answer.
@@ -431,29 +495,6 @@
     answered
 }
 
-/// Fetches the endpoints from another VM; false when it did not answer.
-async fn fetch_endpoints(node: &Rc<Node>, from: SocketAddr) -> bool {
-    let Some(fetched) = fetch_from::<EndpointList>(node, from, ENDPOINTS_PATH).await else {
-        return false;
-    };
-    let changed = {
-        let mut core = node.core.borrow_mut();
-        let before = core.discovery.revision;
-        if fetched.at <= before {
-            return true;
-        }
-        log::info!(by:% = from, before, at = fetched.at; "endpoints told by another VM");
-        core.discovery.apply_snapshot(
-            clock::now(),
-            fetched.entries,
-            fetched.at,
-            SnapshotSource::Peer,
-        )
-    };
-    node.endpoints_reported("peer", changed);
-    true
-}
-
 /// Peer address of a job's owner when that is another living process in a large fleet: there only
 /// the owner follows all changes of a job.
 pub fn remote_owner(node: &Node, owner: OwnerId) -> Option<SocketAddr> {
@@ -479,16 +520,12 @@
     }
 }
 
-/// Answers a request of another VM for the configuration, the endpoints or a part of a job.
+/// Answers a request of another VM for the configuration or a part of a job.
 pub fn answer_fetch(node: &Node, path: &str) -> Reply {
     let core = node.core.borrow();
     let key = &node.key;
     let sealed = match path {
         RULES_PATH => core.routes.as_ref().map(|table| key.seal(&table.rules)),
-        ENDPOINTS_PATH => Some(key.seal(&EndpointList {
-            entries: core.discovery.export(clock::now()),
-            at: core.discovery.revision,
-        })),
         _ => {
             let part = path.strip_prefix(PART_PATH);
             let kept = part.and_then(|part| core.jobs.parts.get(part));
--- a/src/serve/refreshing.rs
+++ b/src/serve/refreshing.rs
@@ -37,11 +37,16 @@
 ) -> Result<Option<WatchAnswer>, Error> {
     let sent_at = clock::now();
     let Some(after) = at else {
-        let (items, at) = node.store.range(followed.prefix).await?;
+        // A starting VM watches from what it reads here at once, so that it need not be current.
+        let stale = followed.subject == StoreSubject::Live && !node.core.borrow().live.is_read();
+        let (items, at) = match stale {
+            true => node.store.stale_range(followed.prefix).await?,
+            false => node.store.range(followed.prefix).await?,
+        };
         return Ok(Some(WatchAnswer {
             update: StoreUpdate::Snapshot(items),
             at,
-            asked_at: Some(sent_at),
+            asked_at: (!stale).then_some(sent_at),
         }));
     };
     let mut waiting = pin!(watch(node, followed, after, wait));
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -10,7 +10,7 @@
 use super::refreshing::{ask_store, refresh_due_in};
 use super::retire::retire;
 use crate::clock;
-use crate::decide::discovery::{KnownEntry, SnapshotSource};
+use crate::decide::discovery::KnownEntry;
 use crate::decide::freshness::StoreSubject;
 use crate::id::{self, Revision};
 use crate::store::{Change, Error, Item};
@@ -37,6 +37,12 @@
 /// Delegates of a starting fleet are heard within this time; the VMs that they represent need no
 /// watches until then.
 const STARTUP_WINDOW: Duration = Duration::from_millis(1500);
+/// Time for which a starting VM waits for the list of VMs before it reads endpoints.
+const VMS_WAIT_MAX: Duration = Duration::from_secs(3);
+/// Shortest time for which a starting VM waits for its delegates' news of endpoints.
+const FIRST_NEWS_WAIT: Duration = Duration::from_secs(4);
+/// Time between two checks of a starting VM that waits.
+const FIRST_NEWS_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two checks of a VM that delegates update whether they still do.
 const DELEGATE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after a failure by which the store's watches deliver changes again.
@@ -168,12 +174,40 @@
     let own = node.local_vm();
     is_starting(node) || {
         let core = node.core.borrow();
-        is_loaded(&core)
-            && core.peers.is_updated_by_delegate(clock::now(), own)
-            && !must_ask_store(node, subject)
+        let is_updated = core.peers.is_updated_by_delegate(clock::now(), own);
+        // The next delegates take over from silent ones sooner than all VMs of the failure domain
+        // could read all endpoints.
+        let has_subset = subject == StoreSubject::Endpoints && !core.discovery.holds_all();
+        let awaits_delegate = has_subset && core.peers.is_represented(own);
+        is_loaded(&core) && (is_updated || awaits_delegate) && !must_ask_store(node, subject)
     }
 }
 
+/// Whether this process, which has no endpoints yet, leaves it to the delegates to read them.
+///
+/// When hundreds of VMs start at once, each of them would read thousands of entries, page by page:
+/// most of a day's calls, and tens of seconds of the store's link. Two VMs of each failure domain
+/// read them in a fraction of a second and tell each of the others its subset.
+fn awaits_first_endpoints(node: &Node) -> bool {
+    let own = node.local_vm();
+    let age = clock::now().saturating_sub(node.started_at);
+    let core = node.core.borrow();
+    if core.discovery.is_loaded() {
+        return false;
+    }
+    match core.live.is_read() {
+        // How many VMs there are is not known yet.
+        false => age < VMS_WAIT_MAX,
+        true => !core.peers.reads_for_itself(own) && age < first_news_wait(node),
+    }
+}
+
+/// How long a starting VM waits for its delegates; differs between VMs, so that they don't all read
+/// the store at once when no delegate does.
+fn first_news_wait(node: &Node) -> Duration {
+    FIRST_NEWS_WAIT + FIRST_NEWS_WAIT.mul_f64((node.vm % 1000) as f64 / 1000.0)
+}
+
 /// Whether this VM, which delegates represent, has to follow the store itself because their
 /// confirmations are overdue.
 fn must_ask_store(node: &Node, subject: StoreSubject) -> bool {
@@ -205,6 +239,9 @@
     apply: impl FnMut(&Node, StoreUpdate, Revision),
 ) {
     let ask = async |node: &Rc<Node>, at: Option<Revision>, wait: Duration| {
+        while followed.subject == StoreSubject::Endpoints && awaits_first_endpoints(node) {
+            sleep(FIRST_NEWS_CHECK_INTERVAL).await;
+        }
         if is_updated_by_delegate(node, followed.subject) {
             return wait_for_delegates().await;
         }
@@ -281,9 +318,7 @@
         }
     }
     let mut core = node.core.borrow_mut();
-    let replaced = core
-        .discovery
-        .apply_snapshot(now, entries, at, SnapshotSource::Store);
+    let replaced = core.discovery.apply_snapshot(now, entries, at);
     changed || replaced
 }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -84,6 +84,8 @@
         prefix: String,
         /// The last key of the previous page.
         after: Option<String>,
+        /// The answer may be seconds old; it costs a tenth of a current one.
+        stale: bool,
     },
     Watch {
         prefix: String,
@@ -194,23 +196,38 @@
 
     /// Reads all keys under a prefix, with the revision to watch from.
     ///
-    /// The pages are not one snapshot. The revision is that of the first page, so that a watch
-    /// reports again what changed while later pages were read.
+    /// The pages are not one snapshot. The revision is that of the oldest page, so that a watch
+    /// reports again what changed while the others were read.
     pub async fn range(&self, prefix: &str) -> Result<(Vec<Item>, Revision), Error> {
+        self.read_pages(prefix, false).await
+    }
+
+    /// Like [`Store::range`], but the answer may be seconds old; a watch from its revision brings
+    /// it up to date.
+    pub async fn stale_range(&self, prefix: &str) -> Result<(Vec<Item>, Revision), Error> {
+        self.read_pages(prefix, true).await
+    }
+
+    async fn read_pages(&self, prefix: &str, stale: bool) -> Result<(Vec<Item>, Revision), Error> {
         let mut found = Vec::new();
-        let mut first_at = None;
+        let mut oldest_at = Revision::MAX;
         loop {
             let after = found.last().map(|item: &Item| item.key.clone());
             let prefix = prefix.into();
-            let reply = self.call(Call::Range { prefix, after }).await?;
+            let call = Call::Range {
+                prefix,
+                after,
+                stale,
+            };
+            let reply = self.call(call).await?;
             let Reply::Page { items, more, at } = reply else {
                 return Err(unexpected(&reply));
             };
-            let first = *first_at.get_or_insert(at);
+            oldest_at = oldest_at.min(at);
             let empty = items.is_empty();
             found.extend(items);
             if !more || empty {
-                return Ok((found, first));
+                return Ok((found, oldest_at));
             }
         }
     }
--- a/tests/endpoint_discovery.rs
+++ b/tests/endpoint_discovery.rs
@@ -3,11 +3,25 @@
 use std::time::Duration;
 
 use bramleyseam::decide::discovery::{
-    Discovery, KnownEntry, Registration, SnapshotSource, CUT_OFF_AFTER, OUTAGE_MIN, RETURN_GRACE,
+    Discovery, KnownEntry, Registration, CUT_OFF_AFTER, OUTAGE_MIN, RETURN_GRACE,
 };
+use bramleyseam::decide::subset::SubsetOwner;
 use bramleyseam::id;
 use quickcheck::quickcheck;
 
+const OWNER: SubsetOwner = SubsetOwner {
+    vm: 1,
+    domain: 1,
+    domain_vms: 1,
+};
+
+/// One VM asks another one for all endpoints.
+fn tell(now: Duration, from: &Discovery, to: &mut Discovery) {
+    let query = to.query(OWNER, true);
+    let news = from.answer(now, &query).unwrap();
+    to.apply_news(now, news, |_| false);
+}
+
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -41,7 +55,7 @@
         revision: 5,
         lapsing: None,
     });
-    discovery.apply_snapshot(ms(0), entries, 10, SnapshotSource::Store);
+    discovery.apply_snapshot(ms(0), entries, 10);
     discovery
 }
 
@@ -149,10 +163,10 @@
     let (mut cut_off, mut other) = (three_endpoints(), three_endpoints());
     other.apply_removal(ms(5_000), id::of("b"), 12);
     cut_off.store_failed(ms(5_100), ms(5_100) - OUTAGE_MIN, false);
-    let snapshot = other.export(ms(5_100));
-    cut_off.apply_snapshot(ms(5_100), snapshot, 13, SnapshotSource::Store);
-    let exported = cut_off.export(ms(5_200));
-    other.apply_snapshot(ms(5_300), exported, 14, SnapshotSource::Peer);
+    let query = Discovery::default().query(OWNER, true);
+    let snapshot = other.answer(ms(5_100), &query).unwrap().entries;
+    cut_off.apply_snapshot(ms(5_100), snapshot, 13);
+    tell(ms(5_200), &cut_off, &mut other);
     assert!(!usable(&other).contains(&id::of("b")));
 }
 
@@ -163,7 +177,7 @@
     let (mut cut_off, mut other) = (three_endpoints(), three_endpoints());
     other.apply_removal(ms(5_000), id::of("b"), 12);
     cut_off.store_failed(ms(5_100), ms(5_100) - OUTAGE_MIN, false);
-    cut_off.apply_snapshot(ms(5_200), other.export(ms(5_200)), 12, SnapshotSource::Peer);
+    tell(ms(5_200), &other, &mut cut_off);
     assert!(!usable(&cut_off).contains(&id::of("b")));
 }
 
@@ -185,7 +199,7 @@
     let (mut cut_off, mut other) = (three_endpoints(), three_endpoints());
     other.store_failed(ms(5_000), ms(5_000) - OUTAGE_MIN, false);
     other.apply_removal(ms(5_200), id::of("b"), 12);
-    cut_off.apply_snapshot(ms(5_300), other.export(ms(5_300)), 12, SnapshotSource::Peer);
+    tell(ms(5_300), &other, &mut cut_off);
     assert!(usable(&cut_off).contains(&id::of("b")));
     assert!(cut_off.tick(ms(5_200) + RETURN_GRACE));
     assert!(!usable(&cut_off).contains(&id::of("b")));
@@ -195,7 +209,7 @@
 fn unknown_until_read() {
     let mut discovery = Discovery::default();
     assert!(!discovery.is_loaded());
-    discovery.apply_snapshot(ms(0), [], 3, SnapshotSource::Store);
+    discovery.apply_snapshot(ms(0), [], 3);
     assert!(discovery.is_loaded());
 }
 
--- a/tests/endpoint_processes.rs
+++ b/tests/endpoint_processes.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use bramleyseam::decide::discovery::{
-    Discovery, KnownEntry, Registration, SnapshotSource, OUTAGE_MIN, RETURN_GRACE,
+    Discovery, EndpointNews, KnownEntry, Registration, OUTAGE_MIN, RETURN_GRACE,
 };
 use bramleyseam::decide::endpoints::Endpoints;
+use bramleyseam::decide::subset::SubsetOwner;
 use bramleyseam::id::{self, Incarnation, Revision};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -13,6 +14,19 @@
 /// Start of the first process, in Unix milliseconds.
 const START_MS: Incarnation = 1_790_000_000_000;
 
+const OWNER: SubsetOwner = SubsetOwner {
+    vm: 1,
+    domain: 1,
+    domain_vms: 1,
+};
+
+/// One VM asks another one for all endpoints.
+fn tell(now: Duration, from: &Discovery, to: &mut Discovery) {
+    let query = to.query(OWNER, true);
+    let news = from.answer(now, &query).unwrap();
+    to.apply_news(now, news, |_| false);
+}
+
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -100,14 +114,21 @@
 #[test]
 fn stale_reading() {
     let mut discovery = Discovery::default();
-    discovery.apply_snapshot(ms(0), [], 9, SnapshotSource::Peer);
+    let empty = EndpointNews {
+        at: 9,
+        complete: true,
+        listed: Vec::new(),
+        outside: Vec::new(),
+        entries: Vec::new(),
+    };
+    discovery.apply_news(ms(0), empty, |_| false);
     let known = KnownEntry {
         id: id::of(NAME),
         entry: entry(Some(START_MS), false),
         revision: 5,
         lapsing: None,
     };
-    discovery.apply_snapshot(ms(1), [known], 7, SnapshotSource::Store);
+    discovery.apply_snapshot(ms(1), [known], 7);
     assert!(used_endpoints(&discovery).is_empty());
 }
 
@@ -117,12 +138,13 @@
 fn lapse_of_next() {
     let (mut behind, mut ahead) = (Discovery::default(), Discovery::default());
     for discovery in [&mut behind, &mut ahead] {
+        discovery.apply_snapshot(ms(0), [], 0);
         write(discovery, Some(START_MS), false, 1);
     }
     write(&mut ahead, Some(START_MS + 1), false, 2);
     ahead.store_failed(ms(1_000), ms(1_000) - OUTAGE_MIN, false);
     ahead.apply_removal(ms(1_100), id::of(NAME), 3);
-    behind.apply_snapshot(ms(1_200), ahead.export(ms(1_200)), 3, SnapshotSource::Peer);
+    tell(ms(1_200), &ahead, &mut behind);
     assert!(used_endpoints(&behind).is_empty());
 }
 
@@ -219,7 +241,7 @@
         }
         Some(StoreChange::Removed) | None => {}
     }
-    discovery.apply_snapshot(now, listed, at, SnapshotSource::Store);
+    discovery.apply_snapshot(now, listed, at);
 }
 
 /// The next change of the store, if the step makes one: a process may drain before it is removed,
@@ -253,6 +275,7 @@
 /// an outage is over, it uses exactly the endpoint that the store's last change names.
 fn uses_last_change(steps: Vec<Step>) -> bool {
     let (mut vm, mut other) = (Discovery::default(), Discovery::default());
+    other.apply_snapshot(ms(0), [], 0);
     let (mut changes, mut stored, mut starts) = (Vec::<StoreChange>::new(), None, 0);
     let (mut drained, mut seen_drained) = (Vec::<u64>::new(), Vec::<u64>::new());
     let (mut now, mut disconnected) = (ms(1_000), false);
@@ -287,8 +310,7 @@
                 disconnected = false;
             }
             Step::PeerSnapshot if other.revision > vm.revision => {
-                let entries = other.export(now);
-                vm.apply_snapshot(now, entries, other.revision, SnapshotSource::Peer);
+                tell(now, &other, &mut vm);
                 seen_drained.clone_from(&drained);
             }
             Step::Disconnects => disconnected = true,
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bramleyseam::decide::endpoints::Endpoints;
+use bramleyseam::decide::endpoints::{Endpoint, Endpoints};
 use bramleyseam::decide::freshness::{self, Freshness, StoreSubject, VersionsMatch};
 use bramleyseam::decide::peers::{
     DomainUsage, EndpointUseRow, Heartbeat, KnownVersions, LocalVm, Peers, QuotaCounts, Summary,
@@ -262,7 +262,7 @@
             address,
             &vm.usage,
             DomainCounts::default(),
-            &Endpoints::default(),
+            |_| None,
         );
         let remote_targets = vm.peers.remote_delegate_addresses();
         let is_remote_round = vm.peers.is_remote_round(rounds);
@@ -335,7 +335,7 @@
             .peers
             .newer_peers(
                 now,
-                self.record.domain,
+                (self.id(), self.record.domain),
                 versions_with_rules(self.rules),
                 |_| true,
             )
@@ -634,9 +634,12 @@
     for vm in &fleet.vms {
         let address = vm
             .peers
-            .newer_peers(fleet.now, vm.record.domain, versions_with_rules(1), |_| {
-                true
-            })
+            .newer_peers(
+                fleet.now,
+                (vm.id(), vm.record.domain),
+                versions_with_rules(1),
+                |_| true,
+            )
             .rules
             .unwrap();
         let has_address = |other: &&Vm| other.record.gossip_address.ip() == address.ip();
@@ -685,7 +688,8 @@
             };
             (vm as u64 + 1, vec![(id, one)])
         });
-        let allowances = DomainUsage::new(uses).item_allowances(&endpoints);
+        let allowances =
+            DomainUsage::new(uses).item_allowances(|id| endpoints.get(id).map(Endpoint::counts));
         let allowed: u32 = allowances
             .values()
             .flatten()
--- a/tests/vms_heard.rs
+++ b/tests/vms_heard.rs
@@ -130,7 +130,7 @@
             rules: 1,
             endpoints: 1,
         };
-        let address = peers.newer_peers(ms(10), 1, known, answers).rules;
+        let address = peers.newer_peers(ms(10), (9, 1), known, answers).rules;
         address.map(|address| address.ip())
     };
     let first = newer_peer(&|_| true).unwrap();
