Starting VMs read one page of the endpoints until they know whether the fleet is large

Change: a VM reads the first page. If there are more, it waits until it is a delegate, or the fleet has been small for 1.5 s, or its delegates tell it its subset, 4 to 8 s at most.

--- a/src/decide/peers/queries.rs
+++ b/src/decide/peers/queries.rs
@@ -26,12 +26,6 @@
         self.is_large() && !self.delegates.is_empty() && !self.is_delegate(local.vm)
     }
 
-    /// Whether this VM reads the store for itself: as a delegate, or in a small fleet. In a large one
-    /// the delegates may not be chosen yet.
-    pub fn reads_for_itself(&self, local: LocalVm) -> bool {
-        !self.is_large() || self.is_delegate(local.vm)
-    }
-
     /// Whether this VM need not watch the store itself: it is no delegate of a large fleet, and a
     /// living delegate sends it updates.
     pub fn is_updated_by_delegate(&self, now: Duration, local: LocalVm) -> bool {
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -37,8 +37,8 @@
 /// Delegates of a starting fleet are heard within this time; the VMs that they represent need no
 /// watches until then.
 const STARTUP_WINDOW: Duration = Duration::from_millis(1500);
-/// Time for which a starting VM waits for the list of VMs before it reads endpoints.
-const VMS_WAIT_MAX: Duration = Duration::from_secs(3);
+/// Time within which the VMs of a starting fleet have registered and read each other's entries.
+const REGISTRATION_TIME: Duration = Duration::from_millis(1500);
 /// Shortest time for which a starting VM waits for its delegates' news of endpoints.
 const FIRST_NEWS_WAIT: Duration = Duration::from_secs(4);
 /// Time between two checks of a starting VM that waits.
@@ -183,23 +183,41 @@
     }
 }
 
-/// Whether this process, which has no endpoints yet, leaves it to the delegates to read them.
+/// Whether this VM reads all endpoints when there are many: as a delegate, in a small fleet, or if
+/// nobody has told it its subset.
 ///
 /// When hundreds of VMs start at once, each of them would read thousands of entries, page by page:
 /// most of a day's calls, and tens of seconds of the store's link. Two VMs of each failure domain
-/// read them in a fraction of a second and tell each of the others its subset.
-fn awaits_first_endpoints(node: &Node) -> bool {
+/// read them in a fraction of a second and tell each of the others its subset. Until the others
+/// have registered, a large fleet looks like a small one.
+fn may_read_all(node: &Node) -> bool {
     let own = node.local_vm();
     let age = clock::now().saturating_sub(node.started_at);
     let core = node.core.borrow();
-    if core.discovery.is_loaded() {
-        return false;
+    let is_small = !core.peers.is_large() && age >= REGISTRATION_TIME;
+    let reads = core.live.is_read() && (is_small || core.peers.is_delegate(own.vm));
+    reads || age >= first_news_wait(node)
+}
+
+/// Reads the endpoints if one page holds them all. Otherwise waits until this VM may read all of
+/// them (`None`), or delegates tell it its subset.
+async fn read_few_endpoints(
+    node: &Node,
+    followed: FollowedPrefix,
+) -> Result<Option<WatchAnswer>, Error> {
+    let sent_at = clock::now();
+    let (items, more, at) = node.store.first_page(followed.prefix).await?;
+    if !more {
+        return Ok(Some(WatchAnswer {
+            update: StoreUpdate::Snapshot(items),
+            at,
+            asked_at: Some(sent_at),
+        }));
     }
-    match core.live.is_read() {
-        // How many VMs there are is not known yet.
-        false => age < VMS_WAIT_MAX,
-        true => !core.peers.reads_for_itself(own) && age < first_news_wait(node),
+    while !may_read_all(node) && !is_updated_by_delegate(node, followed.subject) {
+        sleep(FIRST_NEWS_CHECK_INTERVAL).await;
     }
+    Ok(None)
 }
 
 /// How long a starting VM waits for its delegates; differs between VMs, so that they don't all read
@@ -239,10 +257,14 @@
     apply: impl FnMut(&Node, StoreUpdate, Revision),
 ) {
     let ask = async |node: &Rc<Node>, at: Option<Revision>, wait: Duration| {
-        while followed.subject == StoreSubject::Endpoints && awaits_first_endpoints(node) {
-            sleep(FIRST_NEWS_CHECK_INTERVAL).await;
+        let is_first = followed.subject == StoreSubject::Endpoints && at.is_none();
+        let is_updated = || is_updated_by_delegate(node, followed.subject);
+        if is_first && !is_updated() && !may_read_all(node) {
+            if let Some(few) = read_few_endpoints(node, followed).await? {
+                return Ok(Some(few));
+            }
         }
-        if is_updated_by_delegate(node, followed.subject) {
+        if is_updated() {
             return wait_for_delegates().await;
         }
         ask_store(node, followed, at, wait).await
--- a/src/store.rs
+++ b/src/store.rs
@@ -208,6 +208,20 @@
         self.read_pages(prefix, true).await
     }
 
+    /// Reads the first page of the keys under a prefix: its items, whether there are more, and the
+    /// revision.
+    pub async fn first_page(&self, prefix: &str) -> Result<(Vec<Item>, bool, Revision), Error> {
+        let call = Call::Range {
+            prefix: prefix.into(),
+            after: None,
+            stale: false,
+        };
+        match self.call(call).await? {
+            Reply::Page { items, more, at } => Ok((items, more, at)),
+            other => Err(unexpected(&other)),
+        }
+    }
+
     async fn read_pages(&self, prefix: &str, stale: bool) -> Result<(Vec<Item>, Revision), Error> {
         let mut found = Vec::new();
         let mut oldest_at = Revision::MAX;
