Quotas: record workspaces whose demand will reach the limit, and serve the rest after a restart

What callers saw: after all VMs were killed early in a flood, callers below their limit were refused (10.6% of the admissible requests at 54 VMs, 15.0% at 295, bound 10%), and when the kill came 1.5 s into the flood the workspace got 1.136 of its bound at 295 VMs.

Cause: a workspace is recorded in the store from 0.7 of its limit on, by counts that are up to a second old. In a flood it goes from 0.55 to all of its limit in that second, so the new processes found no record and let it use more. Since the record said so little, every other workspace got only a tenth of its limit after a restart.

Change: the record also counts what the demand grows by in the second until the next record. A workspace that isn't recorded left at least 0.3 of its limit free, and starts with that.

--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -40,8 +40,9 @@
 /// Evenly spread requests that are added to the observed demand when the share of a silent VM is
 /// computed: a few requests are a poor estimate of where the next ones arrive.
 const EVEN_REQUESTS: f64 = 10.0;
-/// Fraction of its limit that a workspace may use immediately after a restart of the whole fleet.
-const RESTART_LIMIT_FRACTION: f64 = 0.1;
+/// Fraction of its limit that a workspace may use immediately after a restart of the whole fleet:
+/// what it left free, unless it was recorded near its limit.
+const RESTART_LIMIT_FRACTION: f64 = 1.0 - NEAR_LIMIT_FRACTION;
 /// Fraction of its limit that a workspace keeps at VMs that have been isolated for longer than
 /// [`SILENT_HOLD`].
 const ISOLATED_LIMIT_FRACTION: f64 = 0.1;
@@ -51,6 +52,8 @@
 /// From this fraction of its limit on, a workspace is recorded in the metadata store, for processes
 /// that start after a restart of the fleet.
 const NEAR_LIMIT_FRACTION: f64 = 0.7;
+/// Age of the counts behind a record when the next one is written.
+const RECORD_AGE: Duration = Duration::from_secs(1);
 /// From this fraction of its limit on, a workspace's counts are reported promptly.
 const PROMPT_REPORT_FRACTION: f64 = 0.5;
 /// The same for requests admitted by this VM that the others don't know of yet.
@@ -248,7 +251,8 @@
         self.near_limit_at_start.insert(workspace);
     }
 
-    /// Workspaces that use at least [`NEAR_LIMIT_FRACTION`] of their limits.
+    /// Workspaces that use at least [`NEAR_LIMIT_FRACTION`] of their limits, or would by the next
+    /// record if their demand goes on growing.
     pub fn near_limit(
         &self,
         now: Duration,
@@ -263,12 +267,24 @@
             .for_each(|count| count.add_to(&mut sums));
         let is_near = |count: &WorkspaceCount| {
             let limit = quota_of(count.workspace).map(|quota| self.measure.limit(quota));
-            limit.is_some_and(|limit| f64::from(count.admitted) >= limit * NEAR_LIMIT_FRACTION)
+            let expected = f64::from(count.admitted) + self.expected_growth(now, count);
+            limit.is_some_and(|limit| expected >= limit * NEAR_LIMIT_FRACTION)
         };
         let near = sums.into_values().filter(is_near);
         near.map(|count| count.workspace).collect()
     }
 
+    /// Requests by which the demand of a workspace grows within [`RECORD_AGE`].
+    fn expected_growth(&self, now: Duration, count: &WorkspaceCount) -> f64 {
+        let Some((recorded_at, demand)) = self.demand.front() else {
+            return 0.0;
+        };
+        let earlier = demand.get(&count.workspace).copied().unwrap_or(0);
+        let elapsed = now.saturating_sub(*recorded_at).max(RECORD_AGE);
+        let growth = f64::from(count.asked.saturating_sub(earlier));
+        growth * RECORD_AGE.as_secs_f64() / elapsed.as_secs_f64()
+    }
+
     /// Drops all reports, when processes' reports are replaced by those of delegates or the other
     /// way round.
     pub fn forget_reports(&mut self) {
--- a/src/decide/quota/window.rs
+++ b/src/decide/quota/window.rs
@@ -68,6 +68,11 @@
         steps.map(|step| step.asked).sum()
     }
 
+    /// Requests admitted or refused from `start` until `end`.
+    pub(super) fn asked_between(&self, start: Duration, end: Duration) -> u32 {
+        self.asked_since(start) - self.asked_since(end.max(start))
+    }
+
     fn since(&self, at: Duration) -> impl Iterator<Item = &WindowStep> {
         let oldest = step_number(at);
         self.steps.iter().filter(move |step| step.number >= oldest)
--- a/tests/quota_play.rs
+++ b/tests/quota_play.rs
@@ -845,15 +845,19 @@
     }
 }
 
+fn check_load(name: &str, fleet: &Simulation, load: &Simulation, below_max: f64) {
+    let load = on_fleet(fleet, Policy::Shares, load.clone());
+    let (largest, below) = simulate_seeds(name, &load, 1);
+    assert!(largest <= 1.0, "{name}: {largest} of the bound");
+    assert!(
+        below <= below_max,
+        "{name}: {below} refused below the limit"
+    );
+}
+
 fn check_early(name: &str, load: &Simulation, below_max: f64) {
     for fleet in all_fleets() {
-        let load = on_fleet(&fleet, Policy::Shares, load.clone());
-        let (largest, below) = simulate_seeds(name, &load, 1);
-        assert!(largest <= 1.0, "{name}: {largest} of the bound");
-        assert!(
-            below <= below_max,
-            "{name}: {below} refused below the limit"
-        );
+        check_load(name, &fleet, load, below_max);
     }
 }
 
@@ -887,6 +891,21 @@
     }
 }
 
+// Guards against a restart of all VMs early in a flood, after which a workspace gets its limit again,
+// or is refused what it hadn't used.
+#[test]
+fn early_restarts() {
+    for fleet in fleets() {
+        for kill_s in [3.2, 3.6, 4.5] {
+            let all = Simulation {
+                kill: (1.0, kill_s),
+                ..early_hot(3.0)
+            };
+            check_load("all killed early", &fleet, &all, REFUSED_MAX_RESTART);
+        }
+    }
+}
+
 /// Fleets in which VMs are stopped and started in turn, with the time between two stops.
 fn restarted_fleets() -> [(Simulation, u64); 3] {
     let middle = Simulation {
