Quotas: VMs of a failure domain without delegates keep to the shares they had

What callers saw: after a third of 295 VMs was killed 0.2 s into a flood, both delegates of one failure domain among them, the workspace got 1.387 of its bound; at 836 VMs, killed at 3.6 s, 1.538. The others' room is used up.

Cause: VMs of that domain hear nothing of each other, and nobody hears of them. Each counts its own newest requests against old ones of the others, so that their shares grew from 0.24 to 0.80 in sum, and what they admitted more than 0.8 s ago was taken as known to all.

Evidence: the play by 0.1 s and failure domain: from second 3.6 on the domain without delegates admits 150 to 190 requests in each 0.1 s, and still does at 4.3, 0.1 s after the others stopped.

Change: reports of a failure domain are late after three usual intervals, at least 0.3 s. Until they are back, shares are those of that time, and all that was admitted since counts as unreported.

--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -207,7 +207,7 @@
     ) -> Result<(), Duration> {
         let measure = self.measure;
         let local = self.local.entry(workspace).or_default();
-        local.expire(now, measure.window);
+        local.expire(now, measure.window + SILENT_AFTER);
         local.current_step(now).asked += 1;
         let state = self.admission_state(now, workspace, quota);
         match state.admits(draw) {
@@ -312,7 +312,7 @@
             now < report.received_at + lifetime.max(window)
         });
         for local in self.local.values_mut() {
-            local.expire(now, window);
+            local.expire(now, window + SILENT_AFTER);
         }
         self.local.retain(|_, local| !local.is_empty());
         let reports = &self.reports;
@@ -472,9 +472,10 @@
         let limit = self.measure.limit(quota);
         let here = self.admitted_here(now, workspace);
         let local = self.local.get(&workspace);
-        let unreported = local.map_or(0, |local| {
-            local.admitted_since(now.saturating_sub(self.report_delay))
-        });
+        let missing_since = self.domain_missing_since(now);
+        let told_until = now.saturating_sub(self.report_delay);
+        let told_until = missing_since.map_or(told_until, |since| since.min(told_until));
+        let unreported = local.map_or(0, |local| local.admitted_since(told_until));
         let asked_here = local.map_or(0, |local| {
             local.asked_since(now.saturating_sub(self.measure.window))
         });
@@ -491,7 +492,14 @@
             .filter(|report| !report.leaving)
             .map(|report| report.vms);
         let vms = f64::from(1 + others.sum::<u32>());
-        let by_demand = f64::from(asked_here) / f64::from(asked.max(1));
+        let comparable_here = match (missing_since, local) {
+            (Some(since), Some(local)) => {
+                local.asked_between(since.saturating_sub(self.measure.window), since)
+            }
+            _ => asked_here,
+        };
+        let comparable = asked - asked_here + comparable_here;
+        let by_demand = f64::from(comparable_here) / f64::from(comparable.max(1));
         AdmissionState {
             limit: limit * self.counted_fraction(now, workspace) * self.isolation_fraction(now),
             admitted: f64::from(here + self.admitted_elsewhere(now, workspace)),
@@ -503,6 +511,21 @@
         }
     }
 
+    /// When a failure domain was last heard whose delegates have sent nothing for longer than usual;
+    /// the earliest if there are several.
+    ///
+    /// If the delegates of a domain are killed, its VMs don't hear of each other, nor the others of
+    /// them. Each would count its own newest requests against old ones of the others, and in a flood
+    /// take a growing share. So they keep to the shares of that time, for all that they have admitted
+    /// since.
+    fn domain_missing_since(&self, now: Duration) -> Option<Duration> {
+        let domains = self.reports.iter().filter(|(counted, report)| {
+            let is_domain = matches!(counted, Counted::Domain(_));
+            is_domain && report.silent_shares.is_none() && report.is_late(now)
+        });
+        domains.map(|(_, report)| report.received_at).min()
+    }
+
     /// Fraction of the fleet that has sent a report since this process started.
     ///
     /// Without this, when all processes start at once, each would assume that it is the only one.
--- a/src/decide/quota/reports.rs
+++ b/src/decide/quota/reports.rs
@@ -7,6 +7,13 @@
 use super::{CountReport, WorkspaceCount, WorkspaceKey, SILENT_AFTER};
 use crate::id::OwnerId;
 
+/// Number of usual intervals after which a report is late: one may be lost.
+const LATE_INTERVALS: f64 = 3.0;
+/// Shortest age at which a report is late.
+const LATE_AFTER_MIN: Duration = Duration::from_millis(300);
+/// Factor by which the usual interval falls with each shorter one.
+const INTERVAL_DECAY: f64 = 0.75;
+
 #[derive(Debug, Clone, Copy)]
 struct ReportedRow {
     at: Duration,
@@ -36,6 +43,8 @@
     pub(super) vms: u32,
     pub(super) counted_for: Duration,
     pub(super) received_at: Duration,
+    /// Usual time between two reports; zero until there were two.
+    interval: Duration,
     pub(super) leaving: bool,
     /// A newer process of its VM has replaced it: its requests leave the window.
     pub(super) replaced: bool,
@@ -51,6 +60,7 @@
             vms: 0,
             counted_for: Duration::ZERO,
             received_at: now,
+            interval: Duration::ZERO,
             leaving: false,
             replaced: false,
             senders: Vec::new(),
@@ -80,6 +90,12 @@
             };
             stored.rows.insert(count.workspace, row);
         }
+        // Two delegates may send at the same time.
+        let interval = now.saturating_sub(self.received_at);
+        if !interval.is_zero() {
+            let decayed = self.interval.mul_f64(INTERVAL_DECAY);
+            self.interval = interval.max(decayed).min(SILENT_AFTER);
+        }
         self.received_at = now;
         self.leaving = report.leaving;
         self.silent_shares = None;
@@ -90,6 +106,12 @@
         }
     }
 
+    /// Whether no report has arrived for much longer than usual.
+    pub(super) fn is_late(&self, now: Duration) -> bool {
+        let late_after = self.interval.mul_f64(LATE_INTERVALS).max(LATE_AFTER_MIN);
+        !self.interval.is_zero() && now > self.received_at + late_after
+    }
+
     /// The row of a sender; a new one after a gap, since it may have missed others' reports.
     fn sender(&mut self, now: Duration, sender: OwnerId) -> &mut SenderReport {
         let continued = |known: &SenderReport| known.sender == sender && known.is_current(now);
--- a/tests/quota_play.rs
+++ b/tests/quota_play.rs
@@ -906,6 +906,18 @@
     }
 }
 
+// Guards against VMs that take a growing share of a flood after the delegates of their failure domain
+// were killed, and nobody hears what they admit.
+#[test]
+fn lost_delegates() {
+    let third = Simulation {
+        kill: (0.33, 3.2),
+        ..early_hot(3.0)
+    };
+    let fleet = &fleets()[2];
+    check_load("delegates killed", fleet, &third, REFUSED_MAX_HOT_FAULT);
+}
+
 /// Fleets in which VMs are stopped and started in turn, with the time between two stops.
 fn restarted_fleets() -> [(Simulation, u64); 3] {
     let middle = Simulation {
