--- a/tests/quota_play.rs
+++ b/tests/quota_play.rs
@@ -874,6 +874,18 @@
     }
 }
 
+// Guards against a workspace that gets more than its limit when its load rises twice within a second,
+// without any failure.
+#[test]
+fn flood_seeds() {
+    for fleet in &all_fleets()[2..] {
+        let load = on_fleet(fleet, Policy::Shares, early_hot(3.0));
+        let (largest, below) = simulate_seeds("hot early, three seeds", &load, 3);
+        assert!(largest <= 1.0, "{largest} of the bound");
+        assert!(below <= REFUSED_MAX_HOT, "{below} refused below the limit");
+    }
+}
+
 // Guards against the loss of what killed VMs admitted last: others would admit as much again.
 #[test]
 fn early_kills() {
