Software versions of endpoints in logs and the state dump

"request ended" and "item starts" name the version of the endpoint; "request ended" also the attempt whose stream the caller resumes and after which event, "try failed" the last event passed on. No decision uses the version yet.

--- a/src/decide/discovery.rs
+++ b/src/decide/discovery.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use self::ended::EndedEndpoints;
-pub use self::entry::{KnownEntry, Registration};
+pub use self::entry::{unknown_software, KnownEntry, Registration};
 use self::news::ChangeLog;
 pub use self::news::{entry_key, EndpointChanges, EndpointNews, EndpointQuery, HeldEndpoints};
 use self::outage::Outage;
@@ -146,7 +146,17 @@
         };
         // If the drain was received by another path, a late read must not undo it.
         let draining = entry.draining || row.entry.draining;
-        let entry = Registration { draining, ..entry };
+        // A peer may not know the software of an endpoint that this VM has read itself.
+        let software = match entry.software.is_empty() {
+            true => row.entry.software.clone(),
+            false => entry.software.clone(),
+        };
+        let entry = Registration {
+            draining,
+            software,
+            ..entry
+        };
+        let is_other_software = entry.software != row.entry.software;
         let transition = row.transition_to(&entry);
         let name = entry.name.clone();
         row.entry = entry;
@@ -155,7 +165,7 @@
         if let Some(transition) = transition {
             self.record_transition(name, transition, revision);
         }
-        transition.is_some()
+        transition.is_some() || is_other_software
     }
 
     /// Applies an entry that describes no usable endpoint, because it can't be parsed or has
--- a/src/decide/discovery/entry.rs
+++ b/src/decide/discovery/entry.rs
@@ -21,6 +21,15 @@
     pub slots: u32,
     /// Final for this process.
     pub draining: bool,
+    /// Version of the endpoint's software; empty if it is not known. Programs without this field
+    /// exchange the other fields as a fixed sequence, so it is sent apart from them.
+    #[serde(skip, default = "unknown_software")]
+    pub software: Name,
+}
+
+/// The software version of an endpoint whose version is not known.
+pub fn unknown_software() -> Name {
+    Name::from("")
 }
 
 impl Registration {
@@ -37,6 +46,7 @@
             service: self.service,
             address: self.address.clone(),
             initial_limit: f64::from(self.slots.max(1)),
+            software: self.software.clone(),
         }
     }
 }
--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -64,6 +64,8 @@
     pub address: Name,
     /// Concurrency assumed until the limit is learned.
     pub initial_limit: f64,
+    /// Version of its software; empty if it is not known.
+    pub software: Name,
 }
 
 /// One endpoint.
--- a/src/entry/config_index.rs
+++ b/src/entry/config_index.rs
@@ -5,6 +5,7 @@
 
 use crate::config::{Service, ServiceKind, State, Versioned};
 use crate::decide::access::{KeyDigest, KeyTable};
+use crate::decide::discovery::unknown_software;
 use crate::decide::endpoints::EndpointConfig;
 use crate::decide::online;
 use crate::decide::window::BatchWeight;
@@ -99,6 +100,7 @@
                 service: id::of(&endpoint.service),
                 address: endpoint.address.clone(),
                 initial_limit: limits.get(&endpoint.service).copied().unwrap_or(1).into(),
+                software: unknown_software(),
             };
             (id::of(&endpoint.name), declared)
         });
--- a/src/serve/dialect.rs
+++ b/src/serve/dialect.rs
@@ -51,6 +51,8 @@
     pub timeout: Option<Duration>,
     /// The last event that the caller received of an interrupted answer.
     pub last_event: Option<u64>,
+    /// The caller's attempt that brought the first event of that answer.
+    pub resumes: Option<String>,
     pub prompt: Vec<PromptSegment>,
 }
 
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -79,6 +79,7 @@
 #[derive(Serialize)]
 struct EndpointRow {
     name: String,
+    software: String,
     usable: bool,
     online_here: u32,
     online_elsewhere: u32,
@@ -224,6 +225,7 @@
     let (items, items_running) = core.items.counts();
     let endpoint = |row: &Endpoint| EndpointRow {
         name: row.config.name.to_string(),
+        software: row.config.software.to_string(),
         usable: row.usable(now),
         online_here: row.online_here,
         online_elsewhere: row.online_elsewhere,
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -26,7 +26,7 @@
 use crate::decide::access::Workspace;
 use crate::decide::admission::Admission;
 use crate::decide::backlog::Backlog;
-use crate::decide::discovery::{Discovery, CUT_OFF_AFTER};
+use crate::decide::discovery::{unknown_software, Discovery, CUT_OFF_AFTER};
 use crate::decide::freshness::{ConfirmationAges, Freshness, StoreSubject, VersionsMatch};
 use crate::decide::items::Items;
 use crate::decide::load_reports::LoadReports;
@@ -38,7 +38,7 @@
 use crate::decide::small_jobs::SmallJobRecord;
 use crate::decide::usage::Usage;
 use crate::id::{
-    self, ConfigVersion, DomainId, EndpointId, OwnerId, RequestId, Revision, ServiceId, VmId,
+    self, ConfigVersion, DomainId, EndpointId, Name, OwnerId, RequestId, Revision, ServiceId, VmId,
     WorkspaceId,
 };
 use crate::settings;
@@ -457,6 +457,13 @@
         })
     }
 
+    /// Software version of an endpoint; empty if it is gone or its version is not known.
+    pub fn software(&self, endpoint: EndpointId) -> Name {
+        let core = self.core.borrow();
+        let row = core.online.endpoints.get(endpoint);
+        row.map_or_else(unknown_software, |row| row.config.software.clone())
+    }
+
     /// Runs everything that depends on time alone.
     pub fn tick(&self) {
         let now = clock::now();
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -23,11 +23,12 @@
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::access::{self, Credential};
+use crate::decide::discovery::unknown_software;
 use crate::decide::online::{Action, Arrival, AttemptOutcome, Event};
 use crate::decide::refusal::RefusalKind;
 use crate::decide::retry::AttemptStage;
 use crate::decide::routes::{Route, RouteKind};
-use crate::id::{self, EndpointId, RequestId, ServiceId, WorkspaceId};
+use crate::id::{self, EndpointId, Name, RequestId, ServiceId, WorkspaceId};
 
 /// Chunks that may queue for a slow caller; when the queue is full, reading from the endpoint
 /// pauses.
@@ -66,6 +67,8 @@
         resumable: route.kind == RouteKind::Streaming && route.resumable,
         last_event: params.last_event,
         attempt_start_event: params.last_event,
+        resumes: params.resumes.unwrap_or_default(),
+        resumed_after: params.last_event,
         may_have_run: false,
         out: Rc::new(out),
         arrived_at: now,
@@ -79,6 +82,7 @@
         attempts: 0,
         sent_at: None,
         sent_to: String::new(),
+        software: unknown_software(),
         first_at: None,
     };
     let arrival = Arrival {
@@ -172,6 +176,10 @@
     last_event: Option<u64>,
     /// The value of `last_event` when the last attempt was sent.
     attempt_start_event: Option<u64>,
+    /// The caller's earlier attempt that brought the first event, if the caller resumes a stream.
+    resumes: String,
+    /// The last event of that stream.
+    resumed_after: Option<u64>,
     /// Whether any attempt may have run.
     may_have_run: bool,
     out: Rc<Outgoing>,
@@ -193,6 +201,8 @@
     sent_at: Option<Duration>,
     /// The endpoint it was sent to.
     sent_to: String,
+    /// Its software version.
+    software: Name,
     /// When the first event, or the complete answer, was available.
     first_at: Option<Duration>,
 }
@@ -263,6 +273,7 @@
         self.attempt_start_event = self.last_event;
         self.sent_at = Some(clock::now());
         self.sent_to = self.endpoint_name(endpoint);
+        self.software = self.node.software(endpoint);
         let result = match self.node.target(endpoint) {
             Some(target) => self.attempt(&target).await,
             None => AttemptResult::Failed(Failure::not_of_endpoint(
@@ -359,6 +370,8 @@
             request = self.out.id,
             asked = fingerprint.unwrap_or_default(),
             endpoint = self.endpoint_name(endpoint),
+            software = *self.software,
+            last_event = self.last_event.unwrap_or(0),
             ended,
             attempt = self.attempts,
             reach = name,
@@ -668,6 +681,9 @@
             detail,
             attempts = self.attempts,
             endpoint = self.sent_to,
+            software = *self.software,
+            resumes = self.resumes,
+            resumed_after = self.resumed_after.unwrap_or(0),
             last_event = self.last_event.unwrap_or(0),
             sent_ms = self.ms_after_arrival(self.sent_at),
             first_ms = self.ms_after_arrival(self.first_at),
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -59,6 +59,7 @@
         job = *key.job,
         item = items.get(key.item as usize).map_or("", |item| &*item.id),
         endpoint = node.target(endpoint).map_or_else(String::new, |t| t.instance),
+        software = *node.software(endpoint),
         after_event = progress.last_event.unwrap_or(0);
         "item starts"
     );
--- a/src/standin/table.rs
+++ b/src/standin/table.rs
@@ -1,5 +1,6 @@
 //! Endpoint configurations for tests and benchmarks of the decision code.
 
+use crate::decide::discovery::unknown_software;
 use crate::decide::endpoints::EndpointConfig;
 use crate::id::{self, DomainId, EndpointId, ServiceId};
 
@@ -19,6 +20,7 @@
             service,
             address: "127.0.0.1:1".into(),
             initial_limit: slots,
+            software: unknown_software(),
         };
         (id::of(&name), config)
     })
--- a/tests/endpoint_evidence.rs
+++ b/tests/endpoint_evidence.rs
@@ -5,6 +5,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
+use bramleyseam::decide::discovery::unknown_software;
 use bramleyseam::decide::endpoints::{EndpointConfig, Endpoints, EJECT_MIN};
 use bramleyseam::decide::evidence::{Evidence, EvidenceState, ProbeQuery, FAILURES_MIN};
 use bramleyseam::decide::items;
@@ -39,6 +40,7 @@
         service: SERVICE,
         address: name.as_str().into(),
         initial_limit: SLOTS,
+        software: unknown_software(),
     };
     (id, config)
 }
--- a/tests/endpoint_subsets.rs
+++ b/tests/endpoint_subsets.rs
@@ -3,7 +3,9 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use bramleyseam::decide::discovery::{Discovery, HeldEndpoints, KnownEntry, Registration};
+use bramleyseam::decide::discovery::{
+    unknown_software, Discovery, HeldEndpoints, KnownEntry, Registration,
+};
 use bramleyseam::decide::subset::{self, Candidate, SubsetOwner, WHOLE_TABLE_MAX};
 use bramleyseam::id::{self, DomainId, EntryId};
 
@@ -56,6 +58,7 @@
             domain: domain_of(at),
             slots: 7,
             draining,
+            software: unknown_software(),
         },
         revision,
         lapsing: None,
