Streams go on only at the software version that began them

Cause: an endpoint's version was parsed and dropped, and every choice of an endpoint took all endpoints of a service for equal. A request that has events behind it is bound to what made them, in one answer and over its caller's attempts; nothing held that binding.

Change: - The state machine binds a request to the version of the endpoint that brought its first event. Retries, the queue and its order keep to it; a stream that waits for its version holds up nothing else, and its wait counts from the break, not from its arrival. - A caller names only its earlier attempt, and mostly comes because its VM has died. So the VM that passes on the first event tells up to four others who made it, just before: two in its failure domain, one in each of two others. A VM that resumes the stream asks two in each domain. The fact never changes, so that a record may be lost, never wrong. - Not known: refused with 503, unless the service has had a single version for longer than a stream can last, by a complete and confirmed view. No endpoint of the version: refused at once. - Whole services are the same fault: a route with several services picked one anew for each attempt. The record names the service too. - A VM of a large fleet keeps eight endpoints of each version in its subset.

Other programs of a rolling update: versions travel on a path of their own, an old program answers 404 there and is asked as before. A stream that an old program began is not known.

--- a/src/bench/slopes.rs
+++ b/src/bench/slopes.rs
@@ -89,6 +89,7 @@
                         service: SERVICE,
                         prefix: round | 1,
                         avoid: None,
+                        software: None,
                     };
                     let now = Duration::from_secs(1);
                     let _ = black_box(choose(&table, 0, query, policy, now, &mut rng));
--- a/src/decide/discovery.rs
+++ b/src/decide/discovery.rs
@@ -379,6 +379,7 @@
             id: *id,
             service: row.entry.service,
             domain: row.entry.domain,
+            software: id::of(&row.entry.software),
         });
         let mut chosen = subset::choose(owner, candidates);
         let is_draining = |id: &&EntryId| self.rows.get(id).is_some_and(|row| row.entry.draining);
--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -137,6 +137,11 @@
         self.leaving.is_none() && now >= self.ejected_until && !self.barred
     }
 
+    /// Whether its software has this version; false if its version is not known.
+    pub fn runs_software(&self, software: &str) -> bool {
+        !software.is_empty() && *self.config.software == *software
+    }
+
     /// Requests of all VMs there, in the local view.
     pub fn counts(&self) -> EndpointLoad {
         EndpointLoad {
--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -3,20 +3,21 @@
 //! A single state machine holds all requests. Each event and each tick may return actions for any
 //! of them.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::Rng;
 
 use super::admission::ServiceLimit;
+use super::discovery::unknown_software;
 use super::endpoints::Endpoints;
 use super::evidence::{Evidence, ProbeQuery};
 use super::kept_slots::KeptSlots;
 use super::refusal::RefusalKind;
 use super::retry::{self, AttemptStage, RetryBudget};
 use super::routing::{self, NoEndpointReason, Policy, RouteQuery};
-use crate::id::{DomainId, EndpointId, RequestId, ServiceId, WorkspaceId};
+use crate::id::{DomainId, EndpointId, Name, RequestId, ServiceId, WorkspaceId};
 
 /// Share of a workspace that has no share in the configuration.
 pub const SHARE_DEFAULT: f64 = 0.05;
@@ -78,6 +79,8 @@
     pub resumable: bool,
     /// Maximum number of attempts, the first included.
     pub attempts_max: u32,
+    /// The software version that began the stream, if the caller resumes one.
+    pub software: Option<Name>,
 }
 
 /// How an attempt ended.
@@ -151,9 +154,33 @@
     is_probe: bool,
     /// Endpoint against which a failure of this request was counted.
     accused: Option<EndpointId>,
+    /// The software version that made the events which the caller has.
+    software: Option<Name>,
+    /// Software version of the endpoint of the last attempt.
+    sent_to_software: Name,
+    /// When it began to wait in the queue.
+    queued_at: Duration,
 }
 
 impl RequestRow {
+    fn route_query(&self) -> RouteQuery<'_> {
+        RouteQuery {
+            service: self.arrival.service,
+            prefix: self.arrival.prefix,
+            avoid: self.endpoint,
+            software: self.software.as_ref(),
+        }
+    }
+
+    /// From when on its wait counts. The caller of a stream that broke off has had events since it
+    /// asked.
+    fn waiting_since(&self) -> Duration {
+        match self.software {
+            Some(_) => self.queued_at,
+            None => self.arrived_at,
+        }
+    }
+
     fn has_attempts_left(&self) -> bool {
         let refused_attempts = self.refused_attempts.min(REFUSED_ATTEMPTS_MAX);
         self.attempts < self.arrival.attempts_max + refused_attempts
@@ -182,6 +209,8 @@
     in_flight_by_workspace: HashMap<WorkspaceId, usize>,
     queues: HashMap<WorkspaceId, VecDeque<RequestId>>,
     queued: usize,
+    /// Those of `queued` that can only be sent to endpoints of one software version, by version.
+    queued_streams: HashMap<Name, usize>,
     /// Requests that have arrived since this process started.
     arrivals_total: u64,
     /// Moving average of the time for which a request holds a slot, in seconds.
@@ -189,6 +218,21 @@
     kept_slots: KeptSlots,
 }
 
+impl ServiceState {
+    /// Whether requests are queued that may need the same endpoints. Streams wait for endpoints of
+    /// their own software versions and hold up nothing else.
+    fn has_queued_before(&self, row: &RequestRow) -> bool {
+        match &row.software {
+            Some(software) => self.queued_streams_of(software) > 0,
+            None => self.queued > self.queued_streams.values().sum(),
+        }
+    }
+
+    fn queued_streams_of(&self, software: &Name) -> usize {
+        self.queued_streams.get(software).copied().unwrap_or(0)
+    }
+}
+
 /// Load of this VM on one service.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OwnLoad {
@@ -331,6 +375,9 @@
             given_up: false,
             is_probe: false,
             accused: None,
+            software: arrival.software.clone(),
+            sent_to_software: unknown_software(),
+            queued_at: now,
             arrival,
         };
         let Some(service) = self.services.get(&row.arrival.service) else {
@@ -341,7 +388,7 @@
         let in_flight_max = self.in_flight_max(now, row.arrival.service, max_in_flight);
         let state = self.service_states.entry(row.arrival.service).or_default();
         state.arrivals_total += 1;
-        let free = state.queued == 0 && state.in_flight < in_flight_max;
+        let free = !state.has_queued_before(&row) && state.in_flight < in_flight_max;
         if now >= row.arrival.deadline {
             out.push(refusal(request, RefusalKind::DeadlinePassed, true, None));
             return;
@@ -355,12 +402,11 @@
             Ok(endpoint) => self.send(now, row, endpoint, out),
             Err(NoEndpointReason::NoneUsable) => {
                 let retry_after = self.jittered(RETRY_AFTER_MIN * 2);
-                out.push(refusal(
-                    request,
-                    RefusalKind::NoEndpoint,
-                    true,
-                    Some(retry_after),
-                ));
+                let kind = match row.software {
+                    Some(_) => RefusalKind::SoftwareGone,
+                    None => RefusalKind::NoEndpoint,
+                };
+                out.push(refusal(request, kind, true, Some(retry_after)));
             }
             Err(NoEndpointReason::AllFull) => self.enqueue(now, row, queue_limit, out),
         }
@@ -377,8 +423,9 @@
             is_repeatable: row.arrival.idempotent && row.arrival.attempts_max > 1,
             avoid: row.endpoint,
         };
-        if row.attempts > 0 {
-            // The failure of a retry accuses nobody, so that it tells nothing.
+        if row.attempts > 0 || row.software.is_some() {
+            // The failure of a retry accuses nobody, so that it tells nothing. A probe or a kept slot
+            // may be at an endpoint where the request's stream can't go on.
             return self.route(now, row);
         }
         let probed = self.evidence.probe(now, query, &self.endpoints);
@@ -415,15 +462,10 @@
     }
 
     fn route(&mut self, now: Duration, row: &RequestRow) -> Result<EndpointId, NoEndpointReason> {
-        let query = RouteQuery {
-            service: row.arrival.service,
-            prefix: row.arrival.prefix,
-            avoid: row.endpoint,
-        };
         routing::choose(
             &self.endpoints,
             self.local_domain,
-            query,
+            row.route_query(),
             self.policy,
             now,
             &mut self.rng,
@@ -439,7 +481,7 @@
         row: &RequestRow,
     ) -> Result<EndpointId, NoEndpointReason> {
         let proven = match self.evidence.is_enabled() {
-            true => routing::choose_proven(&self.endpoints, row.arrival.service, row.endpoint, now),
+            true => routing::choose_proven(&self.endpoints, row.route_query(), now),
             false => None,
         };
         match proven {
@@ -459,8 +501,10 @@
         }
         row.sent_at = now;
         row.last_received_at = now;
+        row.sent_to_software = unknown_software();
         if let Some(endpoint) = self.endpoints.get_mut(to) {
             endpoint.online_here += 1;
+            row.sent_to_software = endpoint.config.software.clone();
         }
         let state = self.service_states.entry(row.arrival.service).or_default();
         state.in_flight += 1;
@@ -491,17 +535,23 @@
     fn enqueue(
         &mut self,
         now: Duration,
-        row: RequestRow,
+        mut row: RequestRow,
         queue_limit: usize,
         out: &mut Vec<Action>,
     ) {
         let request = row.arrival.request;
         let (service, workspace) = (row.arrival.service, row.arrival.workspace);
         let state = self.service_states.entry(service).or_default();
-        let (all_queued, own_queued) = (
-            state.queued,
-            state.queues.get(&workspace).map_or(0, VecDeque::len),
-        );
+        let (all_queued, own_queued) = match &row.software {
+            Some(software) => {
+                let ahead = state.queued_streams_of(software);
+                (ahead, ahead)
+            }
+            None => (
+                state.queued,
+                state.queues.get(&workspace).map_or(0, VecDeque::len),
+            ),
+        };
         let share = self.share(service, workspace);
         let workspace_limit = ((queue_limit as f64 * share).ceil() as usize).max(1);
         let wait = self.expected_wait(now, service, queue_position(own_queued, share, all_queued));
@@ -526,12 +576,21 @@
             return;
         }
         let state = self.service_states.entry(service).or_default();
-        state
-            .queues
-            .entry(workspace)
-            .or_default()
-            .push_back(request);
+        let queue = state.queues.entry(workspace).or_default();
+        let rows = &self.rows;
+        let is_stream = |id: &&RequestId| rows.get(id).is_some_and(|row| row.software.is_some());
+        // Streams that have begun come first: only some endpoints can serve them, and their callers
+        // already wait within an answer.
+        let at = match row.software {
+            Some(_) => queue.iter().take_while(is_stream).count(),
+            None => queue.len(),
+        };
+        queue.insert(at, request);
         state.queued += 1;
+        if let Some(software) = &row.software {
+            *state.queued_streams.entry(software.clone()).or_default() += 1;
+        }
+        row.queued_at = now;
         self.rows.insert(request, row);
     }
 
@@ -610,6 +669,9 @@
             return;
         };
         row.answering = true;
+        if row.arrival.resumable && row.software.is_none() {
+            row.software = Some(row.sent_to_software.clone());
+        }
         let Some(service) = self.services.get(&row.arrival.service) else {
             return;
         };
@@ -805,14 +867,16 @@
         let evidence = &self.evidence;
         let frees = |id| evidence.frees_retry(now, id, &self.endpoints);
         let is_free = ended || row.endpoint.is_some_and(frees);
+        let mut software_gone = false;
         if permitted && attempts_left && (is_free || self.budget.spend(now)) {
             match self.route_again(now, &row) {
                 Ok(endpoint) => return self.send(now, row, endpoint, out),
                 Err(NoEndpointReason::AllFull) => return self.requeue(now, row, out),
-                Err(NoEndpointReason::NoneUsable) => {}
+                Err(NoEndpointReason::NoneUsable) => software_gone = row.software.is_some(),
             }
         }
         let kind = match (row.may_have_run, row.arrival.idempotent) {
+            _ if software_gone => RefusalKind::SoftwareGone,
             (false, _) => RefusalKind::NoEndpoint,
             (true, false) => RefusalKind::OutcomeUnknown,
             (true, true) => RefusalKind::EndpointFailed,
@@ -908,7 +972,14 @@
         };
         let before = queue.len();
         queue.retain(|queued| *queued != request);
-        state.queued -= before - queue.len();
+        let removed = before - queue.len();
+        state.queued -= removed;
+        if let Some(software) = row.software.as_ref().filter(|_| removed > 0) {
+            match state.queued_streams.get_mut(software) {
+                Some(count) if *count > 1 => *count -= 1,
+                _ => drop(state.queued_streams.remove(software)),
+            }
+        }
     }
 
     /// Drops queued requests as soon as they have waited too long, so that callers can go
@@ -925,7 +996,7 @@
             .copied()
             .filter(|request| {
                 let row = &self.rows[request];
-                now >= row.arrival.deadline || now >= row.arrived_at + max_wait
+                now >= row.arrival.deadline || now >= row.waiting_since() + max_wait
             })
             .collect();
         for request in expired {
@@ -951,6 +1022,8 @@
     fn dispatch(&mut self, now: Duration, service: ServiceId, out: &mut Vec<Action>) {
         let max_in_flight = self.services.get(&service).map_or(0, |s| s.max_in_flight);
         let max_in_flight = self.in_flight_max(now, service, max_in_flight);
+        // Software versions without a free endpoint.
+        let mut full = HashSet::new();
         loop {
             let Some(state) = self.service_states.get(&service) else {
                 return;
@@ -958,17 +1031,18 @@
             if state.queued == 0 || state.in_flight >= max_in_flight {
                 return;
             }
-            let Some(workspace) = self.furthest_below_share(service, state) else {
-                return;
-            };
-            let Some(request) = state.queues[&workspace].front().copied() else {
+            let Some(request) = self.furthest_below_share(service, state, &full) else {
                 return;
             };
             let Some(mut row) = self.rows.get(&request).cloned() else {
                 return;
             };
             let Ok(endpoint) = self.probe_or_route(now, &mut row) else {
-                return;
+                match row.software {
+                    Some(software) => full.insert(software),
+                    None => return,
+                };
+                continue;
             };
             self.rows.remove(&request);
             self.dequeue(&row);
@@ -976,11 +1050,19 @@
         }
     }
 
+    /// The first request of the workspace that is furthest below its share, without the streams
+    /// whose software versions are `full`.
     fn furthest_below_share(
         &self,
         service: ServiceId,
         state: &ServiceState,
-    ) -> Option<WorkspaceId> {
+        full: &HashSet<Name>,
+    ) -> Option<RequestId> {
+        let may_fit = |request: &&RequestId| {
+            let row = self.rows.get(*request);
+            let software = row.and_then(|row| row.software.as_ref());
+            software.is_none_or(|software| !full.contains(software))
+        };
         let relative_use = |workspace: WorkspaceId, first: &RequestId| {
             let in_flight = state
                 .in_flight_by_workspace
@@ -993,12 +1075,12 @@
             (in_flight as f64 + 1.0) / share.max(f64::EPSILON)
         };
         let waiting = state.queues.iter().filter_map(|(workspace, queue)| {
-            let first = queue.front()?;
-            Some((*workspace, relative_use(*workspace, first)))
+            let first = queue.iter().find(may_fit)?;
+            Some((*workspace, *first, relative_use(*workspace, first)))
         });
         waiting
-            .min_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)))
-            .map(|(workspace, _)| workspace)
+            .min_by(|a, b| a.2.total_cmp(&b.2).then(a.0.cmp(&b.0)))
+            .map(|(_, request, _)| request)
     }
 }
 
--- a/src/decide/peers.rs
+++ b/src/decide/peers.rs
@@ -10,6 +10,7 @@
 mod domains;
 mod messages;
 mod queries;
+mod record_holders;
 mod summaries;
 mod summary_round;
 mod waiting;
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -36,6 +36,10 @@
     DeadlinePassed,
     #[strum(message = "no endpoint can be reached")]
     NoEndpoint,
+    #[strum(message = "no endpoint runs the software that began this stream")]
+    SoftwareGone,
+    #[strum(message = "it is not known which software began this stream")]
+    OriginUnknown,
     #[strum(message = "the endpoint failed")]
     EndpointFailed,
     #[strum(message = "the outcome of an earlier try is unknown")]
@@ -65,6 +69,8 @@
             RefusalKind::ServiceFull
             | RefusalKind::DeadlineUnreachable
             | RefusalKind::NoEndpoint
+            | RefusalKind::SoftwareGone
+            | RefusalKind::OriginUnknown
             | RefusalKind::Quarantined
             | RefusalKind::PlatformAway
             | RefusalKind::NotReady => 503,
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use super::endpoints::{Endpoint, Endpoints};
-use crate::id::{weight, DomainId, EndpointId, ServiceId};
+use crate::id::{weight, DomainId, EndpointId, Name, ServiceId};
 
 /// With prefix affinity, an endpoint takes at most this many times the mean load.
 pub const LOAD_BOUND: f64 = 1.25;
@@ -29,12 +29,14 @@
 
 /// What an endpoint is needed for.
 #[derive(Debug, Clone, Copy)]
-pub struct RouteQuery {
+pub struct RouteQuery<'a> {
     pub service: ServiceId,
     /// Hash of the prompt's prefix; 0 if there is none.
     pub prefix: u64,
     /// Endpoint of an earlier attempt, skipped if there is another.
     pub avoid: Option<EndpointId>,
+    /// The software version that began the request's stream, if it has events already.
+    pub software: Option<&'a Name>,
 }
 
 /// Why there is no endpoint.
@@ -80,7 +82,7 @@
 pub fn choose(
     table: &Endpoints,
     local_domain: DomainId,
-    query: RouteQuery,
+    query: RouteQuery<'_>,
     policy: Policy,
     now: Duration,
     rng: &mut impl Rng,
@@ -92,45 +94,57 @@
     for (test, local) in preferences {
         let fits = |row: &Endpoint| {
             let is_local = (row.config.domain == local_domain) == *local;
-            is_local && row.usable(now) && test(row, now) && query.avoid != Some(row.id)
+            let is_new = query.avoid != Some(row.id);
+            is_local && query.accepts(row) && row.usable(now) && test(row, now) && is_new
         };
         if let Some(found) = best(table, query, policy, now, rng, fits) {
             return Ok(found);
         }
     }
     let rows = table.of_service(query.service).iter();
-    let usable = rows
+    let mut rows = rows
         .map(|at| &table.rows[*at])
-        .filter(|row| row.usable(now));
+        .filter(|row| query.accepts(row));
+    let usable = rows.clone().filter(|row| row.usable(now));
     // An endpoint that failed before is better than none.
     if let Some(retried) = usable.clone().find(|row| row.has_room(now)) {
         return Ok(retried.id);
     }
+    // A stream can go on nowhere else, so it may wait for an endpoint that is out of use for a while.
+    let may_return = query.software.is_some() && rows.any(|row| row.leaving.is_none());
     match usable.count() {
-        0 => Err(NoEndpointReason::NoneUsable),
+        0 if !may_return => Err(NoEndpointReason::NoneUsable),
         _ => Err(NoEndpointReason::AllFull),
     }
 }
 
+impl RouteQuery<'_> {
+    /// Whether the request may run at an endpoint at all.
+    fn accepts(&self, endpoint: &Endpoint) -> bool {
+        self.software
+            .is_none_or(|software| endpoint.runs_software(software))
+    }
+}
+
 /// The endpoint with a free slot that last answered a request of this VM and has no recent failures.
 pub fn choose_proven(
     table: &Endpoints,
-    service: ServiceId,
-    avoid: Option<EndpointId>,
+    query: RouteQuery<'_>,
     now: Duration,
 ) -> Option<EndpointId> {
-    let rows = table.of_service(service).iter();
+    let rows = table.of_service(query.service).iter();
     let rows = rows.map(|at| &table.rows[*at]);
     let proven = rows.filter(|row| {
         let has_answered = row.succeeded_at > Duration::ZERO && row.penalty == 0.0;
-        has_answered && row.usable(now) && row.has_slot(now) && avoid != Some(row.id)
+        let is_new = query.avoid != Some(row.id);
+        has_answered && query.accepts(row) && row.usable(now) && row.has_slot(now) && is_new
     });
     proven.max_by_key(|row| row.succeeded_at).map(|row| row.id)
 }
 
 fn best(
     table: &Endpoints,
-    query: RouteQuery,
+    query: RouteQuery<'_>,
     policy: Policy,
     now: Duration,
     rng: &mut impl Rng,
--- a/src/decide/subset.rs
+++ b/src/decide/subset.rs
@@ -20,6 +20,9 @@
 const LOCAL_MIN: usize = 64;
 /// The same for all other failure domains together. Of eleven domains, six are left if one serves.
 const REMOTE_MIN: usize = 64;
+/// Endpoints of each software version of a service: streams go on only at the version that began
+/// them, also while it has few endpoints left.
+const SOFTWARE_MIN: usize = 8;
 /// VMs that use each endpoint of their failure domain on average. The number varies from endpoint
 /// to endpoint; with this average one in 400 is used by no VM.
 const VMS_PER_ENDPOINT: usize = 6;
@@ -39,6 +42,8 @@
     pub id: EntryId,
     pub service: ServiceId,
     pub domain: DomainId,
+    /// Hash of its software version.
+    pub software: u64,
 }
 
 /// Endpoints of one service in the local failure domain and in all others, with their weights.
@@ -51,9 +56,12 @@
 /// The endpoints that `owner` uses: the first of each service in its order.
 pub fn choose(owner: SubsetOwner, candidates: impl Iterator<Item = Candidate>) -> HashSet<EntryId> {
     let mut services: HashMap<ServiceId, ServiceCandidates> = HashMap::new();
+    let mut versions: HashMap<(ServiceId, u64), Vec<(u64, EntryId)>> = HashMap::new();
     for candidate in candidates {
         let service = services.entry(candidate.service).or_default();
         let ranked = (weight(candidate.id, owner.vm), candidate.id);
+        let version = (candidate.service, candidate.software);
+        versions.entry(version).or_default().push(ranked);
         match candidate.domain == owner.domain {
             true => service.local.push(ranked),
             false => service.remote.push(ranked),
@@ -65,6 +73,12 @@
         chosen.extend(first_ranked(service.local, local_size));
         chosen.extend(first_ranked(service.remote, REMOTE_MIN));
     }
+    for version in versions.into_values() {
+        let is_chosen = |(_, id): &&(u64, EntryId)| chosen.contains(id);
+        if version.iter().filter(is_chosen).count() < SOFTWARE_MIN {
+            chosen.extend(first_ranked(version, SOFTWARE_MIN));
+        }
+    }
     chosen
 }
 
--- a/src/entry/online.rs
+++ b/src/entry/online.rs
@@ -106,6 +106,7 @@
             idempotent,
             resumable: false,
             attempts_max: ATTEMPTS_MAX_DEFAULT,
+            software: None,
         }));
         OnlineRequest {
             node,
--- a/src/id.rs
+++ b/src/id.rs
@@ -24,6 +24,8 @@
 pub type ModelId = u64;
 /// One online request within one entry process.
 pub type RequestId = u64;
+/// Hash of the caller's attempt that brought the first event of a stream.
+pub type StreamId = u64;
 /// One attempt of a request or item at one endpoint; endpoints echo it.
 pub type AttemptId = String;
 /// A batch job's id, `batch_` and a digest.
--- a/src/model/fleet/online.rs
+++ b/src/model/fleet/online.rs
@@ -23,6 +23,7 @@
             idempotent: true,
             resumable: true,
             attempts_max: 2,
+            software: None,
         };
         self.handle(vm, Event::Arrived(arrival));
     }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -36,6 +36,7 @@
 pub mod retire;
 pub mod runs;
 pub mod stop;
+mod streams;
 pub mod summary;
 pub mod waiting_page;
 pub mod watch;
@@ -91,6 +92,7 @@
     let peers = callers::listen(settings.peer_address)?;
     let socket = Rc::new(UdpSocket::bind(settings.gossip_address).await?);
     node.core.borrow_mut().peers.seeds = seeds(settings);
+    node.gossip_socket.replace(Some(socket.clone()));
     spawn_local(callers::serve(node.clone(), callers));
     spawn_local(internal_pages::serve(
         node.clone(),
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -11,6 +11,10 @@
     pub requests: IntCounterVec,
     /// Refusals by this system itself, by reason.
     pub refusals: IntCounterVec,
+    /// Streams that callers resume, by how their origin was found.
+    pub streams_resumed: IntCounterVec,
+    /// Items whose text was dropped, since no endpoint of its software version could go on in time.
+    pub items_restarted: IntCounter,
     /// Attempts at endpoints, by outcome.
     pub attempts: IntCounterVec,
     /// New connections to endpoints.
@@ -70,6 +74,15 @@
                 "Refusals by reason.",
                 &["reason"],
             ),
+            streams_resumed: metrics.counters(
+                "bramley_streams_resumed_total",
+                "Streams that callers resume, by how the software that began them was found.",
+                &["origin"],
+            ),
+            items_restarted: metrics.counter(
+                "bramley_batch_items_restarted_total",
+                "Items that start again, since their software version can't go on in time.",
+            ),
             attempts: metrics.counters(
                 "bramley_attempts_total",
                 "Tries at endpoints.",
--- a/src/serve/endpoint_news.rs
+++ b/src/serve/endpoint_news.rs
@@ -8,20 +8,46 @@
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::StatusCode;
+use serde::{Deserialize, Serialize};
 
-use super::ask::{ask, reply};
+use super::ask::{ask, reply, AskError};
 use super::node::{Core, Node};
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::discovery::{EndpointNews, EndpointQuery};
 use crate::decide::subset::SubsetOwner;
-use crate::id::EndpointId;
+use crate::id::{EndpointId, Name};
 
 /// Path under which another VM is asked for news.
 pub const PATH: &str = "/endpoints";
+/// The same for news with software versions. Programs that don't know this path answer 404.
+pub const SOFTWARE_PATH: &str = "/endpoints/software";
 /// Largest query: the ids of a subset of several thousand endpoints.
 const QUERY_BYTES_MAX: usize = 256 * 1024;
 
+/// News, and the software versions of its entries in their order.
+#[derive(Serialize, Deserialize)]
+struct SoftwareNews {
+    news: EndpointNews,
+    software: Vec<Name>,
+}
+
+impl SoftwareNews {
+    fn new(news: EndpointNews) -> SoftwareNews {
+        let software = news.entries.iter();
+        let software = software.map(|known| known.entry.software.clone()).collect();
+        SoftwareNews { news, software }
+    }
+
+    fn into_news(mut self) -> EndpointNews {
+        for (known, software) in self.news.entries.iter_mut().zip(self.software) {
+            known.entry.software = software;
+        }
+        self.news
+    }
+}
+
 impl Node {
     /// This VM as the owner of a subset of endpoints.
     pub fn subset_owner(&self, core: &Core) -> SubsetOwner {
@@ -51,7 +77,14 @@
             return true;
         }
     };
-    let news: EndpointNews = match ask(node, from, PATH, sealed, within).await {
+    let asked = ask::<SoftwareNews>(node, from, SOFTWARE_PATH, sealed.clone(), within).await;
+    let news = match asked {
+        Err(AskError::Refused {
+            status: StatusCode::NOT_FOUND,
+        }) => ask::<EndpointNews>(node, from, PATH, sealed, within).await,
+        asked => asked.map(SoftwareNews::into_news),
+    };
+    let news = match news {
         Ok(news) => news,
         Err(error) => {
             log::info!(from:% = from, path = PATH, error:% = error; "request to another VM failed");
@@ -98,7 +131,7 @@
 }
 
 /// Answers another VM's query.
-pub async fn answer(node: &Node, body: Incoming) -> Reply {
+pub async fn answer(node: &Node, path: &str, body: Incoming) -> Reply {
     let Ok(body) = Limited::new(body, QUERY_BYTES_MAX).collect().await else {
         return replies::empty(400);
     };
@@ -110,5 +143,11 @@
         }
     };
     let news = node.core.borrow().discovery.answer(clock::now(), &query);
-    news.map_or_else(|| replies::empty(503), |news| reply(node.key.seal(&news)))
+    let Some(news) = news else {
+        return replies::empty(503);
+    };
+    match path {
+        SOFTWARE_PATH => reply(node.key.seal(&SoftwareNews::new(news))),
+        _ => reply(node.key.seal(&news)),
+    }
 }
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -28,6 +28,7 @@
 use super::relay;
 use super::replies::{self, Reply};
 use super::results;
+use super::streams;
 use super::waiting_page;
 use crate::clock;
 use crate::decide::admission::Shortage;
@@ -62,6 +63,8 @@
     admission: Vec<Shortage>,
     endpoints: Vec<EndpointRow>,
     jobs: Vec<JobRow>,
+    /// Streams on record by the software that began them.
+    streams: Vec<streams::StreamCount>,
     /// Requests whose endpoints ended while running them.
     quarantine: Vec<QuarantineListing>,
     /// Workspaces that have a quota and recent requests at this VM.
@@ -211,7 +214,11 @@
 pub async fn peer_pages(node: Rc<Node>, request: Request<Incoming>) -> Reply {
     match request.uri().path() {
         relay::PATH => relay::answer(&node, request.into_body()).await,
-        endpoint_news::PATH => endpoint_news::answer(&node, request.into_body()).await,
+        path @ (endpoint_news::PATH | endpoint_news::SOFTWARE_PATH) => {
+            let path = path.to_owned();
+            endpoint_news::answer(&node, &path, request.into_body()).await
+        }
+        path if path.starts_with(streams::PATH) => streams::answer(&node, path),
         path if path.starts_with(live_watch::PATH) => live_watch::answer(&node, path).await,
         path if path.starts_with(results::PATH) => results::answer(&node, path).await,
         path if path.starts_with(jobs::ENDED_PATH) => jobs::receive_ended(&node, path).await,
@@ -265,6 +272,7 @@
         admission: core.admission.shortages(),
         endpoints: core.online.endpoints.rows.iter().map(endpoint).collect(),
         jobs: core.jobs.rows.values().map(job).collect(),
+        streams: streams::counts(node),
         quarantine: quarantine::list(&core),
         quotas: quotas::usage(&core, now),
         store_answers: node.store_answers.get(),
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -8,6 +8,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, Notify};
 
 use super::admission;
@@ -36,6 +37,7 @@
 use crate::decide::quota::{self, QuotaMeasure, Quotas};
 use crate::decide::routes::{RouteKind, RouteTable, Rules};
 use crate::decide::small_jobs::SmallJobRecord;
+use crate::decide::stream_origins::{SoftwareHistory, StreamOrigins};
 use crate::decide::usage::Usage;
 use crate::id::{
     self, ConfigVersion, DomainId, EndpointId, Name, OwnerId, RequestId, Revision, ServiceId, VmId,
@@ -86,6 +88,10 @@
     pub quarantine: Quarantine,
     /// Request counts of the workspaces, checked against their quotas.
     pub quotas: Quotas,
+    /// Which software began each stream.
+    pub streams: StreamOrigins,
+    /// Software versions that the services have and had.
+    pub software: SoftwareHistory,
     pub stage: Stage,
     callers: HashMap<RequestId, mpsc::UnboundedSender<Action>>,
     next_request: RequestId,
@@ -158,6 +164,8 @@
     pub owner: OwnerId,
     /// Authenticates messages to other VMs.
     pub key: Key,
+    /// Socket for datagrams to other VMs; `None` until the process has opened it.
+    pub gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
     /// Callers' requests that are open.
     pub open_requests: Cell<usize>,
     /// Whether new connections are accepted.
@@ -199,6 +207,8 @@
             freshness: Freshness::default(),
             quarantine: Quarantine::default(),
             quotas: Quotas::new(quota_measure(&settings), clock::now()),
+            streams: StreamOrigins::default(),
+            software: SoftwareHistory::default(),
             stage: Stage::Serving,
             callers: HashMap::new(),
             next_request: 1,
@@ -231,6 +241,7 @@
                 counters,
                 core: RefCell::new(core),
                 runs: Runs::default(),
+                gossip_socket: RefCell::new(None),
                 open_requests: Cell::new(0),
                 excess_reported: Notify::new(),
                 heartbeat_due: Notify::new(),
@@ -382,6 +393,11 @@
             from;
             "endpoints taken"
         );
+        let versions = configured
+            .iter()
+            .map(|(_, config, _)| (config.service, config.software.clone()));
+        let complete = core.discovery.holds_all() && !core.discovery.has_subset_surplus();
+        core.software.update(clock::now(), complete, versions);
         let endpoints = &mut core.online.endpoints;
         let is_in_service =
             |id: &EndpointId| endpoints.get(*id).is_some_and(|row| row.leaving.is_none());
@@ -472,6 +488,7 @@
         let core = &mut *guard;
         core.usage.tick(now);
         core.load_reports.tick(now);
+        core.streams.tick(now);
         if core.peers.tick(now, local_vm) {
             // Otherwise the use by other VMs would be counted twice for a while: in their own
             // reports and in the domain summaries.
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -21,13 +21,15 @@
 use super::quarantine::{self, TrialScope};
 use super::quotas::{self, CountedRequest};
 use super::replies::{self, Reply};
+use super::streams;
 use crate::clock;
 use crate::decide::access::{self, Credential};
 use crate::decide::discovery::unknown_software;
 use crate::decide::online::{Action, Arrival, AttemptOutcome, Event};
 use crate::decide::refusal::RefusalKind;
 use crate::decide::retry::AttemptStage;
-use crate::decide::routes::{Route, RouteKind};
+use crate::decide::routes::{Route, RouteKind, Share};
+use crate::decide::stream_origins::StreamOrigin;
 use crate::id::{self, EndpointId, Name, RequestId, ServiceId, WorkspaceId};
 
 /// Chunks that may queue for a slow caller; when the queue is full, reading from the endpoint
@@ -48,9 +50,20 @@
     credential: Credential,
     service: ServiceId,
 ) -> Reply {
+    let now = clock::now();
+    let resumable = route.kind == RouteKind::Streaming && route.resumable;
+    let origin = match params.last_event {
+        Some(1..) if resumable => match origin(&node, route, &params).await {
+            Ok(origin) => Some(origin),
+            Err(kind) => {
+                return replies::refusal(kind, true, Some(streams::retry_after()));
+            }
+        },
+        _ => None,
+    };
+    let service = origin.as_ref().map_or(service, |origin| origin.service);
     let (reply_sender, reply_start) = oneshot::channel();
     let (chunk_sender, chunks) = mpsc::channel(CHUNKS_QUEUED_MAX);
-    let now = clock::now();
     let counted = match quotas::admit(&node, &out) {
         Ok(counted) => counted,
         Err(retry_after) => {
@@ -64,7 +77,10 @@
         request,
         actions,
         kind: route.kind,
-        resumable: route.kind == RouteKind::Streaming && route.resumable,
+        resumable,
+        service,
+        origin_recorded: origin.is_some(),
+        kept_for: params.timeout.unwrap_or_default().max(2 * route.timeout),
         last_event: params.last_event,
         attempt_start_event: params.last_event,
         resumes: params.resumes.unwrap_or_default(),
@@ -95,6 +111,7 @@
         idempotent: route.repeatable(),
         resumable: task.resumable,
         attempts_max: route.attempts_max,
+        software: origin.map(|origin| origin.software),
     };
     node.open_requests.set(node.open_requests.get() + 1);
     node.handle_event(Event::Arrived(arrival));
@@ -107,6 +124,34 @@
     }
 }
 
+/// The software that began the stream which a caller resumes; else why it can't go on here.
+async fn origin(
+    node: &Rc<Node>,
+    route: &Route,
+    params: &RequestParams,
+) -> Result<StreamOrigin, RefusalKind> {
+    let resumes = params.resumes.as_deref().unwrap_or_default();
+    let (source, origin) = streams::find_origin(node, route, resumes).await;
+    let found: &'static str = source.into();
+    let counter = &node.counters.streams_resumed;
+    counter.with_label_values(&[found]).inc();
+    log::info!(
+        request = params.id.as_deref().unwrap_or_default(),
+        resumes,
+        resumed_after = params.last_event.unwrap_or(0),
+        origin = found,
+        software = origin.as_ref().map_or("", |origin| &*origin.software);
+        "stream resumed by its caller"
+    );
+    let origin = origin.ok_or(RefusalKind::OriginUnknown)?;
+    let is_routed = |share: &Share| share.service == origin.service;
+    // The configuration may have moved the route to another service since.
+    match route.shares.iter().any(is_routed) {
+        true => Ok(origin),
+        false => Err(RefusalKind::SoftwareGone),
+    }
+}
+
 /// The workspace id that admission counts by.
 fn workspace_id(out: &Outgoing) -> WorkspaceId {
     out.workspace.as_deref().map_or(ANONYMOUS_WORKSPACE, id::of)
@@ -172,6 +217,11 @@
     actions: UnboundedReceiver<Action>,
     kind: RouteKind,
     resumable: bool,
+    service: ServiceId,
+    /// It is on record which software made the events that the caller has.
+    origin_recorded: bool,
+    /// For how long after its first event the caller may come back for the stream.
+    kept_for: Duration,
     /// The last event that the caller received.
     last_event: Option<u64>,
     /// The value of `last_event` when the last attempt was sent.
@@ -567,6 +617,7 @@
             self.last_event = event.id.or(self.last_event);
         }
         if !raw.is_empty() {
+            self.record_origin();
             self.begin_stream(head);
             let sent = self.chunks.send(Ok(raw.freeze()));
             match timeout(self.time_left(), sent).await {
@@ -579,6 +630,20 @@
         broken.map(|detail| AttemptResult::Failed(failure(detail)))
     }
 
+    /// Records which software began the stream, before the caller receives the first event.
+    fn record_origin(&mut self) {
+        if !self.resumable || self.out.id.is_empty() || self.origin_recorded {
+            return;
+        }
+        self.origin_recorded = true;
+        let origin = StreamOrigin {
+            service: self.service,
+            software: self.software.clone(),
+        };
+        let stream = streams::stream_id(&self.out.id);
+        streams::record(&self.node, stream, origin, self.kept_for);
+    }
+
     /// Sends the head if the caller has none yet. After a resumption the first head stays valid.
     fn begin_stream(&mut self, head: &mut Option<response::Parts>) {
         let Some(parts) = head.take() else {
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -30,6 +30,7 @@
 use crate::decide::quarantine::QuarantineReport;
 use crate::decide::quota::{CountReport, CountSource, WorkspaceCount, WorkspaceKey};
 use crate::decide::routes::{Route, Rules};
+use crate::decide::stream_origins::StreamRecord;
 use crate::decide::usage::EndpointUse;
 use crate::id::{self, EndpointId, JobId, OwnerId, Revision};
 use crate::wire::DATAGRAM_BYTES_MAX;
@@ -92,6 +93,8 @@
     Quarantine(Vec<QuarantineReport>),
     /// Load on services and evidence of failing endpoints; sent only to VMs that understand it.
     Load(LoadReport),
+    /// Which software began a stream. Programs that don't know this message reject it.
+    Stream(StreamRecord),
 }
 
 /// Sends heartbeats until the process ends.
@@ -315,6 +318,10 @@
             Ok(Datagram::Load(report)) => {
                 load_reports::apply(&node, &socket, report, &buffer[..length]);
             }
+            Ok(Datagram::Stream(record)) => {
+                let streams = &mut node.core.borrow_mut().streams;
+                streams.record(clock::now(), record);
+            }
             Err(error) => log::warn!(from:% = from, error:% = error; "datagram rejected"),
         }
     }
--- a/src/standin/table.rs
+++ b/src/standin/table.rs
@@ -1,6 +1,5 @@
 //! Endpoint configurations for tests and benchmarks of the decision code.
 
-use crate::decide::discovery::unknown_software;
 use crate::decide::endpoints::EndpointConfig;
 use crate::id::{self, DomainId, EndpointId, ServiceId};
 
@@ -20,7 +19,7 @@
             service,
             address: "127.0.0.1:1".into(),
             initial_limit: slots,
-            software: unknown_software(),
+            software: "v1".into(),
         };
         (id::of(&name), config)
     })
--- a/tests/endpoint_discovery.rs
+++ b/tests/endpoint_discovery.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bramleyseam::decide::discovery::{
-    unknown_software, Discovery, KnownEntry, Registration, CUT_OFF_AFTER, OUTAGE_MIN, RETURN_GRACE,
+    Discovery, KnownEntry, Registration, CUT_OFF_AFTER, OUTAGE_MIN, RETURN_GRACE,
 };
 use bramleyseam::decide::subset::SubsetOwner;
 use bramleyseam::id;
@@ -35,7 +35,7 @@
         domain: 1,
         slots: 8,
         draining,
-        software: unknown_software(),
+        software: "v1".into(),
     }
 }
 
--- a/tests/endpoint_evidence.rs
+++ b/tests/endpoint_evidence.rs
@@ -5,7 +5,6 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
-use bramleyseam::decide::discovery::unknown_software;
 use bramleyseam::decide::endpoints::{EndpointConfig, Endpoints, EJECT_MIN};
 use bramleyseam::decide::evidence::{Evidence, EvidenceState, ProbeQuery, FAILURES_MIN};
 use bramleyseam::decide::items;
@@ -40,7 +39,7 @@
         service: SERVICE,
         address: name.as_str().into(),
         initial_limit: SLOTS,
-        software: unknown_software(),
+        software: "v1".into(),
     };
     (id, config)
 }
@@ -253,6 +252,7 @@
             idempotent: true,
             resumable: false,
             attempts_max: 3,
+            software: None,
         };
         self.event(now, vm, Event::Arrived(arrival));
     }
@@ -888,6 +888,7 @@
             idempotent: true,
             resumable: false,
             attempts_max: 3,
+            software: None,
         };
         let mut out = Vec::new();
         online.handle(now, Event::Arrived(arrival), &mut out);
--- a/tests/endpoint_processes.rs
+++ b/tests/endpoint_processes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bramleyseam::decide::discovery::{
-    unknown_software, Discovery, EndpointNews, KnownEntry, Registration, OUTAGE_MIN, RETURN_GRACE,
+    Discovery, EndpointNews, KnownEntry, Registration, OUTAGE_MIN, RETURN_GRACE,
 };
 use bramleyseam::decide::endpoints::Endpoints;
 use bramleyseam::decide::subset::SubsetOwner;
@@ -40,7 +40,7 @@
         domain: 1,
         slots: 8,
         draining,
-        software: unknown_software(),
+        software: "v1".into(),
     }
 }
 
--- a/tests/endpoint_subsets.rs
+++ b/tests/endpoint_subsets.rs
@@ -3,9 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use bramleyseam::decide::discovery::{
-    unknown_software, Discovery, HeldEndpoints, KnownEntry, Registration,
-};
+use bramleyseam::decide::discovery::{Discovery, HeldEndpoints, KnownEntry, Registration};
 use bramleyseam::decide::subset::{self, Candidate, SubsetOwner, WHOLE_TABLE_MAX};
 use bramleyseam::id::{self, DomainId, EntryId};
 
@@ -42,6 +40,7 @@
         id: id::of(&format!("engine-{at}")),
         service: SERVICE,
         domain: domain_of(at),
+        software: 1,
     };
     (0..count).map(candidate).collect()
 }
@@ -58,7 +57,7 @@
             domain: domain_of(at),
             slots: 7,
             draining,
-            software: unknown_software(),
+            software: "v1".into(),
         },
         revision,
         lapsing: None,
--- a/tests/late_news.rs
+++ b/tests/late_news.rs
@@ -97,6 +97,7 @@
             service: SERVICE,
             prefix: 0,
             avoid: None,
+            software: None,
         };
         requests += 1;
         let policy = Policy::TwoChoices;
--- a/tests/online_rules.rs
+++ b/tests/online_rules.rs
@@ -50,6 +50,7 @@
         idempotent,
         resumable: false,
         attempts_max: ATTEMPTS_MAX_DEFAULT,
+        software: None,
     }
 }
 
@@ -483,7 +484,7 @@
         let table = &online.endpoints;
         let now = ms(1);
         [Policy::Affinity, Policy::TwoChoices, Policy::LeastLoad].into_iter().all(|policy| {
-            let ask = RouteQuery { service: SERVICE, prefix: 77, avoid: None };
+            let ask = RouteQuery { service: SERVICE, prefix: 77, avoid: None, software: None };
             // 0: starts at once, 1: waits, 2: has no room.
             let class = |r: &Endpoint| match (r.has_room(now), r.has_slot(now)) {
                 (false, _) => 2,
--- a/tests/short_service.rs
+++ b/tests/short_service.rs
@@ -366,6 +366,7 @@
             idempotent: true,
             resumable: false,
             attempts_max: 2,
+            software: None,
         };
         self.handle(vm, Event::Arrived(arrival));
     }
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -59,6 +59,7 @@
             idempotent,
             resumable: idempotent,
             attempts_max,
+            software: None,
         }))
     }
 
