Items go on only at the software version that made their text

What callers saw: results whose text joins events of two software versions.

An item's text was taken to be the same at every engine; neither the plan nor the saved progress knew which version made it.

Change: an item is bound to the version of its first event. It waits for an endpoint of that version, and starts again elsewhere if none is left, or at the last moment at which a whole run still ends in time. Saved progress names the version; progress without one, as earlier programs write it, is not used.

--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -12,7 +12,7 @@
 use super::slot_grants::{CompetingVm, EndpointPlace, SlotGrants};
 use super::small_jobs::ItemIndex;
 use super::usage::{own_excess, Usage};
-use crate::id::{DomainId, EndpointId, JobId, ServiceId, VmId};
+use crate::id::{DomainId, EndpointId, JobId, Name, ServiceId, VmId};
 
 /// Share of an endpoint's slots that urgent items may use regardless of online load. Keeps jobs
 /// from starving when online load fills the fleet for minutes.
@@ -61,6 +61,8 @@
     /// Run time of earlier runs; their events count.
     earlier_run_time: Duration,
     stage: Stage,
+    /// Software version of the endpoints that made its text; `None` while it has none.
+    software: Option<Name>,
     /// Endpoints of failed runs, used only when there is no other; the last one alone unless
     /// [`Items::avoid_all_failed`].
     avoid: Vec<EndpointId>,
@@ -72,11 +74,11 @@
     Start {
         key: ItemKey,
         endpoint: EndpointId,
+        /// Drop its partial text, which this endpoint's software can't continue.
+        from_start: bool,
     },
     /// Close the item's connection and keep its partial text.
-    Stop {
-        key: ItemKey,
-    },
+    Stop { key: ItemKey },
 }
 
 /// All items that this VM is responsible for.
@@ -115,7 +117,10 @@
     id: EndpointId,
     service: ServiceId,
     domain: DomainId,
+    software: Name,
     usable: bool,
+    /// It is not draining.
+    in_service: bool,
     /// Slots by which it ranks lower for recent failures.
     penalty_slots: i64,
     slots: u32,
@@ -137,6 +142,13 @@
         i64::from(self.slots) - i64::from(used)
     }
 
+    /// Whether an item of a service can run there, after the text that `software` made if there is
+    /// any.
+    fn can_continue(&self, service: ServiceId, software: Option<&Name>) -> bool {
+        let fits = |software: &Name| !software.is_empty() && *software == self.software;
+        self.service == service && software.is_none_or(fits)
+    }
+
     /// Slots that items may take: free ones, and for urgent items also those reserved from online
     /// requests.
     fn open_slots(&self, urgent: bool) -> u32 {
@@ -173,6 +185,7 @@
             due,
             earlier_run_time: Duration::ZERO,
             stage,
+            software: None,
             avoid: Vec::new(),
         };
         self.states.insert(key, state);
@@ -233,6 +246,13 @@
         }
     }
 
+    /// Records which software made the first event of an item's text.
+    pub fn began(&mut self, key: &ItemKey, software: Name) {
+        if let Some(state) = self.states.get_mut(key) {
+            state.software = Some(software);
+        }
+    }
+
     /// Total run time of an item.
     pub fn run_time(&self, now: Duration, key: &ItemKey) -> Duration {
         let state = self.states.get(key);
@@ -399,7 +419,9 @@
                 id: endpoint.id,
                 service: endpoint.config.service,
                 domain: endpoint.config.domain,
+                software: endpoint.config.software.clone(),
                 usable: endpoint.usable(now),
+                in_service: endpoint.leaving.is_none(),
                 penalty_slots: (endpoint.penalty * endpoint.slots(now)).ceil() as i64,
                 slots: endpoint.slots(now) as u32,
                 online: endpoint.online_here + elsewhere.online,
@@ -479,23 +501,16 @@
         queue.sort();
         let mut waiting_count = self.waiting_count() as u32;
         for ((.., key), urgent) in queue {
+            let may_restart = self.may_restart(now, &key, capacities);
             let Some(state) = self.states.get_mut(&key) else {
                 continue;
             };
-            let needs = ItemNeeds {
-                service: state.service,
-                urgent,
-            };
-            let found = best_endpoint(
-                capacities,
-                &self.slot_grants,
-                now,
-                planner,
-                waiting_count,
-                needs,
-                &state.avoid,
-            )
-            .or_else(|| {
+            let mut find = |software: Option<&Name>, avoid: &[EndpointId]| {
+                let needs = ItemNeeds {
+                    service: state.service,
+                    software,
+                    urgent,
+                };
                 best_endpoint(
                     capacities,
                     &self.slot_grants,
@@ -503,12 +518,22 @@
                     planner,
                     waiting_count,
                     needs,
-                    &[],
+                    avoid,
                 )
-            });
+            };
+            let software = state.software.as_ref();
+            let mut found = find(software, &state.avoid).or_else(|| find(software, &[]));
+            let from_start = found.is_none() && may_restart;
+            if from_start {
+                found = find(None, &state.avoid).or_else(|| find(None, &[]));
+            }
             let Some(capacity) = found.map(|at| &mut capacities[at]) else {
                 continue;
             };
+            if from_start {
+                state.software = None;
+                state.earlier_run_time = Duration::ZERO;
+            }
             capacity.batch_here += 1;
             capacity.urgent += u32::from(urgent);
             let endpoint = capacity.id;
@@ -519,8 +544,32 @@
             };
             waiting_count = waiting_count.saturating_sub(1);
             self.slot_grants.record_start(now, endpoint);
-            out.push(Action::Start { key, endpoint });
+            out.push(Action::Start {
+                key,
+                endpoint,
+                from_start,
+            });
+        }
+    }
+
+    /// Whether an item may give up its text and run again at another software version: at once if no
+    /// endpoint of its own version is left, else at the last moment at which a whole run still ends
+    /// in time.
+    fn may_restart(&self, now: Duration, key: &ItemKey, capacities: &[EndpointCapacity]) -> bool {
+        let Some(state) = self.states.get(key) else {
+            return false;
+        };
+        let Some(software) = &state.software else {
+            return false;
+        };
+        let continues = |capacity: &EndpointCapacity| {
+            capacity.in_service && capacity.can_continue(state.service, Some(software))
+        };
+        if !capacities.iter().any(continues) {
+            return true;
         }
+        let whole_run_ends = now + self.typical_run_time.unwrap_or_default();
+        whole_run_ends < state.due && whole_run_ends + URGENT_MARGIN >= state.due
     }
 }
 
@@ -540,8 +589,10 @@
 
 /// Requirements of an item on its endpoint.
 #[derive(Clone, Copy)]
-struct ItemNeeds {
+struct ItemNeeds<'a> {
     service: ServiceId,
+    /// Software version that made its text.
+    software: Option<&'a Name>,
     urgent: bool,
 }
 
@@ -552,13 +603,13 @@
     now: Duration,
     planner: &ItemPlanner<'_>,
     waiting_items: u32,
-    needs: ItemNeeds,
+    needs: ItemNeeds<'_>,
     avoid: &[EndpointId],
 ) -> Option<usize> {
     let denied = usize::from(needs.urgent);
     loop {
         let fits = |(_, capacity): &(usize, &EndpointCapacity)| {
-            capacity.service == needs.service
+            capacity.can_continue(needs.service, needs.software)
                 && capacity.usable
                 && capacity.open_slots(needs.urgent) > 0
                 && !avoid.contains(&capacity.id)
--- a/src/model/fleet/batch.rs
+++ b/src/model/fleet/batch.rs
@@ -33,7 +33,7 @@
         vm.changed |= !actions.is_empty();
         for action in actions {
             match action {
-                items::Action::Start { key, endpoint } => self.start_item(at, key, endpoint),
+                items::Action::Start { key, endpoint, .. } => self.start_item(at, key, endpoint),
                 items::Action::Stop { key } => self.stop_item(at, &key),
             }
         }
--- a/src/serve/runs.rs
+++ b/src/serve/runs.rs
@@ -22,10 +22,11 @@
 use super::node::{update_remote_uses, Node, Stage};
 use super::waiting_page::WaitingRow;
 use crate::clock;
+use crate::decide::discovery::unknown_software;
 use crate::decide::items::{Action, ItemKey, ItemPlanner};
 use crate::decide::routes::Route;
 use crate::decide::small_jobs::{FinishedItem, Item, ItemIndex, ItemOutcome, SmallJobRecord};
-use crate::id::{self, ConfigVersion, EndpointId, Epoch, JobId, ServiceId};
+use crate::id::{self, ConfigVersion, EndpointId, Epoch, JobId, Name, ServiceId};
 
 /// Time between two checks of all jobs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -42,6 +43,8 @@
 struct ItemProgress {
     texts: Vec<String>,
     last_event: Option<u64>,
+    /// Software version of the endpoints that made the text.
+    software: Option<Name>,
     failures: u32,
     /// Endpoints that answered 500 to it on this VM.
     failed_at: Vec<EndpointId>,
@@ -198,13 +201,34 @@
     }
     for action in actions {
         match action {
-            Action::Start { key, endpoint } => start(node, key, endpoint),
+            Action::Start {
+                key,
+                endpoint,
+                from_start,
+            } => {
+                if from_start {
+                    drop_text(node, &key);
+                }
+                start(node, key, endpoint);
+            }
             Action::Stop { key } => stop(node, &key),
         }
     }
     node.heartbeat_due.notify_one();
 }
 
+/// Drops the partial text of an item that runs again from the start.
+fn drop_text(node: &Node, key: &ItemKey) {
+    let dropped = node.runs.with_progress(key, |progress| {
+        progress.texts.clear();
+        progress.last_event = None;
+        progress.software.take()
+    });
+    node.counters.items_restarted.inc();
+    let software = dropped.flatten().unwrap_or_else(unknown_software);
+    log::info!(job = *key.job, item = key.item, software = *software; "item starts again");
+}
+
 /// Stops a run; it ends within a few iterations of the event loop, and the item waits again.
 fn stop(node: &Node, key: &ItemKey) {
     let stop = |progress: &mut ItemProgress| progress.run.as_ref().map(|run| run.stop.clone());
--- a/src/serve/runs/claims.rs
+++ b/src/serve/runs/claims.rs
@@ -9,6 +9,7 @@
 use super::progress::{self, SavedProgress};
 use super::{assign_services, ItemProgress, OwnedJob, RETENTION_MARGIN, WRITE_RETRY_AFTER};
 use crate::clock;
+use crate::decide::discovery::unknown_software;
 use crate::decide::items::ItemKey;
 use crate::decide::small_jobs::{
     body_key, progress_key, record_key, text_key, Item, ItemIndex, SmallJobRecord,
@@ -82,12 +83,13 @@
     let now = clock::now();
     let counts: HashMap<ItemIndex, u32> = record.failures.iter().copied().collect();
     let open = record.open_items();
-    let mut ran = HashMap::new();
+    let mut earlier_runs = HashMap::new();
     let progress = open.iter().map(|item| {
         let failures = counts.get(item).copied().unwrap_or(0);
         let progress = match saved.remove(item) {
             Some(saved) => {
-                ran.insert(*item, Duration::from_millis(saved.ran_ms));
+                let ran = Duration::from_millis(saved.ran_ms);
+                earlier_runs.insert(*item, (ran, saved.software.clone()));
                 saved.resume(failures)
             }
             None => ItemProgress {
@@ -118,8 +120,10 @@
         };
         // `assign_services` below sets its service.
         core.items.add(now, key.clone(), 0, due);
-        if let Some(ran) = ran.get(&item) {
-            core.items.set_run_time(&key, *ran);
+        if let Some((ran, software)) = earlier_runs.remove(&item) {
+            core.items.set_run_time(&key, ran);
+            core.items
+                .began(&key, software.unwrap_or_else(unknown_software));
         }
     }
     drop(core);
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -17,7 +17,7 @@
 use crate::decide::quarantine::Fingerprint;
 use crate::decide::retry::{AttemptStage, ATTEMPTS_MAX_DEFAULT};
 use crate::decide::small_jobs::{Item, ItemOutcome};
-use crate::id::EndpointId;
+use crate::id::{EndpointId, Name};
 use crate::serve::cancellation::unless_stopped;
 use crate::serve::events::{check_next, Splitter};
 use crate::serve::exchange::{self, Failure, Outgoing, Target};
@@ -204,6 +204,7 @@
     out: &Outgoing,
 ) -> RunEnd {
     let failed = |reach, detail: &str| RunEnd::Failed(Failure::of_endpoint(reach, detail));
+    let software = node.software(endpoint);
     let Some(target) = node.target(endpoint) else {
         let gone = Failure::not_of_endpoint(AttemptStage::NotSent, "the endpoint is gone");
         return RunEnd::Failed(gone);
@@ -224,7 +225,7 @@
         status => return failed(AttemptStage::MaybeSent, &format!("answered {status}")),
     }
     let keep_alive = exchange::keep_alive(&answer.head);
-    let read = read_events(node, key, endpoint, answer.body).await;
+    let read = read_events(node, key, (endpoint, &software), answer.body).await;
     if let (RunEnd::Complete, Some(keep_alive)) = (&read, keep_alive) {
         node.pool.put(endpoint, answer.connection, keep_alive);
     }
@@ -234,7 +235,7 @@
 async fn read_events(
     node: &Rc<Node>,
     key: &ItemKey,
-    endpoint: EndpointId,
+    (endpoint, software): (EndpointId, &Name),
     mut body: Incoming,
 ) -> RunEnd {
     let broken =
@@ -254,7 +255,7 @@
                     continue;
                 };
                 for event in splitter.push(&data) {
-                    if let Err(detail) = record_event(node, key, event.id, event.data()) {
+                    if let Err(detail) = record_event(node, key, software, event.id, event.data()) {
                         return broken(detail);
                     }
                 }
@@ -274,18 +275,26 @@
 fn record_event(
     node: &Node,
     key: &ItemKey,
+    software: &Name,
     event: Option<u64>,
     text: String,
 ) -> Result<(), String> {
+    let mut is_first = false;
     let recorded = node.runs.with_progress(key, |progress| {
         if event.is_none() {
             return Err("an event without an id".into());
         }
         check_next(progress.last_event, event)?;
+        is_first = progress.software.is_none();
+        progress.software.get_or_insert_with(|| software.clone());
         progress.last_event = event;
         progress.texts.push(text);
         Ok(())
     });
+    if is_first {
+        let items = &mut node.core.borrow_mut().items;
+        items.began(key, software.clone());
+    }
     recorded.unwrap_or_else(|| Err("the job is no longer run here".into()))
 }
 
--- a/src/serve/runs/progress.rs
+++ b/src/serve/runs/progress.rs
@@ -4,8 +4,8 @@
 //! after a kill of all VMs the engines repeated 2 s of work while all callers waited. With saved
 //! progress 4 to 9 more of 100 items were in time on days on which VMs die. So the text so far is
 //! written beside the job's record at intervals, and a VM that claims the job resumes after it. It
-//! may be old, never wrong: an item's events are the same at every engine, and a run that resumes
-//! after an earlier event makes the later ones again.
+//! may be old, never wrong: an item's events are the same at every engine of one software version,
+//! and a run that resumes after an earlier event there makes the later ones again.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -18,7 +18,7 @@
 use crate::decide::small_jobs::{
     progress_key, record_key, ItemIndex, SmallJobRecord, PART_BYTES_MAX,
 };
-use crate::id::{JobId, Revision};
+use crate::id::{JobId, Name, Revision};
 use crate::serve::jobs::{encode, write};
 use crate::serve::node::Node;
 use crate::store::{Txn, Write};
@@ -37,6 +37,9 @@
     pub text: String,
     /// How long the item has run, so that a successor can tell how much is left.
     pub ran_ms: u64,
+    /// Software version that made the text; programs without this field have not recorded it.
+    #[serde(default)]
+    pub software: Option<Name>,
 }
 
 /// Saves the progress of a job's items, if it is time.
@@ -114,6 +117,7 @@
             last_event: progress.last_event?,
             text: progress.texts.join("\n"),
             ran_ms: items.run_time(now, &key).as_millis() as u64,
+            software: Some(progress.software.clone()?),
         })
     };
     owned.progress.iter().filter_map(to_saved).collect()
@@ -146,8 +150,10 @@
     };
     match serde_json::from_slice::<Vec<SavedProgress>>(&value) {
         Ok(saved) => {
-            log::info!(job = *record.id, items = saved.len(); "items go on where they were");
-            saved.into_iter().map(|one| (one.item, one)).collect()
+            let known = saved.into_iter().filter(|one| one.software.is_some());
+            let known: HashMap<_, _> = known.map(|one| (one.item, one)).collect();
+            log::info!(job = *record.id, items = known.len(); "items go on where they were");
+            known
         }
         Err(error) => {
             log::error!(key, error:% = error; "progress can't be decoded: items start again");
@@ -162,6 +168,7 @@
         ItemProgress {
             texts: vec![self.text],
             last_event: Some(self.last_event),
+            software: self.software,
             failures,
             failed_at: Vec::new(),
             run: None,
--- a/tests/batch_items.rs
+++ b/tests/batch_items.rs
@@ -135,7 +135,7 @@
     let endpoints = endpoints(2);
     let mut items = items(1, ms(18_000));
     let first = plan(&mut items, ms(0), &endpoints, &Usage::default());
-    let [Action::Start { key, endpoint }] = &first[..] else {
+    let [Action::Start { key, endpoint, .. }] = &first[..] else {
         panic!("{first:?}");
     };
     items.paused(ms(50), key, true);
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bramleyseam::decide::endpoints::EndpointConfig;
+use bramleyseam::decide::items::{Action as ItemAction, ItemKey, ItemPlanner, Items};
 use bramleyseam::decide::online::{Action, Arrival, AttemptOutcome, Event, Online, ServiceConfig};
 use bramleyseam::decide::peers::{Peers, VmRecord};
 use bramleyseam::decide::refusal::RefusalKind;
@@ -12,6 +13,7 @@
 use bramleyseam::decide::stream_origins::{
     SoftwareHistory, StreamOrigin, StreamOrigins, StreamRecord, RECORDS_MAX,
 };
+use bramleyseam::decide::usage::Usage;
 use bramleyseam::id::{self, Name};
 use bramleyseam::standin::table::endpoint_configs;
 use rand::rngs::SmallRng;
@@ -351,3 +353,75 @@
     online.tick(ms(2_600), &mut out);
     assert_eq!(refused(&out).len(), 1);
 }
+
+fn key() -> ItemKey {
+    ItemKey {
+        job: "job".into(),
+        item: 0,
+    }
+}
+
+fn plan(items: &mut Items, now: Duration, versions: &[&str]) -> Option<(Name, bool)> {
+    let mut online = online(&[]);
+    online.endpoints.configure(configs(versions));
+    let planner = ItemPlanner {
+        vm: 1,
+        domain: LOCAL_DOMAIN,
+        competing_vms: &[],
+        may_start: true,
+    };
+    let actions = items.plan(now, &planner, &online.endpoints, &Usage::default());
+    let [ItemAction::Start {
+        endpoint,
+        from_start,
+        ..
+    }] = &actions[..]
+    else {
+        return None;
+    };
+    let endpoint = online.endpoints.get(*endpoint)?;
+    Some((endpoint.config.software.clone(), *from_start))
+}
+
+/// An item that has run for a while at `v1`.
+fn begun_item() -> Items {
+    let mut items = Items::default();
+    items.add(ms(0), key(), SERVICE, ms(16_000));
+    plan(&mut items, ms(0), &["v1"]).unwrap();
+    items.began(&key(), "v1".into());
+    items.paused(ms(1_000), &key(), false);
+    items
+}
+
+#[test]
+fn begun_items() {
+    let versions = ["v2", "v1", "v2"];
+    let resumed = plan(&mut begun_item(), ms(2_000), &versions);
+    assert_eq!(resumed, Some(("v1".into(), false)));
+    // No endpoint of its version is left.
+    let mut items = begun_item();
+    let restarted = plan(&mut items, ms(2_000), &["v2"]);
+    assert_eq!(restarted, Some(("v2".into(), true)));
+    assert_eq!(items.run_time(ms(2_000), &key()), ms(0));
+}
+
+// An item that waits for its version too long would be late: it starts again while a whole run
+// still ends in time.
+#[test]
+fn waiting_items() {
+    let mut items = begun_item();
+    for blocked in 1..=2 {
+        let blocking = ItemKey {
+            job: "first".into(),
+            item: blocked,
+        };
+        items.add(ms(0), blocking.clone(), SERVICE, ms(5_000));
+        plan(&mut items, ms(1_000), &["v1"]).unwrap();
+    }
+    let versions = ["v1", "v2"];
+    // A whole run is taken for a quarter of the time until the item is due.
+    assert_eq!(plan(&mut items, ms(2_000), &versions), None);
+    assert_eq!(plan(&mut items, ms(10_000), &versions), None);
+    let restarted = plan(&mut items, ms(11_000), &versions);
+    assert_eq!(restarted, Some(("v2".into(), true)));
+}
