Streams of a single version go on after VMs restart

Change: the VMs that know answer for it (own complete view, confirmed by the store, for longer than a stream lasts); after a restart of all VMs the metadata store does, where one VM keeps a record of each present version under a lease. Both count only if this VM's own endpoints show no other version.

--- a/src/decide/discovery.rs
+++ b/src/decide/discovery.rs
@@ -23,7 +23,7 @@
 pub use self::transition::{Transition, TransitionEvent};
 use super::endpoints::EndpointConfig;
 use super::subset::{self, Candidate, SubsetOwner, WHOLE_TABLE_MAX};
-use crate::id::{self, EndpointId, EntryId, Name, Revision};
+use crate::id::{self, EndpointId, EntryId, Name, Revision, ServiceId};
 
 /// How long after the store's return a lapsed entry is kept. Living endpoints write their entries
 /// again within 2 s; the rest is for the write and the watch to arrive.
@@ -554,6 +554,12 @@
         rows
     }
 
+    /// Service and software version of each endpoint.
+    pub fn software_versions(&self) -> impl Iterator<Item = (ServiceId, Name)> + '_ {
+        let entries = self.rows.values().map(|row| &row.entry);
+        entries.map(|entry| (entry.service, entry.software.clone()))
+    }
+
     /// Like [`Discovery::endpoint_configs`], for the endpoints that this VM uses: its subset, and
     /// those where it has requests.
     pub fn used_configs(
--- a/src/decide/stream_origins.rs
+++ b/src/decide/stream_origins.rs
@@ -7,7 +7,8 @@
 //!
 //! The origin of a stream never changes, so a record may be lost or late, never wrong. A stream
 //! whose origin is not known is refused, unless its service has had one version for longer than any
-//! stream lasts.
+//! stream lasts. A VM that has just started asks the others for that, and after a restart of all VMs
+//! the metadata store, where each present version is on record.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
@@ -170,6 +171,31 @@
         }
     }
 
+    /// Versions of all services, if all endpoints are known.
+    pub fn present(&self) -> Vec<StreamOrigin> {
+        let services = self
+            .services
+            .iter()
+            .filter(|_| self.complete_since.is_some());
+        let versions = services.flat_map(|(service, versions)| {
+            let origin = |software: &Name| StreamOrigin {
+                service: *service,
+                software: software.clone(),
+            };
+            versions.present.iter().map(origin)
+        });
+        versions
+            .filter(|origin| !origin.software.is_empty())
+            .collect()
+    }
+
+    /// Whether no other version of its service than this one is known to be present.
+    pub fn agrees(&self, origin: &StreamOrigin) -> bool {
+        let versions = self.services.get(&origin.service);
+        let mut present = versions.iter().flat_map(|versions| &versions.present);
+        present.all(|software| *software == origin.software)
+    }
+
     /// The version of all streams of a service that began in the last `time`, if it can have been
     /// only one.
     pub fn sole_version(&self, now: Duration, service: ServiceId, time: Duration) -> Option<Name> {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -118,6 +118,7 @@
     spawn_local(quarantine::send_reports(node.clone(), socket));
     spawn_local(quarantine::keep_records(node.clone()));
     spawn_local(quotas::records::keep_records(node.clone()));
+    spawn_local(streams::records::keep_records(node.clone()));
     spawn_local(peers::fetch_newer_versions(node.clone()));
     spawn_local(watch::follow_operator_keys(node.clone()));
     spawn_local(watch::follow_endpoints(node.clone()));
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -218,7 +218,7 @@
             let path = path.to_owned();
             endpoint_news::answer(&node, &path, request.into_body()).await
         }
-        path if path.starts_with(streams::PATH) => streams::answer(&node, path),
+        streams::PATH => streams::answer(&node, request.into_body()).await,
         path if path.starts_with(live_watch::PATH) => live_watch::answer(&node, path).await,
         path if path.starts_with(results::PATH) => results::answer(&node, path).await,
         path if path.starts_with(jobs::ENDED_PATH) => jobs::receive_ended(&node, path).await,
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -23,6 +23,7 @@
 use super::quarantine;
 use super::relay::with_relay;
 use super::runs::Runs;
+use super::streams::records::SoftwareRecords;
 use crate::clock;
 use crate::decide::access::Workspace;
 use crate::decide::admission::Admission;
@@ -166,6 +167,8 @@
     pub key: Key,
     /// Socket for datagrams to other VMs; `None` until the process has opened it.
     pub gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Software versions on record in the store, as last read.
+    pub software_records: SoftwareRecords,
     /// Callers' requests that are open.
     pub open_requests: Cell<usize>,
     /// Whether new connections are accepted.
@@ -242,6 +245,7 @@
                 core: RefCell::new(core),
                 runs: Runs::default(),
                 gossip_socket: RefCell::new(None),
+                software_records: SoftwareRecords::default(),
                 open_requests: Cell::new(0),
                 excess_reported: Notify::new(),
                 heartbeat_due: Notify::new(),
@@ -393,10 +397,8 @@
             from;
             "endpoints taken"
         );
-        let versions = configured
-            .iter()
-            .map(|(_, config, _)| (config.service, config.software.clone()));
-        let complete = core.discovery.holds_all() && !core.discovery.has_subset_surplus();
+        let complete = core.discovery.holds_all();
+        let versions = core.discovery.software_versions();
         core.software.update(clock::now(), complete, versions);
         let endpoints = &mut core.online.endpoints;
         let is_in_service =
--- a/src/serve/streams.rs
+++ b/src/serve/streams.rs
@@ -1,11 +1,16 @@
 //! Origins of streams: tells other VMs which software began a stream, and finds out where a caller's
 //! stream may go on. The decisions are made in [`crate::decide::stream_origins`].
 
+pub mod records;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -20,8 +25,10 @@
 use crate::id::{self, Name, ServiceId, StreamId};
 use crate::util;
 
-/// Path under which another VM is asked for a record, followed by the stream.
-pub const PATH: &str = "/streams/";
+/// Path under which another VM is asked for a stream.
+pub const PATH: &str = "/streams";
+/// Largest query.
+const QUERY_BYTES_MAX: usize = 1024;
 /// Time for all answers of other VMs: many times a round trip between failure domains, and short
 /// compared with the gap after which callers abandon a stream.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
@@ -44,6 +51,8 @@
     PeerRecord,
     /// The service has had a single version for longer than any stream lasts.
     SoleVersion,
+    /// The same by the records in the metadata store.
+    StoredVersion,
     NotKnown,
 }
 
@@ -84,95 +93,170 @@
     }
 }
 
+/// A stream and the route by which its caller resumes it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct StreamQuery {
+    /// `None` if the caller doesn't name its earlier attempt.
+    stream: Option<StreamId>,
+    /// The service of the route; `None` if there are several.
+    service: Option<ServiceId>,
+    /// Longest time since the stream can have begun.
+    lifetime: Duration,
+}
+
+/// What a VM knows of a stream.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct StreamAnswer {
+    record: Option<StreamRecord>,
+    /// The one version that the service has had for a stream's lifetime.
+    sole: Option<StreamOrigin>,
+}
+
+impl StreamQuery {
+    fn new(route: &Route, resumes: &str) -> StreamQuery {
+        let service = match route.shares.as_slice() {
+            [share] => Some(share.service),
+            _ => None,
+        };
+        StreamQuery {
+            stream: (!resumes.is_empty()).then(|| stream_id(resumes)),
+            service,
+            lifetime: 2 * route.timeout + RETURN_MARGIN,
+        }
+    }
+
+    fn record(&self, node: &Node) -> Option<StreamRecord> {
+        let core = node.core.borrow();
+        core.streams.get(clock::now(), self.stream?)
+    }
+
+    /// The origin that all recent streams of the service have in common, if it has had a single
+    /// version. A VM that the store doesn't confirm may not have heard of another one.
+    fn sole_origin(&self, node: &Node) -> Option<StreamOrigin> {
+        let now = clock::now();
+        let service = self.service.filter(|_| are_endpoints_fresh(node))?;
+        let core = node.core.borrow();
+        let software = core.software.sole_version(now, service, self.lifetime)?;
+        Some(StreamOrigin { service, software })
+    }
+}
+
+fn are_endpoints_fresh(node: &Node) -> bool {
+    let core = node.core.borrow();
+    let age = core.freshness.age(clock::now(), StoreSubject::Endpoints);
+    age.is_some_and(|age| age <= ENDPOINTS_FRESH_AGE_MAX)
+}
+
 /// Finds out which software began the stream that a caller resumes on a route.
 pub async fn find_origin(
     node: &Rc<Node>,
     route: &Route,
     resumes: &str,
 ) -> (OriginSource, Option<StreamOrigin>) {
-    let stream = stream_id(resumes);
-    if !resumes.is_empty() {
-        let own = node.core.borrow().streams.get(clock::now(), stream);
-        if let Some(record) = own {
-            return (OriginSource::OwnRecord, Some(record.origin));
-        }
-        if let Some(record) = ask_peers(node, stream).await {
-            let origin = record.origin.clone();
-            node.core.borrow_mut().streams.record(clock::now(), record);
-            return (OriginSource::PeerRecord, Some(origin));
+    let query = StreamQuery::new(route, resumes);
+    if let Some(record) = query.record(node) {
+        return (OriginSource::OwnRecord, Some(record.origin));
+    }
+    if query.stream.is_none() {
+        if let Some(origin) = query.sole_origin(node) {
+            return (OriginSource::SoleVersion, Some(origin));
         }
     }
-    match sole_origin(node, route) {
-        Some(origin) => (OriginSource::SoleVersion, Some(origin)),
+    let answer = ask_peers(node, &query).await;
+    if let Some(record) = answer.record {
+        let origin = record.origin.clone();
+        node.core.borrow_mut().streams.record(clock::now(), record);
+        return (OriginSource::PeerRecord, Some(origin));
+    }
+    let agrees = |origin: &StreamOrigin| node.core.borrow().software.agrees(origin);
+    if let Some(origin) = query.sole_origin(node).or(answer.sole.filter(agrees)) {
+        return (OriginSource::SoleVersion, Some(origin));
+    }
+    match stored_origin(node, &query).await.filter(agrees) {
+        Some(origin) => (OriginSource::StoredVersion, Some(origin)),
         None => (OriginSource::NotKnown, None),
     }
 }
 
-/// Asks the other VMs that may have a record, all at once.
-async fn ask_peers(node: &Rc<Node>, stream: StreamId) -> Option<StreamRecord> {
+/// The one version that the store has on record for the service.
+async fn stored_origin(node: &Node, query: &StreamQuery) -> Option<StreamOrigin> {
+    let service = query.service?;
+    if query.lifetime > records::COVERED_TIME || !are_endpoints_fresh(node) {
+        return None;
+    }
+    let mut versions = records::read(node, service).await?.into_iter();
+    match (versions.next(), versions.next()) {
+        (Some(software), None) => Some(StreamOrigin { service, software }),
+        _ => None,
+    }
+}
+
+/// Asks the other VMs that may know a stream, all at once. The first record decides; a sole version
+/// counts only when no VM has a record, and when all VMs that know one name the same.
+async fn ask_peers(node: &Rc<Node>, query: &StreamQuery) -> StreamAnswer {
     let sources = {
+        let (now, own) = (clock::now(), node.local_vm());
         let core = node.core.borrow();
-        core.peers.record_sources(clock::now(), node.domain, stream)
+        let key = query.stream.unwrap_or(node.vm);
+        let mut sources = core.peers.record_sources(now, node.domain, key);
+        // In a large fleet most VMs don't know all versions, and delegates do.
+        sources.extend(core.peers.endpoint_source(now, own));
+        sources
     };
     let mut asked = JoinSet::new();
     for from in sources {
-        asked.spawn_local(ask_peer(node.clone(), from, stream));
+        asked.spawn_local(ask_peer(node.clone(), from, query.clone()));
     }
-    let found = async {
+    let mut found: Vec<StreamOrigin> = Vec::new();
+    let answers = async {
         while let Some(answered) = asked.join_next().await {
-            if let Some(record) = answered.ok().flatten() {
-                return Some(record);
+            let answer = answered.unwrap_or_default();
+            if answer.record.is_some() {
+                return answer.record;
+            }
+            found.extend(answer.sole);
+            if query.stream.is_none() && !found.is_empty() {
+                break;
             }
         }
         None
     };
-    timeout(ASK_TIMEOUT, found).await.ok().flatten()
+    let record = timeout(ASK_TIMEOUT, answers).await.ok().flatten();
+    let is_same = found.iter().all(|origin| *origin == found[0]);
+    let sole = found.first().filter(|_| is_same).cloned();
+    StreamAnswer { record, sole }
 }
 
-async fn ask_peer(node: Rc<Node>, from: SocketAddr, stream: StreamId) -> Option<StreamRecord> {
-    let path = format!("{PATH}{stream:x}");
-    let asked = ask::<Option<StreamRecord>>(&node, from, &path, Vec::new(), ASK_TIMEOUT).await;
+async fn ask_peer(node: Rc<Node>, from: SocketAddr, query: StreamQuery) -> StreamAnswer {
+    let body = node.key.seal(&query).unwrap_or_default();
+    let asked = ask::<StreamAnswer>(&node, from, PATH, body, ASK_TIMEOUT).await;
     asked.unwrap_or_else(|error| {
-        log::debug!(from:% = from, path, error:% = error; "request to another VM failed");
-        None
+        log::debug!(from:% = from, path = PATH, error:% = error; "request to another VM failed");
+        StreamAnswer::default()
     })
 }
 
-/// The origin that all recent streams of a route have in common, if its service has had a single
-/// version.
-///
-/// A VM that the store doesn't confirm may not have heard of another version, and a route to several
-/// services doesn't tell which of them began the stream.
-fn sole_origin(node: &Node, route: &Route) -> Option<StreamOrigin> {
-    let now = clock::now();
-    let [share] = route.shares.as_slice() else {
-        return None;
-    };
-    let lifetime = 2 * route.timeout + RETURN_MARGIN;
-    let core = node.core.borrow();
-    let age = core.freshness.age(now, StoreSubject::Endpoints)?;
-    if age > ENDPOINTS_FRESH_AGE_MAX {
-        return None;
-    }
-    let software = core.software.sole_version(now, share.service, lifetime)?;
-    Some(StreamOrigin {
-        service: share.service,
-        software,
-    })
-}
-
-/// Answers another VM's question for a record.
-pub fn answer(node: &Node, path: &str) -> Reply {
-    let stream = path.strip_prefix(PATH);
-    let Some(stream) = stream.and_then(|hex| StreamId::from_str_radix(hex, 16).ok()) else {
+/// Answers another VM's question for a stream.
+pub async fn answer(node: &Node, body: Incoming) -> Reply {
+    let Ok(body) = Limited::new(body, QUERY_BYTES_MAX).collect().await else {
         return replies::empty(400);
     };
-    let record = node.core.borrow().streams.get(clock::now(), stream);
-    reply(node.key.seal(&record))
+    let query = match node.key.open::<StreamQuery>(&body.to_bytes()) {
+        Ok(query) => query,
+        Err(error) => {
+            log::warn!(error:% = error; "another VM's query for a stream can't be read");
+            return replies::empty(400);
+        }
+    };
+    let answer = StreamAnswer {
+        record: query.record(node),
+        sole: query.sole_origin(node),
+    };
+    reply(node.key.seal(&answer))
 }
 
 /// Streams on record of one service and version, for operators.
-#[derive(serde::Serialize)]
+#[derive(Serialize)]
 pub struct StreamCount {
     service: ServiceId,
     software: Name,
