Origins of streams survive the death of more than half of the VMs

Weak points of the holders as they were: a VM that has just started knows no other VM yet, and asked nobody; and where 60% of the VMs die at once, all holders of a record could be among them (with 6 VMs in 3 failure domains, 1 case in 10).

Change: two VMs of each of two other failure domains keep a record, not one; a VM that knows no other asks the configured peers.

The property holders_found holds as before.

--- a/src/decide/peers/record_holders.rs
+++ b/src/decide/peers/record_holders.rs
@@ -10,10 +10,11 @@
 /// VMs of the local failure domain that keep a record. Callers mostly return within their domain,
 /// and one VM may die together with the one that began the stream.
 const LOCAL_HOLDERS: usize = 2;
-/// Other failure domains where one VM keeps a record, since a whole domain may be lost or cut off.
+/// Other failure domains where VMs keep a record, since a whole domain may be lost or cut off.
+const REMOTE_DOMAINS: usize = 2;
+/// VMs of each of these that keep one: more than half of all VMs may die at once.
 const REMOTE_HOLDERS: usize = 2;
-/// VMs of each failure domain that are asked: one more than keep a record, since VMs may differ in
-/// which others they know.
+/// VMs of each failure domain that are asked.
 const ASKED_PER_DOMAIN: usize = 2;
 /// VMs that are asked in all.
 const ASKED_MAX: usize = 12;
@@ -30,9 +31,9 @@
         let local = by_domain.remove(&local_domain).unwrap_or_default();
         let local = ranked(stream, local.into_iter()).into_iter();
         let remote = ranked(stream, by_domain.keys().copied()).into_iter();
-        let remote = remote.take(REMOTE_HOLDERS).filter_map(|domain| {
-            let vms = by_domain.get(&domain)?.iter().copied();
-            ranked(stream, vms).first().copied()
+        let remote = remote.take(REMOTE_DOMAINS).flat_map(|domain| {
+            let vms = by_domain[&domain].iter().copied();
+            ranked(stream, vms).into_iter().take(REMOTE_HOLDERS)
         });
         let holders = local.take(LOCAL_HOLDERS).chain(remote);
         let rows = holders.filter_map(|vm| self.rows.get(&vm));
--- a/src/serve/streams.rs
+++ b/src/serve/streams.rs
@@ -199,6 +199,12 @@
         let core = node.core.borrow();
         let key = query.stream.unwrap_or(node.vm);
         let mut sources = core.peers.record_sources(now, node.domain, key);
+        if sources.is_empty() {
+            // This VM has just started and has heard of no other yet.
+            let own = node.settings.peer_address;
+            let seeds = node.settings.peers.iter().copied();
+            sources.extend(seeds.filter(|seed| *seed != own));
+        }
         // In a large fleet most VMs don't know all versions, and delegates do.
         sources.extend(core.peers.endpoint_source(now, own));
         sources
