Soak: endpoints of two software versions, and callers that resume streams

What it checks: neither a stream, over all attempts of its caller, nor the text of an item joins two versions. Callers disconnect from streams and resume them at random VMs. The stand-in marks the data of each version but the default one.

A first form of the check reported items that had started again as mixed, and the soak's own restore gave endpoints another version while they ran; both were mistakes of the soak.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -7,11 +7,14 @@
 
 use bramleyseam::clock;
 use bramleyseam::util::lock;
-use bramleyseam_platform_standin::caller::{agent, cancel, request_stream_with, results, submit};
+use bramleyseam_platform_standin::caller::{
+    agent, cancel, open_request, read_events, request_stream_with, results, resume_stream, submit,
+};
 use bramleyseam_platform_standin::fleet::Fleet;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::checks::ANSWER_EVENTS;
 use super::ledger::{Job, Ledger, OnlineRequest, Result};
 
 /// Pause between two requests of one caller.
@@ -20,6 +23,12 @@
 const JOB_PAUSE: Duration = Duration::from_millis(600);
 /// Time after which every VM must know an accepted job.
 const JOB_KNOWN_AFTER: Duration = Duration::from_millis(1000);
+/// Event after which a caller disconnects from a stream that it resumes.
+const STREAM_CUT_AFTER: u64 = 2;
+/// Attempts to resume one stream.
+const RESUMES_MAX: usize = 5;
+/// Pause before a refused attempt is repeated.
+const RESUME_PAUSE: Duration = Duration::from_millis(200);
 /// Attempts to submit one job, each at another VM.
 const SUBMIT_ATTEMPTS_MAX: usize = 2;
 /// One job in this number is cancelled by its caller.
@@ -50,6 +59,7 @@
             scope.spawn(move || self.run_online(vm, true, stopping));
             scope.spawn(move || self.run_online(vm, false, stopping));
         }
+        scope.spawn(move || self.run_resumer(stopping));
         scope.spawn(move || self.run_submitter(stopping));
         scope.spawn(move || self.run_reader(stopping));
     }
@@ -91,6 +101,53 @@
         }
     }
 
+    /// Begins streams at random VMs, disconnects, and resumes them at others.
+    fn run_resumer(&self, stopping: &AtomicBool) {
+        let mut rng = self.rng(3);
+        while !stopping.load(Ordering::SeqCst) {
+            clock::sleep(REQUEST_PAUSE);
+            let first = self.id("stream");
+            let vm = self.ledger.vms[rng.random_range(0..self.vms)];
+            let begun = open_request(vm, "/query/one", &first);
+            let begun = begun.and_then(|stream| read_events(stream, STREAM_CUT_AFTER));
+            let Some(last_event) = begun.ok().filter(|last| *last > 0) else {
+                continue;
+            };
+            let attempts = self.resume(first, last_event, &mut rng);
+            lock(&self.ledger.streams).push(attempts);
+        }
+    }
+
+    /// Resumes a stream until its rest arrives; returns all of its attempts.
+    fn resume(&self, first: String, mut last_event: u64, rng: &mut SmallRng) -> Vec<String> {
+        let mut attempts = vec![first];
+        while attempts.len() <= RESUMES_MAX {
+            let id = self.id("stream");
+            let vm = self.ledger.vms[rng.random_range(0..self.vms)];
+            let answer = resume_stream(vm, "/query/one", &id, &attempts[0], last_event);
+            attempts.push(id);
+            let Some(answer) = answer.filter(|answer| answer.status == 200) else {
+                clock::sleep(RESUME_PAUSE);
+                continue;
+            };
+            let events = answer.events();
+            let expected = last_event + 1..=last_event + events.len() as u64;
+            if !events.iter().copied().eq(expected) {
+                let what = format!("stream {} goes on with {events:?}", attempts[0]);
+                self.ledger.record_violation(clock::now(), what);
+            }
+            last_event += events.len() as u64;
+            if answer.complete {
+                if last_event != ANSWER_EVENTS {
+                    let what = format!("stream {} only looks whole", attempts[0]);
+                    self.ledger.record_violation(clock::now(), what);
+                }
+                break;
+            }
+        }
+        attempts
+    }
+
     fn run_submitter(&self, stopping: &AtomicBool) {
         let mut rng = self.rng(1);
         while !stopping.load(Ordering::SeqCst) {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -6,7 +6,9 @@
 use bramleyseam::clock;
 use bramleyseam::util::lock;
 use bramleyseam_platform_standin::caller::{item_id, request_stream};
-use bramleyseam_platform_standin::endpoint::{complete_text, event_data, Run};
+use bramleyseam_platform_standin::endpoint::{
+    complete_text, event_data, mixes_versions, unmarked_text, Run,
+};
 use bramleyseam_platform_standin::fleet::{wait_until, Fleet};
 
 use super::callers::{accepted_jobs, read_results};
@@ -14,7 +16,7 @@
 use super::plan::Fault;
 
 /// Events of every complete answer in this test.
-const ANSWER_EVENTS: u64 = 5;
+pub const ANSWER_EVENTS: u64 = 5;
 /// Time after the last fault in which the fleet must work again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(25);
 /// Time after which no request may reach an endpoint that has reported that it is draining.
@@ -38,6 +40,7 @@
     for (id, job) in lock(&ledger.jobs).iter() {
         check_job_runs(ledger, id, job, &runs);
     }
+    check_versions(ledger, &runs);
     check_drained(fleet, ledger);
     ledger.all_violations()
 }
@@ -174,7 +177,8 @@
         if !listed.insert(&result.item) {
             ledger.record_violation(now, format!("item {} is listed twice", result.item));
         }
-        let whole = result.text == complete_text(&result.item, ANSWER_EVENTS);
+        let expected = complete_text(&result.item, ANSWER_EVENTS);
+        let whole = unmarked_text(&result.text).as_ref() == Some(&expected);
         if result.state == "completed" && !whole {
             let text = result.text.replace('\n', " ");
             ledger.record_violation(now, format!("item {} has the text {text}", result.item));
@@ -205,6 +209,20 @@
     }
 }
 
+/// No stream, over all attempts of its caller, joins output of two software versions.
+fn check_versions(ledger: &Ledger, runs: &HashMap<String, Vec<Run>>) {
+    let whole = lock(&ledger.requests);
+    let whole = whole.iter().map(|request| vec![request.id.clone()]);
+    let resumed = lock(&ledger.streams).clone();
+    for attempts in whole.chain(resumed) {
+        let runs = attempts.iter().filter_map(|id| runs.get(id)).flatten();
+        if mixes_versions(runs.cloned().collect()) {
+            let what = format!("{} joins two software versions", attempts[0]);
+            ledger.record_violation(clock::now(), what);
+        }
+    }
+}
+
 /// No request reaches a draining endpoint after the time limit, unless a fault kept VMs from seeing
 /// that it drains.
 fn check_drained(fleet: &Fleet, ledger: &Ledger) {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -33,6 +33,8 @@
 
 /// Pause between two events of an engine's answers.
 pub const EVENT_PAUSE: Duration = Duration::from_millis(25);
+/// Software versions that serve side by side.
+const SOFTWARE_VERSIONS: usize = 2;
 
 /// Version of the configuration that a run begins with.
 pub const FIRST_RULES: u64 = 2;
@@ -95,6 +97,7 @@
             endpoint.behave(|b| {
                 *b = Behaviour {
                     event_interval: b.event_interval,
+                    software: b.software.clone(),
                     ..Behaviour::default()
                 }
             });
@@ -262,7 +265,10 @@
                 return self.ledger.record_violation(clock::now(), what);
             }
         };
-        next.behave(|b| b.event_interval = EVENT_PAUSE);
+        next.behave(|b| {
+            b.event_interval = EVENT_PAUSE;
+            b.software = software(self.fleet.endpoints.len());
+        });
         register_at(&self.fleet.store, &next, link.address, "ready");
         self.fleet.endpoints[index] = next;
         self.fleet.links[index] = link;
@@ -311,6 +317,12 @@
     }
 }
 
+/// Software version of the endpoint with this number: each version has several endpoints, and some
+/// are replaced by another one.
+pub fn software(number: usize) -> String {
+    format!("v1.{}", number % SOFTWARE_VERSIONS)
+}
+
 /// A configuration with added routes. Requests that must not be repeated may have several attempts,
 /// so that a second run would show.
 pub fn rules_with(version: u64, added: &[String]) -> Value {
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -58,6 +58,8 @@
     pub vms: Vec<SocketAddr>,
     pub requests: Mutex<Vec<OnlineRequest>>,
     pub jobs: Mutex<HashMap<String, Job>>,
+    /// Streams that callers resumed, each with all of its attempts.
+    pub streams: Mutex<Vec<Vec<String>>>,
     pub faults: Mutex<Vec<InjectedFault>>,
     violations: Mutex<Vec<String>>,
 }
@@ -70,6 +72,7 @@
             vms: fleet.vms.iter().map(|vm| vm.callers).collect(),
             requests: Mutex::default(),
             jobs: Mutex::default(),
+            streams: Mutex::default(),
             faults: Mutex::default(),
             violations: Mutex::default(),
         }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,7 +13,7 @@
 use std::thread;
 
 use bramleyseam::clock;
-use bramleyseam_platform_standin::fleet::Fleet;
+use bramleyseam_platform_standin::fleet::{register_at, Fleet};
 
 use self::callers::Callers;
 use self::faults::FaultInjector;
@@ -36,8 +36,12 @@
 /// Runs one seed.
 pub fn run(program: &str, seed: u64, size: &Size) -> io::Result<Report> {
     let mut fleet = Fleet::start_linked(program, size.vms, size.endpoints)?;
-    for endpoint in &fleet.endpoints {
-        endpoint.behave(|b| b.event_interval = faults::EVENT_PAUSE);
+    for (at, endpoint) in fleet.endpoints.iter().enumerate() {
+        endpoint.behave(|b| {
+            b.event_interval = faults::EVENT_PAUSE;
+            b.software = faults::software(at);
+        });
+        register_at(&fleet.store, endpoint, fleet.links[at].address, "ready");
     }
     let rules = faults::rules_with(faults::FIRST_RULES, &[]);
     fleet.put_config(&rules);
