--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,7 @@
 pub mod routing;
 pub mod slot_grants;
 pub mod small_jobs;
+pub mod software_history;
 pub mod stream_origins;
 pub mod subset;
 pub mod usage;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -38,7 +38,8 @@
 use crate::decide::quota::{self, QuotaMeasure, Quotas};
 use crate::decide::routes::{RouteKind, RouteTable, Rules};
 use crate::decide::small_jobs::SmallJobRecord;
-use crate::decide::stream_origins::{SoftwareHistory, StreamOrigins};
+use crate::decide::software_history::SoftwareHistory;
+use crate::decide::stream_origins::StreamOrigins;
 use crate::decide::usage::Usage;
 use crate::id::{
     self, ConfigVersion, DomainId, EndpointId, Name, OwnerId, RequestId, Revision, ServiceId, VmId,
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -53,9 +53,11 @@
     let now = clock::now();
     let resumable = route.kind == RouteKind::Streaming && route.resumable;
     let origin = match params.last_event {
-        Some(1..) if resumable => match origin(&node, route, &params).await {
+        Some(1..) if resumable => match resumed_origin(&node, route, &params).await {
             Ok(origin) => Some(origin),
             Err(kind) => {
+                let reason: &'static str = kind.into();
+                node.counters.refusals.with_label_values(&[reason]).inc();
                 return replies::refusal(kind, true, Some(streams::retry_after()));
             }
         },
@@ -80,7 +82,10 @@
         resumable,
         service,
         origin_recorded: origin.is_some(),
-        kept_for: params.timeout.unwrap_or_default().max(2 * route.timeout),
+        kept_for: params
+            .timeout
+            .unwrap_or_default()
+            .max(streams::lifetime(route)),
         last_event: params.last_event,
         attempt_start_event: params.last_event,
         resumes: params.resumes.unwrap_or_default(),
@@ -125,7 +130,7 @@
 }
 
 /// The software that began the stream which a caller resumes; else why it can't go on here.
-async fn origin(
+async fn resumed_origin(
     node: &Rc<Node>,
     route: &Route,
     params: &RequestParams,
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -225,7 +225,7 @@
         status => return failed(AttemptStage::MaybeSent, &format!("answered {status}")),
     }
     let keep_alive = exchange::keep_alive(&answer.head);
-    let read = read_events(node, key, (endpoint, &software), answer.body).await;
+    let read = read_events(node, key, endpoint, &software, answer.body).await;
     if let (RunEnd::Complete, Some(keep_alive)) = (&read, keep_alive) {
         node.pool.put(endpoint, answer.connection, keep_alive);
     }
@@ -235,7 +235,8 @@
 async fn read_events(
     node: &Rc<Node>,
     key: &ItemKey,
-    (endpoint, software): (EndpointId, &Name),
+    endpoint: EndpointId,
+    software: &Name,
     mut body: Incoming,
 ) -> RunEnd {
     let broken =
--- a/src/serve/streams.rs
+++ b/src/serve/streams.rs
@@ -35,7 +35,8 @@
 /// Mean `Retry-After` of a stream that can't go on here: another VM may know more, and its caller
 /// abandons it after a gap of two seconds.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Time beyond twice the timeout of its route for which a caller may return for a stream.
+/// Time beyond twice the timeout of a route, one for each of two attempts, for which its callers may
+/// return.
 const RETURN_MARGIN: Duration = Duration::from_secs(5);
 /// Largest confirmation age of the endpoints at which their versions are known to be all: the age
 /// that regular confirmations stay below.
@@ -61,6 +62,11 @@
     RETRY_AFTER.mul_f64(util::rng().random_range(0.5..1.5))
 }
 
+/// Longest time after its first event for which a caller may return for a stream of a route.
+pub fn lifetime(route: &Route) -> Duration {
+    2 * route.timeout + RETURN_MARGIN
+}
+
 /// The stream that a caller's attempt belongs to.
 pub fn stream_id(attempt: &str) -> StreamId {
     id::of(attempt)
@@ -121,7 +127,7 @@
         StreamQuery {
             stream: (!resumes.is_empty()).then(|| stream_id(resumes)),
             service,
-            lifetime: 2 * route.timeout + RETURN_MARGIN,
+            lifetime: lifetime(route),
         }
     }
 
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -10,9 +10,8 @@
 use bramleyseam::decide::peers::{Peers, VmRecord};
 use bramleyseam::decide::refusal::RefusalKind;
 use bramleyseam::decide::retry::AttemptStage;
-use bramleyseam::decide::stream_origins::{
-    SoftwareHistory, StreamOrigin, StreamOrigins, StreamRecord, RECORDS_MAX,
-};
+use bramleyseam::decide::software_history::SoftwareHistory;
+use bramleyseam::decide::stream_origins::{StreamOrigin, StreamOrigins, StreamRecord, RECORDS_MAX};
 use bramleyseam::decide::usage::Usage;
 use bramleyseam::id::{self, Name};
 use bramleyseam::standin::table::endpoint_configs;
