Software history: a VM that knew a subset for a while has seen no whole history

By reading: the history took note of a VM's view only when an endpoint changed. A VM of a large fleet that had a subset in between, without a change, counted its view as whole all the time, and could name a sole version that was not. Now each tick says whether the view is whole. A read of the records in the store is bounded by 0.7 s; without that, all resumes at a VM waited behind one slow call.

--- a/src/decide/software_history.rs
+++ b/src/decide/software_history.rs
@@ -29,17 +29,20 @@
 }
 
 impl SoftwareHistory {
-    /// Applies the present endpoints; `complete` unless this VM knows a subset of them.
+    /// Notes whether this VM knows all endpoints now, not a subset of them.
+    pub fn set_complete(&mut self, now: Duration, complete: bool) {
+        self.complete_since = match complete {
+            true => self.complete_since.or(Some(now)),
+            false => None,
+        };
+    }
+
+    /// Applies the present endpoints.
     pub fn update(
         &mut self,
         now: Duration,
-        complete: bool,
         endpoints: impl IntoIterator<Item = (ServiceId, Name)>,
     ) {
-        self.complete_since = match complete {
-            true => self.complete_since.or(Some(now)),
-            false => None,
-        };
         for versions in self.services.values_mut() {
             let past = versions.present.drain().map(|software| (software, now));
             versions.past.extend(past);
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -398,9 +398,8 @@
             from;
             "endpoints taken"
         );
-        let complete = core.discovery.holds_all();
         let versions = core.discovery.software_versions();
-        core.software.update(clock::now(), complete, versions);
+        core.software.update(clock::now(), versions);
         let endpoints = &mut core.online.endpoints;
         let is_in_service =
             |id: &EndpointId| endpoints.get(*id).is_some_and(|row| row.leaving.is_none());
@@ -492,6 +491,8 @@
         core.usage.tick(now);
         core.load_reports.tick(now);
         core.streams.tick(now);
+        let complete = core.discovery.holds_all();
+        core.software.set_complete(now, complete);
         if core.peers.tick(now, local_vm) {
             // Otherwise the use by other VMs would be counted twice for a while: in their own
             // reports and in the domain summaries.
--- a/src/serve/streams/records.rs
+++ b/src/serve/streams/records.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::Mutex;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock;
 use crate::decide::stream_origins::StreamOrigin;
@@ -32,6 +32,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which the records are not read again: callers of many streams come at once.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Timeout of a read: a caller abandons its stream after a gap of two seconds.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// One version of one service.
 #[derive(Serialize, Deserialize)]
@@ -116,12 +118,16 @@
     let mut records = node.software_records.lock().await;
     let now = clock::now();
     if !matches!(&*records, Some((read_at, _)) if now < *read_at + READ_INTERVAL) {
-        let items = match node.store.range(RECORD_PREFIX).await {
-            Ok((items, _)) => items,
-            Err(error) => {
+        let items = match timeout(READ_TIMEOUT, node.store.range(RECORD_PREFIX)).await {
+            Ok(Ok((items, _))) => items,
+            Ok(Err(error)) => {
                 log::info!(error:% = error; "software versions can't be read");
                 return None;
             }
+            Err(_) => {
+                log::info!("software versions can't be read in time");
+                return None;
+            }
         };
         let parsed = items
             .iter()
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -81,7 +81,8 @@
         let rows = versions
             .iter()
             .map(|software| (SERVICE, Name::from(*software)));
-        history.update(ms(*at_ms), true, rows);
+        history.set_complete(ms(*at_ms), true);
+        history.update(ms(*at_ms), rows);
     }
     history
 }
@@ -115,8 +116,8 @@
 #[test]
 fn unseen_versions() {
     let mut seen = history(&[(0, &["v1"])]);
-    seen.update(ms(20_000), false, [(SERVICE, Name::from("v1"))]);
-    seen.update(ms(21_000), true, [(SERVICE, Name::from("v1"))]);
+    seen.set_complete(ms(20_000), false);
+    seen.set_complete(ms(21_000), true);
     assert_eq!(seen.sole_version(ms(30_000), SERVICE, LIFETIME), None);
     let unknown = history(&[(0, &[""])]);
     assert_eq!(unknown.sole_version(ms(30_000), SERVICE, LIFETIME), None);
