Soak: callers come once all VMs know the endpoints' versions

Traced: the soak gave running endpoints their versions after the VMs had read other ones, and its callers came before the VMs had read the new entries (stream-8 began at 38.536 s by the log as v1, the changed entries came at 38.647 s). An endpoint's process doesn't change its version, so the case is not allowed; the soak waits now until all VMs know. The check is as it was.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -34,7 +34,7 @@
 /// Pause between two events of an engine's answers.
 pub const EVENT_PAUSE: Duration = Duration::from_millis(25);
 /// Software versions that serve side by side.
-const SOFTWARE_VERSIONS: usize = 2;
+pub const SOFTWARE: [&str; 2] = ["v1.0", "v1.1"];
 
 /// Version of the configuration that a run begins with.
 pub const FIRST_RULES: u64 = 2;
@@ -267,7 +267,7 @@
         };
         next.behave(|b| {
             b.event_interval = EVENT_PAUSE;
-            b.software = software(self.fleet.endpoints.len());
+            b.software = SOFTWARE[self.fleet.endpoints.len() % SOFTWARE.len()].into();
         });
         register_at(&self.fleet.store, &next, link.address, "ready");
         self.fleet.endpoints[index] = next;
@@ -317,12 +317,6 @@
     }
 }
 
-/// Software version of the endpoint with this number: each version has several endpoints, and some
-/// are replaced by another one.
-pub fn software(number: usize) -> String {
-    format!("v1.{}", number % SOFTWARE_VERSIONS)
-}
-
 /// A configuration with added routes. Requests that must not be repeated may have several attempts,
 /// so that a second run would show.
 pub fn rules_with(version: u64, added: &[String]) -> Value {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,7 +13,7 @@
 use std::thread;
 
 use bramleyseam::clock;
-use bramleyseam_platform_standin::fleet::{register_at, Fleet};
+use bramleyseam_platform_standin::fleet::Fleet;
 
 use self::callers::Callers;
 use self::faults::FaultInjector;
@@ -36,12 +36,12 @@
 /// Runs one seed.
 pub fn run(program: &str, seed: u64, size: &Size) -> io::Result<Report> {
     let mut fleet = Fleet::start_linked(program, size.vms, size.endpoints)?;
-    for (at, endpoint) in fleet.endpoints.iter().enumerate() {
-        endpoint.behave(|b| {
-            b.event_interval = faults::EVENT_PAUSE;
-            b.software = faults::software(at);
-        });
-        register_at(&fleet.store, endpoint, fleet.links[at].address, "ready");
+    for endpoint in &fleet.endpoints {
+        endpoint.behave(|b| b.event_interval = faults::EVENT_PAUSE);
+    }
+    // Callers may come only once all VMs know the versions, which endpoints don't change otherwise.
+    if !fleet.assign_software(&faults::SOFTWARE) {
+        return Err(io::Error::other("the software versions are not known"));
     }
     let rules = faults::rules_with(faults::FIRST_RULES, &[]);
     fleet.put_config(&rules);
