Soak: versions are checked in what callers received

Traced: an attempt was given up after 416 ms of silence on a link that held its bytes back, the next one brought the first event from v1.1, and the endpoint of v1.0 recorded the first attempt after it, when the link let go. The caller has events of v1.1 only, so the case is allowed. The check went by the order in which endpoints record runs; it goes by the marked data that callers received now, of whole and of resumed streams, which is stricter on all that they get.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -8,7 +8,7 @@
 use bramleyseam::clock;
 use bramleyseam::util::lock;
 use bramleyseam_platform_standin::caller::{
-    agent, cancel, open_request, read_events, request_stream_with, results, resume_stream, submit,
+    agent, cancel, open_request, read_data, request_stream_with, results, resume_stream, submit,
 };
 use bramleyseam_platform_standin::fleet::Fleet;
 use rand::rngs::SmallRng;
@@ -109,23 +109,22 @@
             let first = self.id("stream");
             let vm = self.ledger.vms[rng.random_range(0..self.vms)];
             let begun = open_request(vm, "/query/one", &first);
-            let begun = begun.and_then(|stream| read_events(stream, STREAM_CUT_AFTER));
-            let Some(last_event) = begun.ok().filter(|last| *last > 0) else {
+            let begun = begun.and_then(|stream| read_data(stream, STREAM_CUT_AFTER));
+            let Some((last_event, data)) = begun.ok().filter(|(last, _)| *last > 0) else {
                 continue;
             };
-            let attempts = self.resume(first, last_event, &mut rng);
-            lock(&self.ledger.streams).push(attempts);
+            let rest = self.resume(&first, last_event, &mut rng);
+            lock(&self.ledger.streams).push((first, data + &rest));
         }
     }
 
-    /// Resumes a stream until its rest arrives; returns all of its attempts.
-    fn resume(&self, first: String, mut last_event: u64, rng: &mut SmallRng) -> Vec<String> {
-        let mut attempts = vec![first];
-        while attempts.len() <= RESUMES_MAX {
+    /// Resumes a stream until its rest arrives; returns the data of the events received.
+    fn resume(&self, first: &str, mut last_event: u64, rng: &mut SmallRng) -> String {
+        let mut data = String::new();
+        for _ in 0..RESUMES_MAX {
             let id = self.id("stream");
             let vm = self.ledger.vms[rng.random_range(0..self.vms)];
-            let answer = resume_stream(vm, "/query/one", &id, &attempts[0], last_event);
-            attempts.push(id);
+            let answer = resume_stream(vm, "/query/one", &id, first, last_event);
             let Some(answer) = answer.filter(|answer| answer.status == 200) else {
                 clock::sleep(RESUME_PAUSE);
                 continue;
@@ -133,19 +132,21 @@
             let events = answer.events();
             let expected = last_event + 1..=last_event + events.len() as u64;
             if !events.iter().copied().eq(expected) {
-                let what = format!("stream {} goes on with {events:?}", attempts[0]);
+                let what = format!("stream {first} goes on with {events:?}");
                 self.ledger.record_violation(clock::now(), what);
             }
             last_event += events.len() as u64;
+            data.push('\n');
+            data.push_str(&answer.data());
             if answer.complete {
                 if last_event != ANSWER_EVENTS {
-                    let what = format!("stream {} only looks whole", attempts[0]);
+                    let what = format!("stream {first} only looks whole");
                     self.ledger.record_violation(clock::now(), what);
                 }
                 break;
             }
         }
-        attempts
+        data
     }
 
     fn run_submitter(&self, stopping: &AtomicBool) {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -6,9 +6,7 @@
 use bramleyseam::clock;
 use bramleyseam::util::lock;
 use bramleyseam_platform_standin::caller::{item_id, request_stream};
-use bramleyseam_platform_standin::endpoint::{
-    complete_text, event_data, mixes_versions, unmarked_text, Run,
-};
+use bramleyseam_platform_standin::endpoint::{complete_text, event_data, unmarked_text, Run};
 use bramleyseam_platform_standin::fleet::{wait_until, Fleet};
 
 use super::callers::{accepted_jobs, read_results};
@@ -40,7 +38,7 @@
     for (id, job) in lock(&ledger.jobs).iter() {
         check_job_runs(ledger, id, job, &runs);
     }
-    check_versions(ledger, &runs);
+    check_versions(ledger);
     check_drained(fleet, ledger);
     ledger.all_violations()
 }
@@ -210,14 +208,17 @@
 }
 
 /// No stream, over all attempts of its caller, joins output of two software versions.
-fn check_versions(ledger: &Ledger, runs: &HashMap<String, Vec<Run>>) {
-    let whole = lock(&ledger.requests);
-    let whole = whole.iter().map(|request| vec![request.id.clone()]);
+fn check_versions(ledger: &Ledger) {
+    let requests = lock(&ledger.requests);
+    let whole = requests.iter().filter_map(|request| {
+        let answer = request.answer.as_ref().filter(|seen| seen.status == 200)?;
+        Some((request.id.clone(), answer.data()))
+    });
     let resumed = lock(&ledger.streams).clone();
-    for attempts in whole.chain(resumed) {
-        let runs = attempts.iter().filter_map(|id| runs.get(id)).flatten();
-        if mixes_versions(runs.cloned().collect()) {
-            let what = format!("{} joins two software versions", attempts[0]);
+    for (id, data) in whole.chain(resumed) {
+        if unmarked_text(data.trim()).is_none() {
+            let text = data.replace('\n', " ");
+            let what = format!("{id} joins two software versions: {text}");
             ledger.record_violation(clock::now(), what);
         }
     }
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -58,8 +58,8 @@
     pub vms: Vec<SocketAddr>,
     pub requests: Mutex<Vec<OnlineRequest>>,
     pub jobs: Mutex<HashMap<String, Job>>,
-    /// Streams that callers resumed, each with all of its attempts.
-    pub streams: Mutex<Vec<Vec<String>>>,
+    /// Streams that callers resumed: the first attempt, and the data of all events received.
+    pub streams: Mutex<Vec<(String, String)>>,
     pub faults: Mutex<Vec<InjectedFault>>,
     violations: Mutex<Vec<String>>,
 }
