Log why a request that failed got no other attempt

Callers saw streams cut, and refusals, in the millisecond in which their silent endpoint was left, with seconds to spare. The log had one word for it, endpoint-failed, whatever the reason: the retry budget, the queue, no endpoint of the stream's version.

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -15,7 +15,7 @@
 use super::evidence::{Evidence, ProbeQuery};
 use super::kept_slots::KeptSlots;
 use super::refusal::RefusalKind;
-use super::retry::{self, AttemptStage, RetryBudget};
+use super::retry::{self, AttemptStage, NoRetry, RetryBudget};
 use super::routing::{self, NoEndpointReason, Policy, RouteQuery};
 use crate::id::{DomainId, EndpointId, Name, RequestId, ServiceId, WorkspaceId};
 
@@ -275,6 +275,8 @@
     rows: HashMap<RequestId, RequestRow>,
     service_states: HashMap<ServiceId, ServiceState>,
     budget: RetryBudget,
+    /// Why requests that were refused after an attempt got no other one. Kept until the next tick.
+    no_retries: HashMap<RequestId, NoRetry>,
     ticked_at: Duration,
     /// When this process last resumed after a pause of its own. Silence before that time is not
     /// evidence against an endpoint.
@@ -296,6 +298,7 @@
             rows: HashMap::new(),
             service_states: HashMap::new(),
             budget: RetryBudget::default(),
+            no_retries: HashMap::new(),
             ticked_at: Duration::ZERO,
             resumed_at: Duration::ZERO,
             rng,
@@ -324,6 +327,7 @@
             self.resumed_at = now;
         }
         self.ticked_at = now;
+        self.no_retries.clear();
         self.evidence.tick(now, &mut self.endpoints);
         self.endpoints.eject_slow(now);
         if self.watch_silence {
@@ -337,6 +341,11 @@
         }
     }
 
+    /// Why a request that was refused after an attempt got no other one.
+    pub fn take_no_retry(&mut self, request: RequestId) -> Option<NoRetry> {
+        self.no_retries.remove(&request)
+    }
+
     /// Number of requests that are queued or in flight.
     pub fn open_requests(&self) -> usize {
         self.rows.len()
@@ -577,6 +586,9 @@
             None
         };
         if let Some(kind) = kind {
+            if row.attempts > 0 {
+                self.no_retries.insert(request, NoRetry::QueueFull);
+            }
             let retry_after = match self.is_short(service) {
                 true => self.spread_retry(now, row.arrival.deadline),
                 false => self.jittered(wait.max(RETRY_AFTER_MIN)),
@@ -873,20 +885,30 @@
             AttemptStage::Answering if arrival.resumable => true,
             _ => retry::allowed(reach, arrival.idempotent),
         };
-        let attempts_left = row.has_attempts_left() && now < arrival.deadline;
         let evidence = &self.evidence;
         let frees = |id| evidence.frees_retry(now, id, &self.endpoints);
         let is_free = ended || row.endpoint.is_some_and(frees);
-        let mut software_gone = false;
-        if permitted && attempts_left && (is_free || self.budget.spend(now)) {
+        let no_retry = if !permitted {
+            NoRetry::NotPermitted
+        } else if !row.has_attempts_left() {
+            NoRetry::NoAttemptsLeft
+        } else if now >= arrival.deadline {
+            NoRetry::DeadlinePassed
+        } else if !is_free && !self.budget.spend(now) {
+            NoRetry::BudgetSpent
+        } else {
             match self.route_again(now, &row) {
                 Ok(endpoint) => return self.send(now, row, endpoint, out),
                 Err(NoEndpointReason::AllFull) => return self.requeue(now, row, out),
-                Err(NoEndpointReason::NoneUsable) => software_gone = row.software.is_some(),
+                Err(NoEndpointReason::NoneUsable) if row.software.is_some() => {
+                    NoRetry::SoftwareGone
+                }
+                Err(NoEndpointReason::NoneUsable) => NoRetry::NoEndpoint,
             }
-        }
+        };
+        self.no_retries.insert(request, no_retry);
         let kind = match (row.may_have_run, row.arrival.idempotent) {
-            _ if software_gone => RefusalKind::SoftwareGone,
+            _ if no_retry == NoRetry::SoftwareGone => RefusalKind::SoftwareGone,
             (false, _) => RefusalKind::NoEndpoint,
             (true, false) => RefusalKind::OutcomeUnknown,
             (true, true) => RefusalKind::EndpointFailed,
@@ -1015,6 +1037,9 @@
                 continue;
             };
             self.dequeue(&row);
+            if row.attempts > 0 {
+                self.no_retries.insert(request, NoRetry::WaitedTooLong);
+            }
             let kind = if now >= row.arrival.deadline {
                 RefusalKind::DeadlinePassed
             } else {
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -30,6 +30,24 @@
     Answering,
 }
 
+/// Why no other attempt follows a failed one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum NoRetry {
+    /// It may have run, and may run only once.
+    NotPermitted,
+    NoAttemptsLeft,
+    DeadlinePassed,
+    BudgetSpent,
+    NoEndpoint,
+    /// No endpoint runs the software that began the stream.
+    SoftwareGone,
+    /// All endpoints are full, and the queue did not take it.
+    QueueFull,
+    /// All endpoints stayed full for as long as it could wait.
+    WaitedTooLong,
+}
+
 /// A token bucket that is filled only by first attempts.
 ///
 /// If half of the endpoints fail and every request is tried three times, the load on the healthy
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -443,6 +443,12 @@
         self.core.borrow_mut().callers.remove(&request);
     }
 
+    /// Why a request that was refused after an attempt got no other one; empty if it had none.
+    pub fn no_retry(&self, request: RequestId) -> &'static str {
+        let reason = self.core.borrow_mut().online.take_no_retry(request);
+        reason.map_or("", Into::into)
+    }
+
     /// Passes an event of a request to the online scheduler.
     pub fn handle_event(&self, event: Event) {
         let mut core = self.core.borrow_mut();
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -769,6 +769,7 @@
             workspace = self.out.workspace.as_deref().unwrap_or_default(),
             outcome,
             detail,
+            no_retry = self.node.no_retry(self.request),
             attempts = self.attempts,
             endpoint = self.sent_to,
             software = *self.software,
