Give up a silent attempt only once its successor is secured

Callers saw, when a sound endpoint sent nothing for a second: streams that had begun cut, and requests refused before their first event, with seconds to spare; with several endpoints silent at once, all of them.

Cause: the scheduler closed a silent attempt's connection when another attempt was permitted, and decided afterwards whether it was made. All endpoints that were silent together were left for each other, and each silence ejected its endpoint for two seconds and counted against it in the failure domain.

Change: decide/online/silence. An attempt is given up only with its successor reserved: an attempt left, an endpoint of its software with a free slot that has sent something lately, or, one attempt at a time, one that this VM has not heard from. The host opens the connection to it, and checks the quarantine, before it closes the old one; if that fails, or data arrives meanwhile, the attempt is kept. What finds no successor goes on, and is looked at again with each tick. A free slot needs no retry budget: where load is too high there is none. A host that accepts no connection twice is dead: what runs there ends even if nothing follows. An endpoint that sends again is used again at once with all its slots, a pause does not count as slowness, and a first silence is no evidence. While nothing else has room a request that may be repeated may wait at a silent endpoint instead of being refused.

--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -12,6 +12,8 @@
 pub const EJECT_FAILURES: u32 = 3;
 /// Length of the first ejection; each further one in a row doubles it.
 pub const EJECT_MIN: Duration = Duration::from_secs(2);
+/// The same for an endpoint that is merely silent: its process may have paused for a second.
+pub const SILENT_EJECT_MIN: Duration = Duration::from_secs(1);
 /// Length of the longest ejection.
 pub const EJECT_MAX: Duration = Duration::from_secs(30);
 /// Time over which the limit grows back after an ejection.
@@ -94,6 +96,13 @@
     pub failures: u32,
     pub ejections: u32,
     pub ejected_until: Duration,
+    /// When this VM found that the endpoint sends nothing on any of its connections. Invariant: if
+    /// this is set, the endpoint has sent nothing since, and silence is why it was last ejected.
+    pub silent_at: Option<Duration>,
+    /// When it was last found silent.
+    pub last_silent_at: Option<Duration>,
+    /// Whether its host accepts no connections in this silence.
+    pub host_unreachable: bool,
     /// Since when it is back after an ejection.
     pub returned_at: Option<Duration>,
     /// Moving average of the time to first token, in milliseconds; 0 if unknown.
@@ -124,6 +133,9 @@
             failures: 0,
             ejections: 0,
             ejected_until: Duration::ZERO,
+            silent_at: None,
+            last_silent_at: None,
+            host_unreachable: false,
             returned_at: None,
             first_token_ms: 0.0,
             barred: false,
@@ -256,12 +268,37 @@
 
     /// Takes the endpoint out of use for a while.
     pub fn eject(&mut self, now: Duration) {
-        let pause = EJECT_MIN * 2u32.saturating_pow(self.ejections.min(8));
+        self.eject_for(now, EJECT_MIN);
+        self.failures = EJECT_FAILURES - 1;
+        self.first_token_ms = 0.0;
+        self.silent_at = None;
+    }
+
+    /// Takes the endpoint out of use because it sends nothing: until it does, or for a while.
+    pub fn went_silent(&mut self, now: Duration) {
+        self.eject_for(now, SILENT_EJECT_MIN);
+        self.silent_at = Some(now);
+        self.last_silent_at = Some(now);
+    }
+
+    /// Puts the endpoint back into use at once if it was silent and has sent something since.
+    pub fn return_if_heard(&mut self, now: Duration) -> bool {
+        let is_heard = self.silent_at.is_some_and(|at| self.last_received_at > at);
+        if is_heard {
+            self.silent_at = None;
+            self.host_unreachable = false;
+            self.ejected_until = self.ejected_until.min(now);
+            self.ejections = 0;
+            self.returned_at = None;
+        }
+        is_heard
+    }
+
+    fn eject_for(&mut self, now: Duration, first_pause: Duration) {
+        let pause = first_pause * 2u32.saturating_pow(self.ejections.min(8));
         self.ejected_until = now + pause.min(EJECT_MAX);
         self.returned_at = Some(self.ejected_until);
         self.ejections += 1;
-        self.failures = EJECT_FAILURES - 1;
-        self.first_token_ms = 0.0;
     }
 
     /// Applies a report, received from the endpoint itself or from another VM.
--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -3,6 +3,8 @@
 //! A single state machine holds all requests. Each event and each tick may return actions for any
 //! of them.
 
+mod silence;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
@@ -19,6 +21,9 @@
 use super::routing::{self, NoEndpointReason, Policy, RouteQuery};
 use crate::id::{DomainId, EndpointId, Name, RequestId, ServiceId, WorkspaceId};
 
+use self::silence::Successor;
+pub use self::silence::{SilenceChange, SuccessorState};
+
 /// Share of a workspace that has no share in the configuration.
 pub const SHARE_DEFAULT: f64 = 0.05;
 /// Shortest `Retry-After` sent with a refusal.
@@ -110,6 +115,11 @@
         request: RequestId,
         outcome: AttemptOutcome,
     },
+    /// An attempt that was to be given up goes on.
+    Kept {
+        request: RequestId,
+        successor: SuccessorState,
+    },
 }
 
 /// What the host must do.
@@ -121,8 +131,8 @@
         endpoint: EndpointId,
         attempt: u32,
     },
-    /// Close the connection to the endpoint and report the attempt as failed: nothing is received
-    /// on it any more.
+    /// Nothing is received on the attempt's connection any more. Make sure that its successor can be
+    /// reached, then close the connection and report the attempt as failed; else report it as kept.
     GiveUp { request: RequestId },
     /// Send the final response, a refusal, now.
     Refuse {
@@ -150,6 +160,13 @@
     answering: bool,
     /// The host was told to give up this attempt.
     given_up: bool,
+    /// Where the next attempt goes once this one is given up. Invariant: it is set only while
+    /// `given_up`, and `online_here` of the endpoint counts it.
+    successor: Option<Successor>,
+    /// Until when an attempt that was kept is not given up again.
+    kept_until: Duration,
+    /// This attempt was sent to an endpoint that the VM had not heard from, and has received nothing.
+    is_unproven: bool,
     /// This attempt probes an endpoint that was ejected.
     is_probe: bool,
     /// Endpoint against which a failure of this request was counted.
@@ -192,22 +209,6 @@
         let refused_attempts = self.refused_attempts.min(REFUSED_ATTEMPTS_MAX);
         self.attempts < self.arrival.attempts_max + refused_attempts
     }
-
-    /// Gives up this attempt if another one may follow; true if it does.
-    fn give_up(&mut self, out: &mut Vec<Action>) -> bool {
-        let may_retry = match self.answering {
-            true => self.arrival.resumable,
-            false => self.arrival.idempotent,
-        };
-        let gives_up = may_retry && !self.given_up && self.has_attempts_left();
-        if gives_up {
-            self.given_up = true;
-            out.push(Action::GiveUp {
-                request: self.arrival.request,
-            });
-        }
-        gives_up
-    }
 }
 
 #[derive(Debug, Default, Clone)]
@@ -277,6 +278,8 @@
     budget: RetryBudget,
     /// Why requests that were refused after an attempt got no other one. Kept until the next tick.
     no_retries: HashMap<RequestId, NoRetry>,
+    /// What the last tick found of silent endpoints.
+    silence_changes: Vec<SilenceChange>,
     ticked_at: Duration,
     /// When this process last resumed after a pause of its own. Silence before that time is not
     /// evidence against an endpoint.
@@ -299,6 +302,7 @@
             service_states: HashMap::new(),
             budget: RetryBudget::default(),
             no_retries: HashMap::new(),
+            silence_changes: Vec::new(),
             ticked_at: Duration::ZERO,
             resumed_at: Duration::ZERO,
             rng,
@@ -311,13 +315,20 @@
             Event::Arrived(arrival) => self.handle_arrival(now, arrival, out),
             Event::FirstToken { request } => self.handle_first_token(now, request),
             Event::Ended { request, outcome } => self.handle_end(now, request, outcome, out),
+            Event::Kept { request, successor } => self.handle_kept(now, request, successor),
         }
     }
 
-    /// Records that data of a request's response was received.
+    /// Records that data of a request's response was received. An attempt that was to be given up
+    /// then goes on.
     pub fn note_response(&mut self, now: Duration, request: RequestId) {
-        if let Some(row) = self.rows.get_mut(&request) {
-            row.last_received_at = now;
+        let Some(row) = self.rows.get_mut(&request) else {
+            return;
+        };
+        row.last_received_at = now;
+        row.is_unproven = false;
+        if row.given_up {
+            self.handle_kept(now, request, SuccessorState::NotTried);
         }
     }
 
@@ -331,8 +342,7 @@
         self.evidence.tick(now, &mut self.endpoints);
         self.endpoints.eject_slow(now);
         if self.watch_silence {
-            self.give_up_silent(now, out);
-            self.give_up_unanswered(now, out);
+            self.watch_silence(now, out);
         }
         let services: Vec<ServiceId> = self.service_states.keys().copied().collect();
         for service in services {
@@ -389,6 +399,9 @@
             may_have_run: false,
             answering: false,
             given_up: false,
+            successor: None,
+            kept_until: Duration::ZERO,
+            is_unproven: false,
             is_probe: false,
             accused: None,
             software: arrival.software.clone(),
@@ -479,14 +492,15 @@
     }
 
     fn route(&mut self, now: Duration, row: &RequestRow) -> Result<EndpointId, NoEndpointReason> {
-        routing::choose(
+        let chosen = routing::choose(
             &self.endpoints,
             self.local_domain,
             row.route_query(),
             self.policy,
             now,
             &mut self.rng,
-        )
+        );
+        chosen.or_else(|reason| self.choose_silent(now, row).ok_or(reason))
     }
 
     /// Chooses an endpoint after a failed attempt. With shared evidence that is the one that last
@@ -514,6 +528,7 @@
         row.attempts += 1;
         row.answering = false;
         row.given_up = false;
+        row.kept_until = Duration::ZERO;
         if row.attempts == 1 {
             self.budget.earn();
         }
@@ -691,6 +706,7 @@
             return;
         };
         row.answering = true;
+        row.is_unproven = false;
         if row.arrival.resumable && row.software.is_none() {
             row.software = Some(row.sent_to_software.clone());
         }
@@ -702,7 +718,9 @@
         let Some(endpoint) = row.endpoint.and_then(|id| self.endpoints.get_mut(id)) else {
             return;
         };
-        endpoint.succeeded(Some(time));
+        // A pause of the endpoint says nothing about its speed.
+        let was_silent = Some(row.sent_at) <= endpoint.last_silent_at;
+        endpoint.succeeded((!was_silent).then_some(time));
         endpoint.succeeded_at = now;
         self.evidence.succeeded(now, endpoint.id);
         if learn {
@@ -726,6 +744,8 @@
             return;
         }
         self.release(&row);
+        let successor = self.release_successor(&mut row);
+        row.is_unproven = false;
         let service = row.arrival.service;
         let endpoint = row.endpoint.and_then(|id| self.endpoints.get_mut(id));
         match outcome {
@@ -761,7 +781,16 @@
                 row.may_have_run |=
                     matches!(reach, AttemptStage::MaybeSent | AttemptStage::Answering);
                 row.refused_attempts += u32::from(ended && reach == AttemptStage::NotSent);
-                self.retry(now, row, reach, ended, out);
+                if row.given_up {
+                    self.count_silence(now, &row);
+                }
+                let row = match successor {
+                    Some(successor) => self.send_to_successor(now, row, successor, out),
+                    None => Some(row),
+                };
+                if let Some(row) = row {
+                    self.retry(now, row, reach, ended, out);
+                }
             }
         }
         self.dispatch(now, service, out);
@@ -927,74 +956,6 @@
         self.enqueue(now, row, limit, out);
     }
 
-    /// Gives up attempts at endpoints that have stopped sending on all connections.
-    ///
-    /// When a machine loses power or its network, nothing resets the connections, and without this
-    /// check its callers would wait until their deadlines. An engine that runs anything sends an
-    /// event every few tens of milliseconds. So silence on all connections at once, while one of
-    /// the requests is past the engine's queue, distinguishes a dead engine from a busy one.
-    fn give_up_silent(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let mut attempts_by_endpoint: HashMap<EndpointId, (Duration, bool)> = HashMap::new();
-        for row in self.rows.values().filter(|row| !row.given_up) {
-            if let (Some(id), true) = (row.endpoint, row.is_in_flight()) {
-                let (oldest, answering) = attempts_by_endpoint
-                    .entry(id)
-                    .or_insert((row.sent_at, false));
-                *oldest = row.sent_at.min(*oldest);
-                *answering |= row.answering;
-            }
-        }
-        for (id, (oldest, answering)) in attempts_by_endpoint {
-            let resumed_at = self.resumed_at;
-            let Some(endpoint) = self.endpoints.get_mut(id) else {
-                continue;
-            };
-            let since = endpoint.last_received_at.max(oldest).max(resumed_at);
-            let bound = match answering || !endpoint.may_queue(now) {
-                true => SILENCE_TIMEOUT,
-                false => QUEUED_SILENCE_TIMEOUT,
-            };
-            if now < since + bound {
-                continue;
-            }
-            endpoint.eject(now);
-            let is_affected =
-                |row: &&mut RequestRow| row.endpoint == Some(id) && row.is_in_flight();
-            for row in self.rows.values_mut().filter(is_affected) {
-                if row.give_up(out) {
-                    self.evidence.failed(now, id, row.answering);
-                }
-            }
-        }
-    }
-
-    /// Gives up attempts that have stopped receiving while their endpoint still sends on other
-    /// connections or is no longer registered.
-    ///
-    /// If one connection goes silent for good, or an endpoint dies after its entry has been
-    /// removed, no other request shows it, and without this check the caller would wait until its
-    /// deadline. A request in the queue of an endpoint without free slots receives nothing either,
-    /// so an attempt without a response is given up only if the endpoint had a free slot for it.
-    fn give_up_unanswered(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let (endpoints, resumed_at) = (&self.endpoints, self.resumed_at);
-        let is_sent = |row: &&mut RequestRow| row.is_in_flight();
-        for row in self.rows.values_mut().filter(is_sent) {
-            let endpoint = row.endpoint.and_then(|id| endpoints.get(id));
-            let may_queue = endpoint.is_some_and(|endpoint| endpoint.may_queue(now));
-            let bound = match row.answering {
-                true => RESPONSE_SILENCE_TIMEOUT,
-                false if may_queue => continue,
-                false => QUEUED_SILENCE_TIMEOUT,
-            };
-            let is_silent = now >= row.last_received_at.max(resumed_at) + bound;
-            if is_silent && row.give_up(out) {
-                if let Some(id) = row.endpoint {
-                    self.evidence.failed(now, id, row.answering);
-                }
-            }
-        }
-    }
-
     fn dequeue(&mut self, row: &RequestRow) {
         let request = row.arrival.request;
         let Some(state) = self.service_states.get_mut(&row.arrival.service) else {
--- /dev/null
+++ b/src/decide/online/silence.rs
@@ -0,0 +1,349 @@
+//! Endpoints that have gone silent, and attempts that wait for them.
+//!
+//! Silence does not tell a paused process from a dead one: a sound endpoint may send nothing for a
+//! second and then go on. So an attempt is given up only once its successor is secured: another
+//! endpoint that lives and has a free slot, which is reserved. Otherwise the attempt goes on, and is
+//! looked at again with each tick.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{
+    Action, Online, RequestRow, QUEUED_SILENCE_TIMEOUT, RESPONSE_SILENCE_TIMEOUT, SILENCE_TIMEOUT,
+};
+use crate::decide::endpoints::Endpoint;
+use crate::decide::retry::AttemptStage;
+use crate::decide::routing;
+use crate::id::{EndpointId, RequestId, ServiceId};
+
+/// An endpoint that sent something within this time lives. Shorter than [`SILENCE_TIMEOUT`], so that
+/// endpoints which pause together do not take over from each other.
+const LIVING_WINDOW: Duration = Duration::from_millis(200);
+/// Pause before a successor is sought again for an attempt that was kept.
+const KEPT_RECHECK_AFTER: Duration = Duration::from_millis(300);
+
+/// What came of a reserved successor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuccessorState {
+    /// It was not asked, since the attempt receives again or may not be repeated now.
+    NotTried,
+    /// No connection could be opened in time.
+    Unreachable,
+    /// Its host refused the connection, so that its process has ended.
+    Ended,
+}
+
+/// The endpoint that the next attempt of a request goes to, whose slot is reserved.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Successor {
+    endpoint: EndpointId,
+    /// This VM has not heard from it recently.
+    is_unproven: bool,
+}
+
+/// A change that this VM found in an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SilenceChange {
+    pub endpoint: EndpointId,
+    /// Whether it has gone silent, or sends again.
+    pub is_silent: bool,
+    /// Attempts of this VM there.
+    pub attempts: u32,
+}
+
+impl Online {
+    /// Endpoints that have gone silent or send again, as found by the last tick.
+    pub fn take_silence_changes(&mut self) -> Vec<SilenceChange> {
+        std::mem::take(&mut self.silence_changes)
+    }
+
+    /// The endpoint reserved for the next attempt of a request that is given up; `None` if it is not
+    /// given up any more, or nothing can follow.
+    pub fn successor(&self, request: RequestId) -> Option<EndpointId> {
+        let row = self.rows.get(&request)?;
+        row.successor.map(|successor| successor.endpoint)
+    }
+
+    /// Whether an attempt is still to be given up.
+    pub fn is_given_up(&self, request: RequestId) -> bool {
+        self.rows.get(&request).is_some_and(|row| row.given_up)
+    }
+
+    /// Records whether the host of a silent endpoint accepts connections. One that does not is taken for
+    /// dead, so that attempts there end even if nothing can follow.
+    pub fn host_checked(&mut self, id: EndpointId, is_reachable: bool) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.host_unreachable = endpoint.silent_at.is_some() && !is_reachable;
+        }
+    }
+
+    /// Finds silent endpoints, and gives up the attempts that can go on elsewhere.
+    pub(super) fn watch_silence(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.silence_changes.clear();
+        for endpoint in &mut self.endpoints.rows {
+            if endpoint.return_if_heard(now) {
+                self.silence_changes.push(SilenceChange {
+                    endpoint: endpoint.id,
+                    is_silent: false,
+                    attempts: endpoint.online_here,
+                });
+            }
+        }
+        self.find_silent_endpoints(now);
+        let is_silent = |row: &&RequestRow| self.is_silent(now, row);
+        let mut silent: Vec<&RequestRow> = self.rows.values().filter(is_silent).collect();
+        // Callers that have part of their answer lose most.
+        silent.sort_by_key(|row| (!row.answering, row.arrival.request));
+        let silent: Vec<RequestId> = silent.iter().map(|row| row.arrival.request).collect();
+        for request in silent {
+            self.give_up(now, request, out);
+        }
+    }
+
+    /// Takes endpoints out of use that send nothing on any connection.
+    ///
+    /// When a machine loses power or its network, nothing resets the connections. An engine that runs
+    /// anything sends an event every few tens of milliseconds, so silence on all connections at once,
+    /// while one of the requests is past the engine's queue, distinguishes it from a busy one.
+    fn find_silent_endpoints(&mut self, now: Duration) {
+        let mut oldest_attempts = BTreeMap::new();
+        for row in self.rows.values().filter(|row| row.is_in_flight()) {
+            if let Some(id) = row.endpoint {
+                let (oldest, answering) = oldest_attempts.entry(id).or_insert((row.sent_at, false));
+                *oldest = row.sent_at.min(*oldest);
+                *answering |= row.answering;
+            }
+        }
+        for (id, (oldest, answering)) in oldest_attempts {
+            let resumed_at = self.resumed_at;
+            let Some(endpoint) = self.endpoints.get_mut(id) else {
+                continue;
+            };
+            let mut since = endpoint.last_received_at.max(oldest).max(resumed_at);
+            if endpoint.silent_at.is_some() {
+                // After an ejection the requests that are sent there get the same time again.
+                since = since.max(endpoint.ejected_until);
+            }
+            let bound = match answering || !endpoint.may_queue(now) {
+                true => SILENCE_TIMEOUT,
+                false => QUEUED_SILENCE_TIMEOUT,
+            };
+            if now >= since + bound {
+                endpoint.went_silent(now);
+                self.silence_changes.push(SilenceChange {
+                    endpoint: id,
+                    is_silent: true,
+                    attempts: endpoint.online_here,
+                });
+            }
+        }
+    }
+
+    /// Whether an attempt receives nothing, either because its endpoint is silent or because its own
+    /// connection is.
+    ///
+    /// If one connection goes silent for good, or an endpoint dies after its entry has been removed,
+    /// no other request shows it. A request in the queue of an endpoint without free slots receives
+    /// nothing either, so an attempt without a response counts only if the endpoint had a slot for it.
+    fn is_silent(&self, now: Duration, row: &RequestRow) -> bool {
+        if !row.is_in_flight() {
+            return false;
+        }
+        let endpoint = row.endpoint.and_then(|id| self.endpoints.get(id));
+        if endpoint.is_some_and(|endpoint| endpoint.silent_at >= Some(row.last_received_at)) {
+            return true;
+        }
+        let may_queue = endpoint.is_some_and(|endpoint| endpoint.may_queue(now));
+        let bound = match row.answering {
+            true => RESPONSE_SILENCE_TIMEOUT,
+            false if may_queue => return false,
+            false => QUEUED_SILENCE_TIMEOUT,
+        };
+        now >= row.last_received_at.max(self.resumed_at) + bound
+    }
+
+    /// Gives up a silent attempt if its successor can be secured, or if its endpoint is dead.
+    fn give_up(&mut self, now: Duration, request: RequestId, out: &mut Vec<Action>) {
+        let Some(mut row) = self.rows.remove(&request) else {
+            return;
+        };
+        if row.may_move(now) {
+            row.successor = self.find_successor(now, &row);
+            let is_dead = |id| self.endpoints.get(id).is_some_and(|e| e.host_unreachable);
+            row.given_up = row.successor.is_some() || row.endpoint.is_some_and(is_dead);
+            let successor = row.successor.map(|successor| successor.endpoint);
+            if let Some(endpoint) = successor.and_then(|id| self.endpoints.get_mut(id)) {
+                endpoint.online_here += 1;
+            }
+            if row.given_up {
+                out.push(Action::GiveUp { request });
+            }
+        }
+        self.rows.insert(request, row);
+    }
+
+    /// Finds an endpoint that a silent attempt can go on at.
+    ///
+    /// A free slot is taken without the retry budget: it can't add to a load that is too high, as there
+    /// are no free slots then. Endpoints that this VM has not heard from recently may have paused
+    /// together with the silent one, so they are tried by one attempt at a time.
+    fn find_successor(&mut self, now: Duration, row: &RequestRow) -> Option<Successor> {
+        let lives = |endpoint: &Endpoint| now <= endpoint.last_received_at + LIVING_WINDOW;
+        if let Some(endpoint) = self.choose_free(now, row, lives) {
+            let is_unproven = false;
+            return Some(Successor {
+                endpoint,
+                is_unproven,
+            });
+        }
+        let is_idle = |endpoint: &Endpoint| endpoint.online_here == 0;
+        if !self.tries_unproven(now, row.arrival.service) {
+            if let Some(endpoint) = self.choose_free(now, row, is_idle) {
+                let is_unproven = true;
+                return Some(Successor {
+                    endpoint,
+                    is_unproven,
+                });
+            }
+        }
+        self.same_endpoint(now, row, lives)
+    }
+
+    fn choose_free(
+        &mut self,
+        now: Duration,
+        row: &RequestRow,
+        test: impl Fn(&Endpoint) -> bool,
+    ) -> Option<EndpointId> {
+        routing::choose_free(
+            &self.endpoints,
+            self.local_domain,
+            row.route_query(),
+            now,
+            &mut self.rng,
+            test,
+        )
+    }
+
+    /// The attempt's own endpoint, to be reached by a new connection: it sends on others, or an
+    /// attempt without a response has waited for so long that its connection may be dead.
+    fn same_endpoint(
+        &mut self,
+        now: Duration,
+        row: &RequestRow,
+        lives: impl Fn(&Endpoint) -> bool,
+    ) -> Option<Successor> {
+        let endpoint = row.endpoint.and_then(|id| self.endpoints.get(id))?;
+        let is_silent_for_long = now
+            >= row.last_received_at.max(self.resumed_at) + QUEUED_SILENCE_TIMEOUT
+            && !row.answering
+            && !endpoint.host_unreachable;
+        let may_reconnect = lives(endpoint) || is_silent_for_long;
+        let is_in_service = endpoint.leaving.is_none() && !endpoint.barred;
+        let successor = Successor {
+            endpoint: endpoint.id,
+            is_unproven: false,
+        };
+        (may_reconnect && is_in_service && self.budget.spend(now)).then_some(successor)
+    }
+
+    /// Whether an attempt is on its way to an endpoint that this VM has not heard from recently.
+    fn tries_unproven(&self, now: Duration, service: ServiceId) -> bool {
+        let mut rows = self.rows.values();
+        rows.any(|row| {
+            let is_reserved = row.successor.is_some_and(|successor| successor.is_unproven);
+            let is_sent = row.is_unproven && now < row.sent_at + SILENCE_TIMEOUT;
+            row.arrival.service == service && (is_reserved || is_sent)
+        })
+    }
+
+    /// A silent endpoint for a first attempt that has no other. It may live again, and only a request
+    /// shows it; where other endpoints are merely full, one request at a time does.
+    pub(super) fn choose_silent(&self, now: Duration, row: &RequestRow) -> Option<EndpointId> {
+        if row.attempts > 0 || !row.arrival.idempotent {
+            return None;
+        }
+        let query = row.route_query();
+        let rows = self.endpoints.of_service(row.arrival.service).iter();
+        let rows = rows.map(|at| &self.endpoints.rows[*at]);
+        let has_usable = rows.clone().any(|endpoint| endpoint.usable(now));
+        let may_try = |endpoint: &&Endpoint| {
+            let is_in_service = endpoint.leaving.is_none() && !endpoint.barred;
+            let is_paused = endpoint.silent_at.is_some() && !endpoint.host_unreachable;
+            let is_free = endpoint.online_here == 0 || (!has_usable && endpoint.has_room(now));
+            is_in_service && is_paused && is_free && query.accepts(endpoint)
+        };
+        let least_used = rows.filter(may_try).min_by_key(|e| (e.online_here, e.id));
+        least_used.map(|endpoint| endpoint.id)
+    }
+
+    /// Frees the slot that is reserved for the next attempt.
+    pub(super) fn release_successor(&mut self, row: &mut RequestRow) -> Option<Successor> {
+        let successor = row.successor.take()?;
+        if let Some(endpoint) = self.endpoints.get_mut(successor.endpoint) {
+            endpoint.online_here = endpoint.online_here.saturating_sub(1);
+        }
+        Some(successor)
+    }
+
+    /// Handles that an attempt which was to be given up goes on.
+    pub(super) fn handle_kept(&mut self, now: Duration, request: RequestId, state: SuccessorState) {
+        let Some(mut row) = self.rows.remove(&request) else {
+            return;
+        };
+        if !row.given_up {
+            self.rows.insert(request, row);
+            return;
+        }
+        row.given_up = false;
+        row.kept_until = now + KEPT_RECHECK_AFTER;
+        let successor = self.release_successor(&mut row);
+        self.rows.insert(request, row);
+        let ended = state == SuccessorState::Ended;
+        if let Some(successor) = successor.filter(|_| state != SuccessorState::NotTried) {
+            self.endpoint_failed(now, successor.endpoint, AttemptStage::NotSent, ended);
+        }
+    }
+
+    /// Sends a request that was given up to its successor; returns it if that is not possible any more.
+    pub(super) fn send_to_successor(
+        &mut self,
+        now: Duration,
+        mut row: RequestRow,
+        successor: Successor,
+        out: &mut Vec<Action>,
+    ) -> Option<RequestRow> {
+        let is_same = row.endpoint == Some(successor.endpoint);
+        let endpoint = self.endpoints.get(successor.endpoint);
+        if !endpoint.is_some_and(|endpoint| is_same || endpoint.usable(now)) {
+            return Some(row);
+        }
+        row.is_unproven = successor.is_unproven;
+        self.send(now, row, successor.endpoint, out);
+        None
+    }
+
+    /// Counts a silence as evidence against the endpoint, unless it may be a pause: the endpoint sent
+    /// on other connections meanwhile, or was silent before, or its host is dead.
+    pub(super) fn count_silence(&mut self, now: Duration, row: &RequestRow) {
+        let Some(endpoint) = row.endpoint.and_then(|id| self.endpoints.get(id)) else {
+            return;
+        };
+        let may_be_pause = endpoint.silent_at.is_some() && endpoint.ejections <= 1;
+        if !may_be_pause || endpoint.host_unreachable {
+            self.evidence.failed(now, endpoint.id, row.answering);
+        }
+    }
+}
+
+impl RequestRow {
+    /// Whether another attempt may follow this one while it is silent.
+    fn may_move(&self, now: Duration) -> bool {
+        let may_retry = match self.answering {
+            true => self.arrival.resumable,
+            false => self.arrival.idempotent,
+        };
+        let has_time = now >= self.kept_until && now < self.arrival.deadline;
+        may_retry && !self.given_up && has_time && self.has_attempts_left()
+    }
+}
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -120,12 +120,41 @@
 
 impl RouteQuery<'_> {
     /// Whether the request may run at an endpoint at all.
-    fn accepts(&self, endpoint: &Endpoint) -> bool {
+    pub fn accepts(&self, endpoint: &Endpoint) -> bool {
         self.software
             .is_none_or(|software| endpoint.runs_software(software))
     }
 }
 
+/// Chooses an endpoint with a free slot that passes a test, in the local failure domain if there is one.
+pub fn choose_free(
+    table: &Endpoints,
+    local_domain: DomainId,
+    query: RouteQuery<'_>,
+    now: Duration,
+    rng: &mut impl Rng,
+    test: impl Fn(&Endpoint) -> bool,
+) -> Option<EndpointId> {
+    let has_slot = match table.counts_lag {
+        true => Endpoint::has_spare_slots,
+        false => Endpoint::has_slot,
+    };
+    let mut domains = [true, false].into_iter();
+    domains.find_map(|local| {
+        let fits = |row: &Endpoint| {
+            let is_local = (row.config.domain == local_domain) == local;
+            let is_new = query.avoid != Some(row.id);
+            is_local
+                && is_new
+                && query.accepts(row)
+                && row.usable(now)
+                && has_slot(row, now)
+                && test(row)
+        };
+        best(table, query, Policy::TwoChoices, now, rng, fits)
+    })
+}
+
 /// The endpoint with a free slot that last answered a request of this VM and has no recent failures.
 pub fn choose_proven(
     table: &Endpoints,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -35,6 +35,7 @@
 pub mod results;
 pub mod retire;
 pub mod runs;
+mod silence;
 pub mod stop;
 mod streams;
 pub mod summary;
@@ -147,5 +148,6 @@
     loop {
         sleep(TICK_INTERVAL).await;
         node.tick();
+        silence::handle_changes(&node);
     }
 }
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -17,6 +17,8 @@
     pub items_restarted: IntCounter,
     /// Attempts at endpoints, by outcome.
     pub attempts: IntCounterVec,
+    /// Endpoints that went silent, sent again, or turned out unreachable, by state.
+    pub endpoint_silences: IntCounterVec,
     /// New connections to endpoints.
     pub connections: IntCounter,
     /// Transitions of endpoints, by transition and by the source that reported it.
@@ -88,6 +90,11 @@
                 "Tries at endpoints.",
                 &["outcome"],
             ),
+            endpoint_silences: metrics.counters(
+                "bramley_endpoint_silences_total",
+                "Endpoints that went silent, sent again, or turned out unreachable.",
+                &["state"],
+            ),
             connections: metrics.counter(
                 "bramley_endpoint_connections_total",
                 "New connections to endpoints.",
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -21,11 +21,12 @@
 use super::quarantine::{self, TrialScope};
 use super::quotas::{self, CountedRequest};
 use super::replies::{self, Reply};
+use super::silence;
 use super::streams;
 use crate::clock;
 use crate::decide::access::{self, Credential};
 use crate::decide::discovery::unknown_software;
-use crate::decide::online::{Action, Arrival, AttemptOutcome, Event};
+use crate::decide::online::{Action, Arrival, AttemptOutcome, Event, SuccessorState};
 use crate::decide::refusal::RefusalKind;
 use crate::decide::retry::AttemptStage;
 use crate::decide::routes::{Route, RouteKind, Share};
@@ -496,16 +497,43 @@
 
     /// Waits for a result of the attempt, or for an event that ends it.
     async fn wait<T>(&mut self, future: impl std::future::Future<Output = T>) -> WaitResult<T> {
-        let time_left = self.time_left();
-        tokio::select! {
-            biased;
-            value = future => WaitResult::Value(value),
-            () = self.chunks.closed() => WaitResult::CallerLeft,
-            () = sleep(time_left) => WaitResult::DeadlinePassed,
-            _ = self.actions.recv() => WaitResult::GivenUp,
+        let mut future = std::pin::pin!(future);
+        let deadline = sleep(self.time_left());
+        let mut deadline = std::pin::pin!(deadline);
+        let (node, out) = (self.node.clone(), self.out.clone());
+        loop {
+            tokio::select! {
+                biased;
+                value = &mut future => return WaitResult::Value(value),
+                () = self.chunks.closed() => return WaitResult::CallerLeft,
+                () = &mut deadline => return WaitResult::DeadlinePassed,
+                _ = self.actions.recv() => {}
+            }
+            // The attempt goes on until its successor is connected.
+            let connected = silence::connect_successor(&node, self.request, &out);
+            let connected = tokio::select! {
+                biased;
+                value = &mut future => {
+                    self.keep(SuccessorState::NotTried);
+                    return WaitResult::Value(value);
+                }
+                () = self.chunks.closed() => return WaitResult::CallerLeft,
+                () = &mut deadline => return WaitResult::DeadlinePassed,
+                connected = connected => connected,
+            };
+            match connected {
+                Ok(()) => return WaitResult::GivenUp,
+                Err(successor) => self.keep(successor),
+            }
         }
     }
 
+    /// Reports that an attempt which was to be given up goes on.
+    fn keep(&self, successor: SuccessorState) {
+        let request = self.request;
+        self.node.handle_event(Event::Kept { request, successor });
+    }
+
     /// Passes an answer on once it is complete.
     async fn relay_whole(&mut self, target: &Target, answer: Answer) -> AttemptResult {
         let Answer {
