A service that is no longer configured keeps its configuration while it has requests

Callers saw, when a change moved their route to another service: requests that waited for a slot of the old one refused at once, and streams whose endpoint broke or paused cut, although the old service's endpoints were there.

Cause: the configuration was replaced as a whole; without it the queue of a service has length, time and dispatch of zero.

Change: a service that is dropped stays configured until its last request has ended.

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -264,6 +264,8 @@
 pub struct Online {
     pub endpoints: Endpoints,
     pub services: HashMap<ServiceId, ServiceConfig>,
+    /// Services that the configuration no longer has. Invariant: they are in `services`.
+    retired_services: HashSet<ServiceId>,
     pub policy: Policy,
     /// Whether the host updates [`super::endpoints::Endpoint::last_received_at`] and can perform
     /// [`Action::GiveUp`].
@@ -293,6 +295,7 @@
         Online {
             endpoints: Endpoints::default(),
             services: HashMap::new(),
+            retired_services: HashSet::new(),
             policy: Policy::Affinity,
             watch_silence: false,
             limits: HashMap::new(),
@@ -339,6 +342,7 @@
         }
         self.ticked_at = now;
         self.no_retries.clear();
+        self.drop_retired_services();
         self.evidence.tick(now, &mut self.endpoints);
         self.endpoints.eject_slow(now);
         if self.watch_silence {
@@ -356,6 +360,31 @@
         self.no_retries.remove(&request)
     }
 
+    /// Applies new configurations of services. One that is no longer configured keeps its old one
+    /// until its requests have ended: what was accepted goes on.
+    pub fn configure_services(&mut self, services: HashMap<ServiceId, ServiceConfig>) {
+        let old = std::mem::replace(&mut self.services, services);
+        self.retired_services.clear();
+        for (service, config) in old {
+            if !self.services.contains_key(&service) {
+                self.services.insert(service, config);
+                self.retired_services.insert(service);
+            }
+        }
+    }
+
+    /// Drops the configurations of retired services without requests.
+    fn drop_retired_services(&mut self) {
+        let (rows, services) = (&self.rows, &mut self.services);
+        self.retired_services.retain(|service| {
+            let is_open = rows.values().any(|row| row.arrival.service == *service);
+            if !is_open {
+                services.remove(service);
+            }
+            is_open
+        });
+    }
+
     /// Number of requests that are queued or in flight.
     pub fn open_requests(&self) -> usize {
         self.rows.len()
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -14,6 +14,7 @@
 use rand::SeedableRng;
 
 const SERVICE: u64 = 1;
+const OTHER_SERVICE: u64 = 2;
 const SLOTS: f64 = 4.0;
 const TICK: Duration = Duration::from_millis(25);
 const PAUSE: Duration = Duration::from_millis(1_200);
@@ -334,6 +335,27 @@
     assert!(sent_to(&actions).is_some(), "{actions:?}");
 }
 
+// The route moves to another service while the endpoint of a stream is paused: nothing could follow
+// at the old service, so the stream was cut.
+#[test]
+fn service_replaced() {
+    let mut simulation = Simulation::new(2, |_| "v1");
+    simulation.begin(2);
+    let paused = simulation.ids()[0];
+    simulation.paused = vec![paused];
+    let configured = HashMap::from([(OTHER_SERVICE, service())]);
+    simulation.online.configure_services(configured);
+    let actions = simulation.run_for(SILENCE_TIMEOUT + TICK);
+    assert_eq!(simulation.move_all(&actions), 1);
+    for request in [1, 2] {
+        let outcome = AttemptOutcome::Done;
+        simulation.handle(Event::Ended { request, outcome });
+    }
+    simulation.streams.clear();
+    simulation.run_for(TICK);
+    assert!(!simulation.online.services.contains_key(&SERVICE));
+}
+
 // The endpoint's host accepts no connections, so it is dead. Callers whose stream can't go on here
 // are told at once.
 #[test]
