Silence: a check of the host holds for one silence

Callers' streams were cut when their endpoint paused for a second, long after its host had once been unreachable. Ejecting a silent endpoint for a failed connection cleared when it went silent, but not that its host was unreachable, and an endpoint that is not marked silent is never heard again. So the mark stayed, and at the next pause all attempts there were given up although nothing could follow. The same mark, kept from one silence to the next, closed requests that had been sent after the ejection.

Both played tests failed before: host_back and earlier_check had their only attempt given up (GiveUp { request: 1 } and { request: 10 } where no action was expected). The mark is now cleared wherever the silence it belongs to ends or another one begins; the check that follows sets it again.

--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -101,7 +101,8 @@
     pub silent_at: Option<Duration>,
     /// When it was last found silent.
     pub last_silent_at: Option<Duration>,
-    /// Whether its host accepts no connections in this silence.
+    /// Whether its host accepts no connections. Invariant: it was checked after `silent_at`, which
+    /// is set.
     pub host_unreachable: bool,
     /// Since when it is back after an ejection.
     pub returned_at: Option<Duration>,
@@ -272,6 +273,7 @@
         self.failures = EJECT_FAILURES - 1;
         self.first_token_ms = 0.0;
         self.silent_at = None;
+        self.host_unreachable = false;
     }
 
     /// Takes the endpoint out of use because it sends nothing: until it does, or for a while.
@@ -279,6 +281,7 @@
         self.eject_for(now, SILENT_EJECT_MIN);
         self.silent_at = Some(now);
         self.last_silent_at = Some(now);
+        self.host_unreachable = false;
     }
 
     /// Puts the endpoint back into use at once if it was silent and has sent something since.
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -371,6 +371,45 @@
     assert_eq!(simulation.close(1), None);
 }
 
+// A failed connection during the silence left the host marked as unreachable for good, so that streams
+// were closed at the endpoint's next pause although nothing could follow.
+#[test]
+fn host_back() {
+    let mut simulation = Simulation::new(1, |_| "v1");
+    simulation.begin(1);
+    let endpoint = simulation.ids()[0];
+    simulation.paused = vec![endpoint];
+    simulation.run_for(SILENCE_TIMEOUT + TICK);
+    simulation.online.host_checked(endpoint, false);
+    if let Some(row) = simulation.online.endpoints.get_mut(endpoint) {
+        row.eject(simulation.now);
+    }
+    simulation.paused.clear();
+    simulation.run_for(PAUSE);
+    simulation.paused = vec![endpoint];
+    assert_eq!(simulation.run_for(PAUSE), []);
+}
+
+// The result of an earlier check of the host closed requests that were sent after the endpoint was
+// back in use.
+#[test]
+fn earlier_check() {
+    let mut simulation = Simulation::new(1, |_| "v1");
+    simulation.begin(1);
+    let endpoint = simulation.ids()[0];
+    simulation.paused = vec![endpoint];
+    simulation.run_for(SILENCE_TIMEOUT + TICK);
+    simulation.online.host_checked(endpoint, false);
+    let outcome = AttemptOutcome::Abandoned;
+    simulation.handle(Event::Ended {
+        request: 1,
+        outcome,
+    });
+    simulation.run_for(ms(1_500));
+    assert_eq!(sent_to(&simulation.arrive(10)), Some(endpoint));
+    assert_eq!(simulation.run_for(PAUSE), []);
+}
+
 // A connection that is silent while its endpoint sends on others is replaced by a new one, even if
 // there is no other endpoint.
 #[test]
