Items: stay at an endpoint that is out of use

Items at an endpoint that sent nothing for 400 ms were stopped, all but one, although no other work needed their slots and often no other endpoint had one. An ejected endpoint counts as having one slot, so that its load grows slowly later on, and preemption took the rest for an excess.

Now items are preempted only when an endpoint has more work than all its slots; the reduced number holds for new work. It still makes way at once for online requests, as the end of the test shows.

--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -124,6 +124,8 @@
     /// Slots by which it ranks lower for recent failures.
     penalty_slots: i64,
     slots: u32,
+    /// The same without the reduction after an ejection, which holds for new work only.
+    full_slots: u32,
     online: u32,
     batch_here: u32,
     batch_elsewhere: u32,
@@ -138,8 +140,11 @@
 impl EndpointCapacity {
     /// Free slots, negative when the endpoint is overcommitted.
     fn free_slots(&self) -> i64 {
-        let used = self.online + self.batch_here + self.batch_elsewhere;
-        i64::from(self.slots) - i64::from(used)
+        i64::from(self.slots) - i64::from(self.used_slots())
+    }
+
+    fn used_slots(&self) -> u32 {
+        self.online + self.batch_here + self.batch_elsewhere
     }
 
     /// Whether an item of a service can run there, after the text that `software` made if there is
@@ -424,6 +429,7 @@
                 in_service: endpoint.leaving.is_none(),
                 penalty_slots: (endpoint.penalty * endpoint.slots(now)).ceil() as i64,
                 slots: endpoint.slots(now) as u32,
+                full_slots: endpoint.limit.slots() as u32,
                 online: endpoint.online_here + elsewhere.online,
                 batch_here: here.batch,
                 batch_elsewhere: elsewhere.batch,
@@ -443,8 +449,8 @@
         out: &mut Vec<Action>,
     ) {
         let batch = capacity.batch_here + capacity.batch_elsewhere;
-        let reserved = capacity.urgent.min(urgent_slots_max(capacity.slots));
-        let over = (-capacity.free_slots()).max(0) as u32;
+        let reserved = capacity.urgent.min(urgent_slots_max(capacity.full_slots));
+        let over = capacity.used_slots().saturating_sub(capacity.full_slots);
         let excess = over.min(batch.saturating_sub(reserved));
         if excess == 0 || capacity.batch_here == 0 {
             return;
--- a/tests/batch_items.rs
+++ b/tests/batch_items.rs
@@ -98,6 +98,21 @@
     assert_eq!(starts(&plan(&mut items, later, &endpoints, &usage)), 3);
 }
 
+// An endpoint out of use offers new work a single slot. Items that ran there were stopped for it,
+// although its slots are not needed by anything else and it may only pause.
+#[test]
+fn stay_in_silence() {
+    let mut endpoints = endpoints(1);
+    let usage = Usage::default();
+    let mut items = items(SLOTS, ms(18_000));
+    plan(&mut items, ms(0), &endpoints, &usage);
+    endpoints.rows[0].went_silent(ms(400));
+    assert_eq!(plan(&mut items, ms(425), &endpoints, &usage), []);
+    endpoints.rows[0].online_here = 1;
+    let stopped = stops(&plan(&mut items, ms(450), &endpoints, &usage));
+    assert_eq!(stopped.len(), 1);
+}
+
 // An online load fills the fleet for so long that waiting items miss their due time. Items that
 // can't wait any longer keep some slots; before that they keep none.
 #[test]
