Items: one that has ended is no fault of its endpoint

Callers were refused with 503 no-endpoint right after a change of the configuration that removed a batch route, though their own route and its endpoint were sound. The items of the removed route end at once, but their runs go on until the next event, which then finds no item. That counted as a failure of the endpoint; three of them ejected it.

Real processes, one endpoint, four items, seen before: four lines 'item ran: broken_off, the job is no longer run here', then the next online request refused 503 where 200 was expected. An event that finds no item now ends the run without blame.

--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -269,9 +269,7 @@
                     continue;
                 };
                 for event in splitter.push(&data) {
-                    if let Err(detail) = record_event(node, key, software, event.id, event.data()) {
-                        return broken(detail);
-                    }
+                    record_event(node, key, software, event.id, event.data())?;
                 }
                 if splitter.is_too_long() {
                     return broken("an event is too long".into());
@@ -292,11 +290,11 @@
     software: &Name,
     event: Option<u64>,
     text: String,
-) -> Result<(), String> {
+) -> Result<(), Failure> {
     let mut is_first = false;
     let recorded = node.runs.with_progress(key, |progress| {
         if event.is_none() {
-            return Err("an event without an id".into());
+            return Err("an event without an id".to_owned());
         }
         check_next(progress.last_event, event)?;
         is_first = progress.software.is_none();
@@ -309,7 +307,16 @@
         let items = &mut node.core.borrow_mut().items;
         items.began(key, software.clone());
     }
-    recorded.unwrap_or_else(|| Err("the job is no longer run here".into()))
+    match recorded {
+        Some(result) => {
+            result.map_err(|detail| Failure::of_endpoint(AttemptStage::Answering, detail))
+        }
+        // The item was given up or its job has moved, which is no fault of the endpoint.
+        None => {
+            let detail = "the item no longer runs here";
+            Err(Failure::not_of_endpoint(AttemptStage::Answering, detail))
+        }
+    }
 }
 
 /// An item's state when its run began.
