Silence: a failing endpoint stays out of use when heard

Requests were sent to an endpoint that had just been ejected for its failures. If requests that it still had received nothing for 400 ms it counted as silent too, and the next byte of any of them put it back into use at once, with the count of its ejections at zero.

An endpoint now keeps until when failures bar it; hearing from it ends only what silence added. Failed connections are no such failure, as whatever it sends shows that it can be reached.

--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -96,6 +96,8 @@
     pub failures: u32,
     pub ejections: u32,
     pub ejected_until: Duration,
+    /// Until when failures keep it out of use, even if it is silent and then sends again.
+    pub failing_until: Duration,
     /// When this VM found that the endpoint sends nothing on any of its connections. Invariant: if
     /// this is set, the endpoint has sent nothing since, and silence is why it was last ejected.
     pub silent_at: Option<Duration>,
@@ -134,6 +136,7 @@
             failures: 0,
             ejections: 0,
             ejected_until: Duration::ZERO,
+            failing_until: Duration::ZERO,
             silent_at: None,
             last_silent_at: None,
             host_unreachable: false,
@@ -222,6 +225,7 @@
     /// Puts the endpoint back into use after probes succeeded.
     pub fn readmit(&mut self, now: Duration) {
         self.ejected_until = self.ejected_until.min(now);
+        self.failing_until = self.failing_until.min(now);
         self.failures = 0;
         self.ejections = 0;
         self.returned_at = Some(now);
@@ -258,8 +262,11 @@
     /// Records that a connection could not be opened. Two such failures in a row eject, since a
     /// listening process would have accepted them.
     pub fn unreachable(&mut self, now: Duration) {
+        let failing_until = self.failing_until;
         self.failures += 1;
         self.failed(now);
+        // Whatever it sends shows that it can be reached.
+        self.failing_until = failing_until;
     }
 
     /// Whether requests may have to wait in the endpoint's queue.
@@ -270,6 +277,7 @@
     /// Takes the endpoint out of use for a while.
     pub fn eject(&mut self, now: Duration) {
         self.eject_for(now, EJECT_MIN);
+        self.failing_until = self.ejected_until;
         self.failures = EJECT_FAILURES - 1;
         self.first_token_ms = 0.0;
         self.silent_at = None;
@@ -290,16 +298,18 @@
         if is_heard {
             self.silent_at = None;
             self.host_unreachable = false;
-            self.ejected_until = self.ejected_until.min(now);
-            self.ejections = 0;
-            self.returned_at = None;
+            self.ejected_until = self.ejected_until.min(now.max(self.failing_until));
+            if self.failing_until <= now {
+                self.ejections = 0;
+                self.returned_at = None;
+            }
         }
         is_heard
     }
 
     fn eject_for(&mut self, now: Duration, first_pause: Duration) {
         let pause = first_pause * 2u32.saturating_pow(self.ejections.min(8));
-        self.ejected_until = now + pause.min(EJECT_MAX);
+        self.ejected_until = (now + pause.min(EJECT_MAX)).max(self.failing_until);
         self.returned_at = Some(self.ejected_until);
         self.ejections += 1;
     }
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -324,6 +324,25 @@
     }
 }
 
+// A silent endpoint that was out of use for its failures was used again as soon as it sent anything.
+#[test]
+fn failing_before() {
+    let mut simulation = Simulation::new(1, |_| "v1");
+    simulation.begin(1);
+    let endpoint = simulation.ids()[0];
+    if let Some(row) = simulation.online.endpoints.get_mut(endpoint) {
+        row.eject(simulation.now);
+    }
+    let until = simulation.online.endpoints.rows[0].ejected_until;
+    simulation.paused = vec![endpoint];
+    simulation.run_for(SILENCE_TIMEOUT + TICK);
+    assert!(simulation.online.endpoints.rows[0].silent_at.is_some());
+    simulation.paused.clear();
+    simulation.run_for(TICK);
+    let row = &simulation.online.endpoints.rows[0];
+    assert!(row.silent_at.is_none() && row.ejected_until >= until);
+}
+
 // New requests were refused while all endpoints paused. They may wait there, as others do.
 #[test]
 fn new_requests() {
