Silence: room that becomes free goes to silent attempts before the queue

What callers would see, found by review: while requests queue, the slot that a request leaves is taken within the same event, so that no tick finds a free one. Streams at an endpoint whose process hangs while its host still accepts connections stayed there until their deadlines.

Change: when a request ends, one silent attempt that may move gets the room it leaves, before the queue. That place may be the one behind the last slot, so it is charged to the retry budget.

silent_successors before_queue covers it (played).

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -822,6 +822,9 @@
                 }
             }
         }
+        if self.watch_silence {
+            self.move_before_queue(now, service, out);
+        }
         self.dispatch(now, service, out);
     }
 
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -168,12 +168,10 @@
             return;
         };
         if row.may_move(now) {
-            row.successor = self.find_successor(now, &row);
             let is_dead = |id| self.endpoints.get(id).is_some_and(|e| e.host_unreachable);
-            row.given_up = row.successor.is_some() || row.endpoint.is_some_and(is_dead);
-            let successor = row.successor.map(|successor| successor.endpoint);
-            if let Some(endpoint) = successor.and_then(|id| self.endpoints.get_mut(id)) {
-                endpoint.online_here += 1;
+            row.given_up = row.endpoint.is_some_and(is_dead);
+            if let Some(successor) = self.find_successor(now, &row) {
+                self.reserve(&mut row, successor);
             }
             if row.given_up {
                 out.push(Action::GiveUp { request });
@@ -182,6 +180,49 @@
         self.rows.insert(request, row);
     }
 
+    /// Gives up one silent attempt for the room that a request has left at another endpoint. While
+    /// requests queue, they take each free slot before the next tick could give it away.
+    pub(super) fn move_before_queue(
+        &mut self,
+        now: Duration,
+        service: ServiceId,
+        out: &mut Vec<Action>,
+    ) {
+        let is_waiting = |row: &&RequestRow| {
+            row.arrival.service == service && self.is_silent(now, row) && row.may_move(now)
+        };
+        let silent = self.rows.values().filter(is_waiting);
+        let first = silent.min_by_key(|row| (!row.answering, row.arrival.request));
+        let Some(request) = first.map(|row| row.arrival.request) else {
+            return;
+        };
+        let Some(mut row) = self.rows.remove(&request) else {
+            return;
+        };
+        let lives = |endpoint: &Endpoint| now <= endpoint.last_received_at + LIVING_WINDOW;
+        let query = row.route_query();
+        let found = routing::choose_room(&self.endpoints, self.local_domain, query, now, lives);
+        if let Some(endpoint) = found.filter(|_| self.budget.spend(now)) {
+            let is_unproven = false;
+            let successor = Successor {
+                endpoint,
+                is_unproven,
+            };
+            self.reserve(&mut row, successor);
+            out.push(Action::GiveUp { request });
+        }
+        self.rows.insert(request, row);
+    }
+
+    /// Reserves a slot for the next attempt of a request that is given up.
+    fn reserve(&mut self, row: &mut RequestRow, successor: Successor) {
+        row.given_up = true;
+        row.successor = Some(successor);
+        if let Some(endpoint) = self.endpoints.get_mut(successor.endpoint) {
+            endpoint.online_here += 1;
+        }
+    }
+
     /// Finds an endpoint that a silent attempt can go on at.
     ///
     /// A free slot is taken without the retry budget: it can't add to a load that is too high, as there
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -155,6 +155,28 @@
     })
 }
 
+/// The least loaded endpoint with room that passes a test, in the local failure domain if there is one.
+pub fn choose_room(
+    table: &Endpoints,
+    local_domain: DomainId,
+    query: RouteQuery<'_>,
+    now: Duration,
+    test: impl Fn(&Endpoint) -> bool,
+) -> Option<EndpointId> {
+    let rows = table.of_service(query.service).iter();
+    let rows = rows.map(|at| &table.rows[*at]);
+    let fits = rows.filter(|row| {
+        let is_new = query.avoid != Some(row.id);
+        is_new && query.accepts(row) && row.usable(now) && row.has_room(now) && test(row)
+    });
+    let order = |row: &&Endpoint| (row.config.domain != local_domain, row.routing_load(now));
+    let least = fits.min_by(|a, b| {
+        let ((a_remote, a_load), (b_remote, b_load)) = (order(a), order(b));
+        a_remote.cmp(&b_remote).then(a_load.total_cmp(&b_load))
+    });
+    least.map(|row| row.id)
+}
+
 /// The endpoint with a free slot that last answered a request of this VM and has no recent failures.
 pub fn choose_proven(
     table: &Endpoints,
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -452,3 +452,26 @@
     let actions = simulation.run_for(QUEUED_SILENCE_TIMEOUT - PAUSE);
     assert_eq!(given_up(&actions), [1]);
 }
+
+// At full load the queue took each free slot before a silent stream could, so that streams stayed at a
+// dead endpoint until their deadlines.
+#[test]
+fn before_queue() {
+    let mut simulation = Simulation::new(2, |_| "v1");
+    simulation.begin(8);
+    let [paused, other] = simulation.ids()[..] else {
+        unreachable!();
+    };
+    simulation.paused = vec![paused];
+    assert_eq!(simulation.run_for(SILENCE_TIMEOUT + TICK), []);
+    for request in 20..23 {
+        simulation.arrive(request);
+    }
+    let request = simulation.streams_at(other)[0];
+    simulation.streams.remove(&request);
+    let outcome = AttemptOutcome::Done;
+    let actions = simulation.handle(Event::Ended { request, outcome });
+    let moved = given_up(&actions);
+    assert_eq!(moved.len(), 1, "{actions:?}");
+    assert_eq!(simulation.online.successor(moved[0]), Some(other));
+}
