Silence: a host is dead when it refuses, or accepts nothing for 1.5 s

What callers would see, found by review: a network that fails for 0.7 s, or two lost packets, made a sound endpoint count as dead after two tries of 0.1 s, and all its streams were closed. And a dead endpoint's streams were charged to the retry budget, so that most were cut, while those of one that ends by itself are not.

Change: a refused connection is a death at once; without an answer the check goes on for 1.5 s, longer than a pause. What is closed because its endpoint is dead is not charged to the retry budget.

silent_successors dead_streams covers the second (played); the first is by reading.

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -813,12 +813,13 @@
                 if row.given_up {
                     self.count_silence(now, &row);
                 }
+                let has_ended = ended || (row.given_up && successor.is_none());
                 let row = match successor {
                     Some(successor) => self.send_to_successor(now, row, successor, out),
                     None => Some(row),
                 };
                 if let Some(row) = row {
-                    self.retry(now, row, reach, ended, out);
+                    self.retry(now, row, reach, has_ended, out);
                 }
             }
         }
--- a/src/serve/silence.rs
+++ b/src/serve/silence.rs
@@ -2,17 +2,19 @@
 //! take over. The decisions are made in [`crate::decide::online`].
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::exchange::{Outgoing, Target};
 use super::node::Node;
 use super::pool::{Connection, Error};
 use super::quarantine;
+use crate::clock;
 use crate::decide::online::{SilenceChange, SuccessorState};
 use crate::id::RequestId;
 
-/// Connections that must fail to open before a host counts as unreachable: one may fail because a
-/// packet was lost.
-const HOST_CHECKS: usize = 2;
+/// A host that accepts no connection for this long counts as unreachable. Networks fail for a second
+/// and come back, as processes do, and a lost packet is sent again only after a second.
+const UNREACHABLE_AFTER: Duration = Duration::from_millis(1500);
 
 /// Logs which endpoints have gone silent or send again, and checks the hosts of silent ones.
 pub fn handle_changes(node: &Rc<Node>) {
@@ -43,15 +45,19 @@
     log::info!(endpoint = target.instance, state, attempts; "endpoint silence");
 }
 
+/// Opens connections to the host of a silent endpoint until one is accepted, or until it is clear that
+/// the endpoint is dead.
 async fn check_host(node: Rc<Node>, target: Target) {
-    let mut is_reachable = false;
-    for _ in 0..HOST_CHECKS {
+    let given_up_at = clock::now() + UNREACHABLE_AFTER;
+    let is_reachable = loop {
         node.counters.connections.inc();
-        is_reachable = Connection::open(&target.address).await.is_ok();
-        if is_reachable {
-            break;
+        match Connection::open(&target.address).await {
+            Ok(_) => break true,
+            Err(Error::Refused { .. }) => break false,
+            Err(_) if clock::now() >= given_up_at => break false,
+            Err(_) => {}
         }
-    }
+    };
     if !is_reachable {
         note_state(&node, &target, "unreachable", 0);
     }
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -475,3 +475,29 @@
     assert_eq!(moved.len(), 1, "{actions:?}");
     assert_eq!(simulation.online.successor(moved[0]), Some(other));
 }
+
+// Streams of a dead endpoint were cut once the retry budget was spent, although a slot was free soon after.
+#[test]
+fn dead_streams() {
+    let mut simulation = Simulation::new(2, |_| "v1");
+    simulation.begin(8);
+    let [dead, _] = simulation.ids()[..] else {
+        unreachable!();
+    };
+    simulation.paused = vec![dead];
+    simulation.run_for(SILENCE_TIMEOUT + TICK);
+    simulation.online.host_checked(dead, false);
+    let actions = simulation.run_for(TICK);
+    let closed = given_up(&actions);
+    assert_eq!(closed.len(), 4);
+    for request in closed {
+        simulation.streams.remove(&request);
+        let outcome = AttemptOutcome::Failed {
+            stage: AttemptStage::Answering,
+            endpoint_fault: false,
+            endpoint_ended: false,
+        };
+        let actions = simulation.handle(Event::Ended { request, outcome });
+        assert_eq!(refused(&actions), 0, "{actions:?}");
+    }
+}
