Silence: an endpoint that turns a moved request away costs it no attempt

What callers would see, found by review: a stream left its silent endpoint, the next one was full after all and refused it, and with that its attempts or the retry budget were used up: cut.

Change: while a moved attempt has received nothing, being refused or not sent is neither counted nor charged, within the same bound as refused connections of dead endpoints.

silent_successors successor_refuses covers it (played).

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -167,6 +167,8 @@
     kept_until: Duration,
     /// This attempt was sent to an endpoint that the VM had not heard from, and has received nothing.
     is_unproven: bool,
+    /// This attempt took over from a silent one, and has received nothing.
+    is_moved: bool,
     /// This attempt probes an endpoint that was ejected.
     is_probe: bool,
     /// Endpoint against which a failure of this request was counted.
@@ -330,6 +332,7 @@
         };
         row.last_received_at = now;
         row.is_unproven = false;
+        row.is_moved = false;
         if row.given_up {
             self.handle_kept(now, request, SuccessorState::NotTried);
         }
@@ -431,6 +434,7 @@
             successor: None,
             kept_until: Duration::ZERO,
             is_unproven: false,
+            is_moved: false,
             is_probe: false,
             accused: None,
             software: arrival.software.clone(),
@@ -736,6 +740,7 @@
         };
         row.answering = true;
         row.is_unproven = false;
+        row.is_moved = false;
         if row.arrival.resumable && row.software.is_none() {
             row.software = Some(row.sent_to_software.clone());
         }
@@ -775,6 +780,7 @@
         self.release(&row);
         let successor = self.release_successor(&mut row);
         row.is_unproven = false;
+        let is_moved = std::mem::take(&mut row.is_moved);
         let service = row.arrival.service;
         let endpoint = row.endpoint.and_then(|id| self.endpoints.get_mut(id));
         match outcome {
@@ -809,17 +815,22 @@
                 self.end_probe(now, &mut row, blame.then_some(false));
                 row.may_have_run |=
                     matches!(reach, AttemptStage::MaybeSent | AttemptStage::Answering);
-                row.refused_attempts += u32::from(ended && reach == AttemptStage::NotSent);
+                // A stream that was moved may not end because its new endpoint did not take it.
+                let did_not_run = matches!(reach, AttemptStage::NotSent | AttemptStage::Refused);
+                let is_turned_away = is_moved && did_not_run;
+                row.refused_attempts +=
+                    u32::from(is_turned_away || (ended && reach == AttemptStage::NotSent));
                 if row.given_up {
                     self.count_silence(now, &row);
                 }
-                let has_ended = ended || (row.given_up && successor.is_none());
+                let is_left = row.given_up && successor.is_none();
+                let is_free = ended || is_left || is_turned_away;
                 let row = match successor {
                     Some(successor) => self.send_to_successor(now, row, successor, out),
                     None => Some(row),
                 };
                 if let Some(row) = row {
-                    self.retry(now, row, reach, has_ended, out);
+                    self.retry(now, row, reach, is_free, out);
                 }
             }
         }
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -360,6 +360,7 @@
             return Some(row);
         }
         row.is_unproven = successor.is_unproven;
+        row.is_moved = true;
         self.send(now, row, successor.endpoint, out);
         None
     }
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -501,3 +501,23 @@
         assert_eq!(refused(&actions), 0, "{actions:?}");
     }
 }
+
+// The successor turned the request away, which used up its last attempt, and the stream was cut.
+#[test]
+fn successor_refuses() {
+    let mut simulation = Simulation::new(3, |_| "v1");
+    simulation.begin(3);
+    let paused = simulation.ids()[0];
+    let request = simulation.streams_at(paused)[0];
+    simulation.paused = vec![paused];
+    let actions = simulation.run_for(SILENCE_TIMEOUT + TICK);
+    assert_eq!(given_up(&actions), [request]);
+    assert!(simulation.close(request).is_some());
+    let outcome = AttemptOutcome::Failed {
+        stage: AttemptStage::Refused,
+        endpoint_fault: false,
+        endpoint_ended: false,
+    };
+    let actions = simulation.handle(Event::Ended { request, outcome });
+    assert!(sent_to(&actions).is_some(), "{actions:?}");
+}
