Silence: where counts lag, moves are charged to the retry budget

What callers would see, found by review: in a large fleet all VMs find an endpoint silent within a tick and choose by the same counts, up to half a second old. Without the budget each of them moves all its streams to the same few free slots.

Change: where counts lag, a move costs one retry of the budget; what gets none waits.

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -949,7 +949,7 @@
         now: Duration,
         row: RequestRow,
         reach: AttemptStage,
-        ended: bool,
+        uncharged: bool,
         out: &mut Vec<Action>,
     ) {
         let request = row.arrival.request;
@@ -960,7 +960,7 @@
         };
         let evidence = &self.evidence;
         let frees = |id| evidence.frees_retry(now, id, &self.endpoints);
-        let is_free = ended || row.endpoint.is_some_and(frees);
+        let is_free = uncharged || row.endpoint.is_some_and(frees);
         let no_retry = if !permitted {
             NoRetry::NotPermitted
         } else if !row.has_attempts_left() {
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -39,6 +39,8 @@
     endpoint: EndpointId,
     /// This VM has not heard from it recently.
     is_unproven: bool,
+    /// It was charged to the retry budget.
+    is_charged: bool,
 }
 
 /// A change that this VM found in an endpoint.
@@ -203,10 +205,10 @@
         let query = row.route_query();
         let found = routing::choose_room(&self.endpoints, self.local_domain, query, now, lives);
         if let Some(endpoint) = found.filter(|_| self.budget.spend(now)) {
-            let is_unproven = false;
             let successor = Successor {
                 endpoint,
-                is_unproven,
+                is_unproven: false,
+                is_charged: true,
             };
             self.reserve(&mut row, successor);
             out.push(Action::GiveUp { request });
@@ -226,28 +228,28 @@
     /// Finds an endpoint that a silent attempt can go on at.
     ///
     /// A free slot is taken without the retry budget: it can't add to a load that is too high, as there
-    /// are no free slots then. Endpoints that this VM has not heard from recently may have paused
+    /// are no free slots then. Where counts lag, many VMs see the same free slots, and the budget bounds
+    /// how many of them take one. Endpoints that this VM has not heard from recently may have paused
     /// together with the silent one, so they are tried by one attempt at a time.
     fn find_successor(&mut self, now: Duration, row: &RequestRow) -> Option<Successor> {
         let lives = |endpoint: &Endpoint| now <= endpoint.last_received_at + LIVING_WINDOW;
-        if let Some(endpoint) = self.choose_free(now, row, lives) {
-            let is_unproven = false;
-            return Some(Successor {
-                endpoint,
-                is_unproven,
-            });
-        }
         let is_idle = |endpoint: &Endpoint| endpoint.online_here == 0;
-        if !self.tries_unproven(now, row.arrival.service) {
-            if let Some(endpoint) = self.choose_free(now, row, is_idle) {
-                let is_unproven = true;
-                return Some(Successor {
-                    endpoint,
-                    is_unproven,
-                });
-            }
+        let mut is_unproven = false;
+        let mut found = self.choose_free(now, row, lives);
+        if found.is_none() && !self.tries_unproven(now, row.arrival.service) {
+            is_unproven = true;
+            found = self.choose_free(now, row, is_idle);
         }
-        self.same_endpoint(now, row, lives)
+        let Some(endpoint) = found else {
+            return self.same_endpoint(now, row, lives);
+        };
+        let is_charged = self.endpoints.counts_lag;
+        let successor = Successor {
+            endpoint,
+            is_unproven,
+            is_charged,
+        };
+        (!is_charged || self.budget.spend(now)).then_some(successor)
     }
 
     fn choose_free(
@@ -284,6 +286,7 @@
         let successor = Successor {
             endpoint: endpoint.id,
             is_unproven: false,
+            is_charged: true,
         };
         (may_reconnect && is_in_service && self.budget.spend(now)).then_some(successor)
     }
