Silence: new requests queue for living endpoints rather than try a silent one

What callers would see, found by review: with all living endpoints full, a request that would have queued was sent to a silent endpoint, at a host that was not yet checked, and waited there or was refused.

Change: a silent endpoint is tried only if the service has no usable one.

By reading; silent_successors new_requests holds the case that remains.

--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -301,8 +301,7 @@
         })
     }
 
-    /// A silent endpoint for a first attempt that has no other. It may live again, and only a request
-    /// shows it; where other endpoints are merely full, one request at a time does.
+    /// A silent endpoint for a first attempt, if the service has no other at all: it may merely pause.
     pub(super) fn choose_silent(&self, now: Duration, row: &RequestRow) -> Option<EndpointId> {
         if row.attempts > 0 || !row.arrival.idempotent {
             return None;
@@ -310,12 +309,14 @@
         let query = row.route_query();
         let rows = self.endpoints.of_service(row.arrival.service).iter();
         let rows = rows.map(|at| &self.endpoints.rows[*at]);
-        let has_usable = rows.clone().any(|endpoint| endpoint.usable(now));
+        if rows.clone().any(|endpoint| endpoint.usable(now)) {
+            return None;
+        }
         let may_try = |endpoint: &&Endpoint| {
             let is_in_service = endpoint.leaving.is_none() && !endpoint.barred;
             let is_paused = endpoint.silent_at.is_some() && !endpoint.host_unreachable;
-            let is_free = endpoint.online_here == 0 || (!has_usable && endpoint.has_room(now));
-            is_in_service && is_paused && is_free && query.accepts(endpoint)
+            let has_room = endpoint.has_room(now);
+            is_in_service && is_paused && has_room && query.accepts(endpoint)
         };
         let least_used = rows.filter(may_try).min_by_key(|e| (e.online_here, e.id));
         least_used.map(|endpoint| endpoint.id)
