Silence: requests sent during a pause say nothing about an endpoint's speed

What callers would see, found by review: a request sent while its endpoint paused took a second to its first event, which made the endpoint look four times slower than the others, and it was ejected for two seconds after its pause.

Change: times to first token count only if the endpoint was not silent from the attempt's start to its end.

--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -101,8 +101,8 @@
     /// When this VM found that the endpoint sends nothing on any of its connections. Invariant: if
     /// this is set, the endpoint has sent nothing since, and silence is why it was last ejected.
     pub silent_at: Option<Duration>,
-    /// When it was last found silent.
-    pub last_silent_at: Option<Duration>,
+    /// When it sent again after it was last silent.
+    pub heard_again_at: Option<Duration>,
     /// Whether its host accepts no connections. Invariant: it was checked after `silent_at`, which
     /// is set.
     pub host_unreachable: bool,
@@ -138,7 +138,7 @@
             ejected_until: Duration::ZERO,
             failing_until: Duration::ZERO,
             silent_at: None,
-            last_silent_at: None,
+            heard_again_at: None,
             host_unreachable: false,
             returned_at: None,
             first_token_ms: 0.0,
@@ -288,7 +288,6 @@
     pub fn went_silent(&mut self, now: Duration) {
         self.eject_for(now, SILENT_EJECT_MIN);
         self.silent_at = Some(now);
-        self.last_silent_at = Some(now);
         self.host_unreachable = false;
     }
 
@@ -297,6 +296,7 @@
         let is_heard = self.silent_at.is_some_and(|at| self.last_received_at > at);
         if is_heard {
             self.silent_at = None;
+            self.heard_again_at = Some(now);
             self.host_unreachable = false;
             self.ejected_until = self.ejected_until.min(now.max(self.failing_until));
             if self.failing_until <= now {
--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -753,7 +753,8 @@
             return;
         };
         // A pause of the endpoint says nothing about its speed.
-        let was_silent = Some(row.sent_at) <= endpoint.last_silent_at;
+        let was_silent =
+            endpoint.silent_at.is_some() || Some(row.sent_at) <= endpoint.heard_again_at;
         endpoint.succeeded((!was_silent).then_some(time));
         endpoint.succeeded_at = now;
         self.evidence.succeeded(now, endpoint.id);
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -540,3 +540,20 @@
     assert_eq!(given_up(&actions).len(), 1);
     assert_eq!(refused(&actions), 0);
 }
+
+// A request that was sent while the endpoint paused made it seem slow, and it was ejected.
+#[test]
+fn not_slow() {
+    let mut simulation = Simulation::new(1, |_| "v1");
+    simulation.begin(1);
+    let endpoint = simulation.ids()[0];
+    simulation.paused = vec![endpoint];
+    simulation.run_for(SILENCE_TIMEOUT + TICK);
+    simulation.arrive(10);
+    simulation.run_for(ms(700));
+    simulation.paused.clear();
+    simulation.receive(10, endpoint);
+    simulation.handle(Event::FirstToken { request: 10 });
+    let row = simulation.online.endpoints.get(endpoint).unwrap();
+    assert!(row.first_token_ms < 100.0, "{}", row.first_token_ms);
+}
