Silence: a retry that was not made is given back, and a stream stays at its software

What callers would see, found by review: each time an attempt was kept after all, the retry reserved for its own endpoint was lost for real failures; and a stream could be sent again to its own endpoint although that had another software version by then.

Change: kept attempts return their retry; the same endpoint is asked for its version like any other.

By reading; no test of its own.

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -42,7 +42,7 @@
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
 /// The same while all slots of the endpoint are taken and requests of this VM may be in its queue.
 pub const QUEUED_SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// A response that has begun and then sends nothing for this long is given up, even if its endpoint
+/// A response that has begun and then sends nothing for this long counts as silent, even if its endpoint
 /// sends on other connections. Events come every few tens of milliseconds, so a stream that pauses
 /// for a second is late already.
 pub const RESPONSE_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -283,12 +283,13 @@
             && !endpoint.host_unreachable;
         let may_reconnect = lives(endpoint) || is_silent_for_long;
         let is_in_service = endpoint.leaving.is_none() && !endpoint.barred;
+        let is_possible = is_in_service && row.route_query().accepts(endpoint);
         let successor = Successor {
             endpoint: endpoint.id,
             is_unproven: false,
             is_charged: true,
         };
-        (may_reconnect && is_in_service && self.budget.spend(now)).then_some(successor)
+        (may_reconnect && is_possible && self.budget.spend(now)).then_some(successor)
     }
 
     /// Whether an attempt is on its way to an endpoint that this VM has not heard from recently.
@@ -344,6 +345,9 @@
         row.kept_until = now + KEPT_RECHECK_AFTER;
         let successor = self.release_successor(&mut row);
         self.rows.insert(request, row);
+        if successor.is_some_and(|successor| successor.is_charged) {
+            self.budget.give_back();
+        }
         let ended = state == SuccessorState::Ended;
         if let Some(successor) = successor.filter(|_| state != SuccessorState::NotTried) {
             self.endpoint_failed(now, successor.endpoint, AttemptStage::NotSent, ended);
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -5,7 +5,7 @@
 use strum::IntoStaticStr;
 
 /// Retries earned by one first attempt. Together with [`RETRY_GRANTED_AFTER`] this limits the
-/// average to 1.1 attempts per request, whatever fails.
+/// average to 1.1 charged attempts per request, whatever fails.
 pub const RETRIES_PER_REQUEST: f64 = 0.09;
 /// After this time without a retry one is always permitted, so that callers of a quiet service get
 /// one too.
@@ -85,6 +85,11 @@
         self.last_retry_at = now;
         true
     }
+
+    /// Returns a retry that was not made.
+    pub fn give_back(&mut self) {
+        self.saved_retries = (self.saved_retries + 1.0).min(SAVED_RETRIES_MAX);
+    }
 }
 
 /// Whether a retry can do no harm; the budget is checked separately.
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -815,7 +815,7 @@
 }
 
 fn silent_failure(stage: AttemptStage) -> Failure {
-    // The scheduler detected the silence and has counted it against the endpoint.
+    // The scheduler detected the silence and decides what it says of the endpoint.
     Failure::not_of_endpoint(stage, "the endpoint went silent")
 }
 
