A request is served by the service that its route named when it arrived

What callers would see, found by review: a request whose body arrived after its service had left the configuration was answered 404, since nothing was open at the service in between.

Change: a service that is no longer configured keeps its configuration for 15 s at least, longer than a body may take.

silent_successors service_replaced covers it (played).

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -46,6 +46,9 @@
 /// sends on other connections. Events come every few tens of milliseconds, so a stream that pauses
 /// for a second is late already.
 pub const RESPONSE_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Shortest time for which a service that is no longer configured keeps its configuration: a request
+/// may have been routed there before its body has arrived.
+pub const RETIRED_SERVICE_TIME: Duration = Duration::from_secs(15);
 /// Two ticks further apart than this mean that this process itself was paused.
 const PROCESS_PAUSE_MIN: Duration = Duration::from_millis(250);
 /// Attempts refused by dead endpoints that one request may have on top of its regular attempts.
@@ -266,8 +269,8 @@
 pub struct Online {
     pub endpoints: Endpoints,
     pub services: HashMap<ServiceId, ServiceConfig>,
-    /// Services that the configuration no longer has. Invariant: they are in `services`.
-    retired_services: HashSet<ServiceId>,
+    /// Services that the configuration no longer has, and since when. Invariant: they are in `services`.
+    retired_services: HashMap<ServiceId, Duration>,
     pub policy: Policy,
     /// Whether the host updates [`super::endpoints::Endpoint::last_received_at`] and can perform
     /// [`Action::GiveUp`].
@@ -297,7 +300,7 @@
         Online {
             endpoints: Endpoints::default(),
             services: HashMap::new(),
-            retired_services: HashSet::new(),
+            retired_services: HashMap::new(),
             policy: Policy::Affinity,
             watch_silence: false,
             limits: HashMap::new(),
@@ -345,7 +348,7 @@
         }
         self.ticked_at = now;
         self.no_retries.clear();
-        self.drop_retired_services();
+        self.drop_retired_services(now);
         self.evidence.tick(now, &mut self.endpoints);
         self.endpoints.eject_slow(now);
         if self.watch_silence {
@@ -365,26 +368,32 @@
 
     /// Applies new configurations of services. One that is no longer configured keeps its old one
     /// until its requests have ended: what was accepted goes on.
-    pub fn configure_services(&mut self, services: HashMap<ServiceId, ServiceConfig>) {
+    pub fn configure_services(
+        &mut self,
+        now: Duration,
+        services: HashMap<ServiceId, ServiceConfig>,
+    ) {
         let old = std::mem::replace(&mut self.services, services);
-        self.retired_services.clear();
+        let retired = std::mem::take(&mut self.retired_services);
         for (service, config) in old {
             if !self.services.contains_key(&service) {
+                let since = retired.get(&service).copied().unwrap_or(now);
+                self.retired_services.insert(service, since);
                 self.services.insert(service, config);
-                self.retired_services.insert(service);
             }
         }
     }
 
     /// Drops the configurations of retired services without requests.
-    fn drop_retired_services(&mut self) {
+    fn drop_retired_services(&mut self, now: Duration) {
         let (rows, services) = (&self.rows, &mut self.services);
-        self.retired_services.retain(|service| {
+        self.retired_services.retain(|service, since| {
             let is_open = rows.values().any(|row| row.arrival.service == *service);
-            if !is_open {
+            let is_kept = is_open || now < *since + RETIRED_SERVICE_TIME;
+            if !is_kept {
                 services.remove(service);
             }
-            is_open
+            is_kept
         });
     }
 
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -339,7 +339,8 @@
         }
         let before = current.unwrap_or(0);
         log::info!(version = rules.version, before, from, proof_age_ms; "rules taken");
-        core.online.configure_services(services(&rules));
+        core.online
+            .configure_services(clock::now(), services(&rules));
         core.routes = Some(Rc::new(RouteTable::new(rules)));
         drop(core);
         self.heartbeat_due.notify_one();
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -5,7 +5,7 @@
 
 use bramleyseam::decide::online::{
     Action, Arrival, AttemptOutcome, Event, Online, ServiceConfig, SuccessorState,
-    QUEUED_SILENCE_TIMEOUT, RESPONSE_SILENCE_TIMEOUT, SILENCE_TIMEOUT,
+    QUEUED_SILENCE_TIMEOUT, RESPONSE_SILENCE_TIMEOUT, RETIRED_SERVICE_TIME, SILENCE_TIMEOUT,
 };
 use bramleyseam::decide::retry::AttemptStage;
 use bramleyseam::id::{EndpointId, RequestId};
@@ -363,7 +363,8 @@
     let paused = simulation.ids()[0];
     simulation.paused = vec![paused];
     let configured = HashMap::from([(OTHER_SERVICE, service())]);
-    simulation.online.configure_services(configured);
+    let now = simulation.now;
+    simulation.online.configure_services(now, configured);
     let actions = simulation.run_for(SILENCE_TIMEOUT + TICK);
     assert_eq!(simulation.move_all(&actions), 1);
     for request in [1, 2] {
@@ -372,6 +373,14 @@
     }
     simulation.streams.clear();
     simulation.run_for(TICK);
+    // A request whose body took long to arrive.
+    assert!(sent_to(&simulation.arrive(10)).is_some());
+    let outcome = AttemptOutcome::Done;
+    simulation.handle(Event::Ended {
+        request: 10,
+        outcome,
+    });
+    simulation.run_for(RETIRED_SERVICE_TIME);
     assert!(!simulation.online.services.contains_key(&SERVICE));
 }
 
