Silence: what is sought in vain is sought once a tick

Found by review: each silent attempt without a successor looked at all endpoints and all requests in each tick, which grows with the square of what a VM has under way.

Change: within a tick a search that failed is not made again for the same service, version and endpoint.

--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -5,7 +5,7 @@
 //! endpoint that lives and has a free slot, which is reserved. Otherwise the attempt goes on, and is
 //! looked at again with each tick.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 use super::{
@@ -14,7 +14,7 @@
 use crate::decide::endpoints::Endpoint;
 use crate::decide::retry::AttemptStage;
 use crate::decide::routing;
-use crate::id::{EndpointId, RequestId, ServiceId};
+use crate::id::{EndpointId, Name, RequestId, ServiceId};
 
 /// An endpoint that sent something within this time lives. Shorter than [`SILENCE_TIMEOUT`], so that
 /// endpoints which pause together do not take over from each other.
@@ -97,8 +97,9 @@
         // Callers that have part of their answer lose most.
         silent.sort_by_key(|row| (!row.answering, row.arrival.request));
         let silent: Vec<RequestId> = silent.iter().map(|row| row.arrival.request).collect();
+        let mut hopeless = HashSet::new();
         for request in silent {
-            self.give_up(now, request, out);
+            self.give_up(now, request, &mut hopeless, out);
         }
     }
 
@@ -164,16 +165,27 @@
         now >= row.last_received_at.max(self.resumed_at) + bound
     }
 
-    /// Gives up a silent attempt if its successor can be secured, or if its endpoint is dead.
-    fn give_up(&mut self, now: Duration, request: RequestId, out: &mut Vec<Action>) {
+    /// Gives up a silent attempt if its successor can be secured, or if its endpoint is dead. `hopeless`
+    /// has what was sought in vain in this tick: services, software versions and endpoints left.
+    fn give_up(
+        &mut self,
+        now: Duration,
+        request: RequestId,
+        hopeless: &mut HashSet<(ServiceId, Option<Name>, Option<EndpointId>)>,
+        out: &mut Vec<Action>,
+    ) {
         let Some(mut row) = self.rows.remove(&request) else {
             return;
         };
         if row.may_move(now) {
             let is_dead = |id| self.endpoints.get(id).is_some_and(|e| e.host_unreachable);
             row.given_up = row.endpoint.is_some_and(is_dead);
-            if let Some(successor) = self.find_successor(now, &row) {
-                self.reserve(&mut row, successor);
+            let sought = (row.arrival.service, row.software.clone(), row.endpoint);
+            if !hopeless.contains(&sought) {
+                match self.find_successor(now, &row) {
+                    Some(successor) => self.reserve(&mut row, successor),
+                    None => drop(hopeless.insert(sought)),
+                }
             }
             if row.given_up {
                 out.push(Action::GiveUp { request });
