Silence: what this VM does not read is not silent

What callers would see, found by review: while a caller read too slowly, its stream was not read from the endpoint, which then seemed silent after 0.4 s and was taken out of use. The same for whole answers longer than that, of which only the end counted as data.

Change: attempts that wait for their caller are left out, and each part of a whole answer counts.

silent_successors slow_caller covers the first (played); the second is by reading.

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -172,6 +172,8 @@
     is_unproven: bool,
     /// This attempt took over from a silent one, and has received nothing.
     is_moved: bool,
+    /// The caller reads too slowly, so that nothing is read from the endpoint.
+    is_unread: bool,
     /// This attempt probes an endpoint that was ejected.
     is_probe: bool,
     /// Endpoint against which a failure of this request was counted.
@@ -341,6 +343,15 @@
         }
     }
 
+    /// Records that nothing is read of a request's response because its caller reads too slowly, or that
+    /// it is read again.
+    pub fn note_unread(&mut self, now: Duration, request: RequestId, is_unread: bool) {
+        if let Some(row) = self.rows.get_mut(&request) {
+            row.is_unread = is_unread;
+            row.last_received_at = now;
+        }
+    }
+
     /// Sends queued requests that have room now and drops those that can't be served in time.
     pub fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         if now > self.ticked_at + PROCESS_PAUSE_MIN {
@@ -444,6 +455,7 @@
             kept_until: Duration::ZERO,
             is_unproven: false,
             is_moved: false,
+            is_unread: false,
             is_probe: false,
             accused: None,
             software: arrival.software.clone(),
@@ -571,6 +583,7 @@
         row.answering = false;
         row.given_up = false;
         row.kept_until = Duration::ZERO;
+        row.is_unread = false;
         if row.attempts == 1 {
             self.budget.earn();
         }
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -110,7 +110,8 @@
     /// while one of the requests is past the engine's queue, distinguishes it from a busy one.
     fn find_silent_endpoints(&mut self, now: Duration) {
         let mut oldest_attempts = BTreeMap::new();
-        for row in self.rows.values().filter(|row| row.is_in_flight()) {
+        let is_read = |row: &&RequestRow| row.is_in_flight() && !row.is_unread;
+        for row in self.rows.values().filter(is_read) {
             if let Some(id) = row.endpoint {
                 let (oldest, answering) = oldest_attempts.entry(id).or_insert((row.sent_at, false));
                 *oldest = row.sent_at.min(*oldest);
@@ -149,7 +150,7 @@
     /// no other request shows it. A request in the queue of an endpoint without free slots receives
     /// nothing either, so an attempt without a response counts only if the endpoint had a slot for it.
     fn is_silent(&self, now: Duration, row: &RequestRow) -> bool {
-        if !row.is_in_flight() {
+        if !row.is_in_flight() || row.is_unread {
             return false;
         }
         let endpoint = row.endpoint.and_then(|id| self.endpoints.get(id));
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -474,6 +474,12 @@
             .note_response(clock::now(), request);
     }
 
+    /// Records whether a request's answer waits for a caller that reads too slowly.
+    pub fn note_unread(&self, request: RequestId, is_unread: bool) {
+        let online = &mut self.core.borrow_mut().online;
+        online.note_unread(clock::now(), request, is_unread);
+    }
+
     /// Address of an endpoint; `None` if it is gone.
     pub fn target(&self, endpoint: EndpointId) -> Option<Target> {
         let core = self.core.borrow();
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -542,7 +542,9 @@
             body,
             connection,
         } = answer;
-        let bytes = match self.wait(collect(body)).await {
+        let (node, endpoint) = (self.node.clone(), target.endpoint);
+        let collected = collect(body, || node.note_endpoint_data(endpoint));
+        let bytes = match self.wait(collected).await {
             WaitResult::Value(Some(bytes)) => bytes,
             WaitResult::Value(None) => {
                 return AttemptResult::Failed(Failure::of_connection(
@@ -672,12 +674,19 @@
         if !raw.is_empty() {
             self.record_origin();
             self.begin_stream(head);
+            let is_unread = self.chunks.capacity() == 0;
+            if is_unread {
+                self.node.note_unread(self.request, true);
+            }
             let sent = self.chunks.send(Ok(raw.freeze()));
             match timeout(self.time_left(), sent).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return Some(AttemptResult::CallerLeft),
                 Err(_) => return Some(AttemptResult::DeadlinePassed),
             }
+            if is_unread {
+                self.node.note_unread(self.request, false);
+            }
         }
         let failure = |detail| Failure::of_endpoint(self.stage(), detail);
         broken.map(|detail| AttemptResult::Failed(failure(detail)))
@@ -826,12 +835,14 @@
     kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
 }
 
-/// Reads a body to its end; `None` if it breaks off or exceeds the size limit.
-async fn collect(mut body: Incoming) -> Option<Bytes> {
+/// Reads a body to its end, and calls `note_data` for each part; `None` if it breaks off or exceeds the
+/// size limit.
+async fn collect(mut body: Incoming, note_data: impl Fn()) -> Option<Bytes> {
     let mut whole = BytesMut::new();
     while !body.is_end_stream() {
         match body.frame().await {
             Some(Ok(frame)) => {
+                note_data();
                 if let Ok(data) = frame.into_data() {
                     whole.extend_from_slice(&data);
                 }
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -566,3 +566,20 @@
     let row = simulation.online.endpoints.get(endpoint).unwrap();
     assert!(row.first_token_ms < 100.0, "{}", row.first_token_ms);
 }
+
+// A caller that read too slowly made its sound endpoint seem silent, and it was ejected.
+#[test]
+fn slow_caller() {
+    let mut simulation = Simulation::new(2, |_| "v1");
+    simulation.begin(1);
+    let endpoint = simulation.streams.remove(&1).unwrap();
+    let now = simulation.now;
+    simulation.online.note_unread(now, 1, true);
+    assert_eq!(simulation.run_for(ms(3_000)), []);
+    let row = simulation.online.endpoints.get(endpoint).unwrap();
+    assert!(row.usable(simulation.now));
+    let now = simulation.now;
+    simulation.online.note_unread(now, 1, false);
+    let actions = simulation.run_for(SILENCE_TIMEOUT + TICK);
+    assert_eq!(given_up(&actions), [1]);
+}
