Stop: log and measure what is open, by kind

The lines of a stop told the number of online requests alone, counted from after their body was read. Reads of results, submissions, cancellations, item bodies, bodies on their way and calls for other VMs were counted nowhere, so an operator saw neither what a stop waited for nor what it cut.

A request is now counted once, by a guard that lives from its parsed head until its reply has been sent, by kind. The lines of a stop, the new line 'stop: closing' and bramley_open_requests{kind} show the counts. What a stop waits for does not change yet.

--- a/src/serve/body.rs
+++ b/src/serve/body.rs
@@ -5,9 +5,13 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::Response;
 use snafu::Snafu;
 use tokio::sync::mpsc::Receiver;
 
+use super::counters::OpenRequest;
+use super::replies::Reply;
+
 /// The reply can't be completed; the connection is closed so that the caller notices.
 #[derive(Debug, Snafu, Clone, Copy, PartialEq, Eq)]
 #[snafu(display("the reply was aborted"))]
@@ -53,3 +57,37 @@
         }
     }
 }
+
+/// A reply whose request counts as open until the body has been sent.
+pub struct CountedBody {
+    body: ReplyBody,
+    _request: OpenRequest,
+}
+
+/// Keeps a request counted until its reply has been sent.
+pub fn counted(reply: Reply, request: OpenRequest) -> Response<CountedBody> {
+    reply.map(|body| CountedBody {
+        body,
+        _request: request,
+    })
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -11,12 +11,14 @@
 use hyper::header::{HeaderValue, AUTHORIZATION, CONNECTION, HOST};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::Request;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::Rng;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use super::body::{self, CountedBody};
+use super::counters::{OpenRequest, RequestKind};
 use super::dialect::Operation;
 use super::exchange::{self, Outgoing};
 use super::jobs;
@@ -81,7 +83,7 @@
     let head_bytes = limits.map_or(HEAD_BYTES_DEFAULT, |limits| limits.head_bytes);
     let service = service_fn(|request| {
         let node = node.clone();
-        async move { Ok::<Reply, Infallible>(handle(node, request).await) }
+        async move { Ok::<_, Infallible>(handle(node, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -98,17 +100,18 @@
     let _ = connection.await;
 }
 
-async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Reply {
-    let mut reply = dispatch(node.clone(), request).await;
+async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<CountedBody> {
+    let mut open = node.open_requests.begin(RequestKind::Reading);
+    let mut reply = dispatch(node.clone(), request, &mut open).await;
     if node.is_draining() {
         // The caller's next request reaches another VM.
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
     }
-    reply
+    body::counted(reply, open)
 }
 
-async fn dispatch(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+async fn dispatch(node: Rc<Node>, request: Request<Incoming>, open: &mut OpenRequest) -> Reply {
     let (head, body) = request.into_parts();
     let Some(routes) = node.routes() else {
         log::info!(path = head.uri.path(); "refused: no configuration is loaded yet");
@@ -116,7 +119,7 @@
     };
     let operation = (node.dialect.operation)(&head);
     if operation == Operation::Routed {
-        return serve_routed(node, routes, head, body).await;
+        return serve_routed(node, routes, head, body, open).await;
     }
     let public = has_public_jobs(&routes.rules);
     let caller = match identify(&node, &routes, public, &head) {
@@ -125,10 +128,17 @@
     };
     match operation {
         Operation::Results { job, after, wait } => {
+            open.set_kind(RequestKind::Results);
             results::results(node, &caller, job, after, wait).await
         }
-        Operation::ItemBody { job, item } => jobs::item_body(node, &caller, job, item).await,
-        Operation::Cancel { job } => jobs::cancel(node, &caller, job).await,
+        Operation::ItemBody { job, item } => {
+            open.set_kind(RequestKind::ItemBody);
+            jobs::item_body(node, &caller, job, item).await
+        }
+        Operation::Cancel { job } => {
+            open.set_kind(RequestKind::Cancellation);
+            jobs::cancel(node, &caller, job).await
+        }
         // Handled above.
         Operation::Routed => replies::empty(404),
     }
@@ -175,6 +185,7 @@
     routes: Rc<RouteTable>,
     head: hyper::http::request::Parts,
     body: Incoming,
+    open: &mut OpenRequest,
 ) -> Reply {
     let params = (node.dialect.request_params)(&head);
     let Some(route) = routes.find(&params.host, head.uri.path()) else {
@@ -197,8 +208,10 @@
         Err(kind) => return replies::refusal(kind, true, None),
     };
     if route.kind == RouteKind::Batch {
+        open.set_kind(RequestKind::Submission);
         return jobs::submit(node, route, caller.name(), params, body).await;
     }
+    open.set_kind(RequestKind::Online);
     let target = head
         .uri
         .path_and_query()
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -1,12 +1,101 @@
-//! Metrics of a serving process.
+//! Metrics of a serving process, and the requests that it has open.
+
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
 
 use prometheus::{Gauge, GaugeVec, Histogram, IntCounter, IntCounterVec};
+use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
 use crate::metrics::Metrics;
 
+/// What a request asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum RequestKind {
+    /// Not known yet: the request has not been read completely.
+    Reading,
+    /// A request that an endpoint answers.
+    Online,
+    /// The results of a job.
+    Results,
+    /// The submission of a job.
+    Submission,
+    /// The cancellation of a job.
+    Cancellation,
+    /// The body of an item.
+    ItemBody,
+    /// A call of another VM.
+    Peer,
+}
+
+/// Number of open requests by kind.
+#[derive(Default)]
+pub struct OpenRequests {
+    /// Indexed by kind.
+    counts: [Cell<usize>; RequestKind::COUNT],
+}
+
+impl OpenRequests {
+    /// Counts a request until the returned guard is dropped.
+    pub fn begin(self: &Rc<Self>, kind: RequestKind) -> OpenRequest {
+        self.counts[kind as usize].update(|count| count + 1);
+        OpenRequest {
+            requests: self.clone(),
+            kind,
+        }
+    }
+
+    /// Open requests of a kind.
+    pub fn count(&self, kind: RequestKind) -> usize {
+        self.counts[kind as usize].get()
+    }
+
+    /// Open requests of all kinds.
+    pub fn total(&self) -> usize {
+        self.counts.iter().map(Cell::get).sum()
+    }
+}
+
+impl fmt::Display for OpenRequests {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let open = RequestKind::iter().filter(|kind| self.count(*kind) > 0);
+        for (at, kind) in open.enumerate() {
+            let name: &'static str = kind.into();
+            let separator = if at == 0 { "" } else { " " };
+            write!(f, "{separator}{name}={}", self.count(kind))?;
+        }
+        Ok(())
+    }
+}
+
+/// Counts a request from its parsed head until its reply has been sent.
+pub struct OpenRequest {
+    requests: Rc<OpenRequests>,
+    kind: RequestKind,
+}
+
+impl OpenRequest {
+    /// Counts the request as another kind from now on.
+    pub fn set_kind(&mut self, kind: RequestKind) {
+        let counts = &self.requests.counts;
+        counts[self.kind as usize].update(|count| count - 1);
+        counts[kind as usize].update(|count| count + 1);
+        self.kind = kind;
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.requests.counts[self.kind as usize].update(|count| count - 1);
+    }
+}
+
 /// Counters, gauges and histograms of one process.
 pub struct Counters {
     pub metrics: Metrics,
+    /// Requests that are open, by kind.
+    pub open_requests: GaugeVec,
     /// Replies to callers, by route kind and outcome.
     pub requests: IntCounterVec,
     /// Refusals by this system itself, by reason.
@@ -66,6 +155,11 @@
     pub fn new() -> Counters {
         let metrics = Metrics::default();
         Counters {
+            open_requests: metrics.gauges(
+                "bramley_open_requests",
+                "Requests that are open, by kind.",
+                &["kind"],
+            ),
             requests: metrics.counters(
                 "bramley_requests_total",
                 "Answers to callers.",
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use strum::IntoEnumIterator;
@@ -17,6 +17,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use super::body::{self, BodyAborted, CountedBody};
+use super::counters::RequestKind;
 use super::endpoint_news;
 use super::job_table::Job;
 use super::jobs;
@@ -131,19 +133,22 @@
 
 /// Serves pages on one listener until the process ends; no connection lasts longer than
 /// `lifetime_max`.
-pub async fn serve<F: Future<Output = Reply> + 'static>(
+pub async fn serve<B, F>(
     node: Rc<Node>,
     listener: TcpListener,
     lifetime_max: Duration,
     handler: impl Fn(Rc<Node>, Request<Incoming>) -> F + Copy + 'static,
-) {
+) where
+    B: Body<Data = Bytes, Error = BodyAborted> + 'static,
+    F: Future<Output = Response<B>> + 'static,
+{
     loop {
         let stream = accept(&listener).await;
         let node = node.clone();
         spawn_local(async move {
             let service = service_fn(|request| {
                 let reply = handler(node.clone(), request);
-                async move { Ok::<Reply, Infallible>(reply.await) }
+                async move { Ok::<Response<B>, Infallible>(reply.await) }
             });
             let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // An error is a client that disconnected, or the end of the lifetime.
@@ -165,6 +170,7 @@
     match request.uri().path() {
         "/metrics" => {
             update_idle_counters(&node);
+            update_open_requests(&node);
             update_confirmation_ages(&node);
             replies::binary(Bytes::from(node.counters.metrics.page().body))
         }
@@ -199,6 +205,14 @@
     }
 }
 
+fn update_open_requests(node: &Node) {
+    for kind in RequestKind::iter() {
+        let name: &'static str = kind.into();
+        let gauge = node.counters.open_requests.with_label_values(&[name]);
+        gauge.set(node.open_requests.count(kind) as f64);
+    }
+}
+
 fn update_confirmation_ages(node: &Node) {
     let now = clock::now();
     let core = node.core.borrow();
@@ -211,18 +225,23 @@
 }
 
 /// Requests from other VMs.
-pub async fn peer_pages(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+pub async fn peer_pages(node: Rc<Node>, request: Request<Incoming>) -> Response<CountedBody> {
+    let open = node.open_requests.begin(RequestKind::Peer);
+    body::counted(answer_peer(&node, request).await, open)
+}
+
+async fn answer_peer(node: &Rc<Node>, request: Request<Incoming>) -> Reply {
     match request.uri().path() {
-        relay::PATH => relay::answer(&node, request.into_body()).await,
+        relay::PATH => relay::answer(node, request.into_body()).await,
         path @ (endpoint_news::PATH | endpoint_news::SOFTWARE_PATH) => {
             let path = path.to_owned();
-            endpoint_news::answer(&node, &path, request.into_body()).await
+            endpoint_news::answer(node, &path, request.into_body()).await
         }
-        streams::PATH => streams::answer(&node, request.into_body()).await,
-        path if path.starts_with(live_watch::PATH) => live_watch::answer(&node, path).await,
-        path if path.starts_with(results::PATH) => results::answer(&node, path).await,
-        path if path.starts_with(jobs::ENDED_PATH) => jobs::receive_ended(&node, path).await,
-        path => peers::answer_fetch(&node, path),
+        streams::PATH => streams::answer(node, request.into_body()).await,
+        path if path.starts_with(live_watch::PATH) => live_watch::answer(node, path).await,
+        path if path.starts_with(results::PATH) => results::answer(node, path).await,
+        path if path.starts_with(jobs::ENDED_PATH) => jobs::receive_ended(node, path).await,
+        path => peers::answer_fetch(node, path),
     }
 }
 
@@ -265,7 +284,7 @@
         living_vms: core.peers.living_vms(now),
         delegate: core.peers.is_delegate(node.vm),
         all_endpoints: core.discovery.holds_all(),
-        requests: node.open_requests.get(),
+        requests: node.open_requests.total(),
         items,
         items_running,
         waiting: core.online.waiting(now),
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, Notify};
 
 use super::admission;
-use super::counters::Counters;
+use super::counters::{Counters, OpenRequests};
 use super::dialect::Dialect;
 use super::endpoint_news::endpoints_in_use;
 use super::evidence;
@@ -170,8 +170,8 @@
     pub gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
     /// Software versions on record in the store, as last read.
     pub software_records: SoftwareRecords,
-    /// Callers' requests that are open.
-    pub open_requests: Cell<usize>,
+    /// Requests of callers and of other VMs that are open.
+    pub open_requests: Rc<OpenRequests>,
     /// Whether new connections are accepted.
     pub listening: Cell<bool>,
     /// As a delegate: an endpoint has more work than it runs at once, and its batch items have to
@@ -249,7 +249,7 @@
                 runs: Runs::default(),
                 gossip_socket: RefCell::new(None),
                 software_records: SoftwareRecords::default(),
-                open_requests: Cell::new(0),
+                open_requests: Rc::default(),
                 excess_reported: Notify::new(),
                 heartbeat_due: Notify::new(),
                 quarantine_reports_due: Notify::new(),
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -125,7 +125,6 @@
         attempts_max: route.attempts_max,
         software: origin.map(|origin| origin.software),
     };
-    node.open_requests.set(node.open_requests.get() + 1);
     node.handle_event(Event::Arrived(arrival));
     tokio::task::spawn_local(task.run());
     match reply_start.await {
@@ -272,9 +271,6 @@
 impl Drop for RequestTask {
     fn drop(&mut self) {
         self.node.unregister(self.request);
-        self.node
-            .open_requests
-            .set(self.node.open_requests.get().saturating_sub(1));
     }
 }
 
--- a/src/serve/stop.rs
+++ b/src/serve/stop.rs
@@ -7,6 +7,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::sleep;
 
+use super::counters::RequestKind;
 use super::node::{Node, Stage};
 use super::runs;
 use crate::clock;
@@ -60,7 +61,7 @@
 async fn drain(node: &Node) {
     let started = clock::now();
     node.core.borrow_mut().stage = Stage::Draining;
-    log::info!(requests = node.open_requests.get(); "stop: draining");
+    log_open(node, started, "stop: draining");
     node.plan_items.notify_one();
     node.heartbeat_due.notify_one();
     let drain_time = Duration::from_millis(node.settings.drain_ms);
@@ -70,7 +71,8 @@
     // connect are refused before they have sent anything, and use another VM.
     node.listening.set(false);
     node.closing.notify_waiters();
-    let is_busy = || node.open_requests.get() > 0 || runs::busy(node);
+    log_open(node, started, "stop: closing");
+    let is_busy = || node.open_requests.count(RequestKind::Online) > 0 || runs::busy(node);
     let mut idle_since = clock::now();
     // A connection that was accepted just before may bring a request while the others are closed.
     while clock::now() < (idle_since + CLOSE_TIME).min(started + limit + CLOSE_TIME) {
@@ -81,7 +83,14 @@
             idle_since = clock::now();
         }
     }
-    let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
-    log::info!(requests = node.open_requests.get(), took_ms; "stop: ended");
+    log_open(node, started, "stop: ended");
     logging::flush(LOG_FLUSH_TIMEOUT);
 }
+
+/// Logs what is open. At the end of a stop, this is what the stop cuts.
+fn log_open(node: &Node, started: Duration, message: &str) {
+    let open = &node.open_requests;
+    let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
+    let runs_jobs = runs::busy(node);
+    log::info!(requests = open.total(), open:% = open, runs_jobs, took_ms; "{message}");
+}
--- a/src/serve/summary.rs
+++ b/src/serve/summary.rs
@@ -46,7 +46,7 @@
     let (items, items_running) = core.items.counts();
     let rows = &core.online.endpoints.rows;
     log::info!(
-        requests = node.open_requests.get(),
+        requests = node.open_requests.total(),
         queued = core.online.waiting(now).iter().map(|service| service.queued).sum::<usize>(),
         items,
         items_running,
