Stop: wait for all that was accepted, and refuse what is left at the limit

Callers saw: with SIGTERM, reads of results that waited, submissions, cancellations, item bodies, requests whose body was on its way and store calls for other VMs' callers got neither an answer nor a refusal.

Cause: a stop waited for online requests after their body was read, and for jobs; the process ended under all else.

A stop now waits for every request that is counted, and reads of results don't wait for new ones once it has begun: they go through the same check as at the end of their wait, so 'nothing yet' is still said only when it is known. At the stop limit what has no reply yet is refused: with 503 where the request was not read completely, else with 502, since an endpoint or the store may have it. The guard goes with the reply's body, which reports its end only after the last chunk. Long polls of VMs that follow this one's watch are not counted: they ask again elsewhere. Connections that wait in the backlog when the listener closes are served, and a connection is read once more before it is closed as idle.

--- a/src/serve/body.rs
+++ b/src/serve/body.rs
@@ -61,11 +61,12 @@
 /// A reply whose request counts as open until the body has been sent.
 pub struct CountedBody {
     body: ReplyBody,
-    _request: OpenRequest,
+    _request: Option<OpenRequest>,
 }
 
 /// Keeps a request counted until its reply has been sent.
-pub fn counted(reply: Reply, request: OpenRequest) -> Response<CountedBody> {
+pub fn counted(reply: Reply, request: impl Into<Option<OpenRequest>>) -> Response<CountedBody> {
+    let request = request.into();
     reply.map(|body| CountedBody {
         body,
         _request: request,
@@ -83,8 +84,10 @@
         Pin::new(&mut self.get_mut().body).poll_frame(context)
     }
 
+    /// Whether the body can be dropped. Never: the server drops a body that has ended before its
+    /// last chunk is sent.
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        false
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -1,6 +1,7 @@
 //! Accepts connections from callers and dispatches their requests.
 
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +47,8 @@
 const BUFFER_BYTES_MIN: usize = 8 * 1024;
 /// Timeout for a body after its head; callers on slow links send small bodies too.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time to read requests that have already arrived before an idle connection is closed.
+const ARRIVAL_GRACE: Duration = Duration::from_millis(20);
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -60,6 +63,7 @@
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     while node.listening.get() {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             () = node.closing.notified() => continue,
         };
@@ -73,6 +77,26 @@
             }
         }
     }
+    if let Err(error) = serve_backlog(&node, listener) {
+        log::warn!(error:% = error; "the last connections can't be accepted");
+    }
+}
+
+/// Serves the connections that wait to be accepted: their callers may have sent a request, and a
+/// listener that is dropped resets them.
+fn serve_backlog(node: &Rc<Node>, listener: TcpListener) -> std::io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                let stream = TcpStream::from_std(stream)?;
+                tokio::task::spawn_local(serve_connection(node.clone(), stream));
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
@@ -95,14 +119,23 @@
     // An error is a caller that disconnected or sent an invalid request, which hyper has answered.
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = closing => connection.as_mut().graceful_shutdown(),
+        () = closing => {}
+    }
+    if timeout(ARRIVAL_GRACE, connection.as_mut()).await.is_ok() {
+        return;
     }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
 async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<CountedBody> {
     let mut open = node.open_requests.begin(RequestKind::Reading);
-    let mut reply = dispatch(node.clone(), request, &mut open).await;
+    let reply = tokio::select! {
+        biased;
+        reply = dispatch(node.clone(), request, &mut open) => Some(reply),
+        () = node.open_requests.refused() => None,
+    };
+    let mut reply = reply.unwrap_or_else(|| stopped_reply(open.kind()));
     if node.is_draining() {
         // The caller's next request reaches another VM.
         let close = HeaderValue::from_static("close");
@@ -111,6 +144,15 @@
     body::counted(reply, open)
 }
 
+/// The reply to a request that is still open when the process has to end.
+fn stopped_reply(kind: RequestKind) -> Reply {
+    let name: &'static str = kind.into();
+    log::info!(kind = name; "refused: the stop limit was reached");
+    // Anything but a request that was not read completely may have taken effect.
+    let not_run = kind == RequestKind::Reading;
+    replies::refusal(RefusalKind::NotReady, not_run, Some(STARTING_RETRY_AFTER))
+}
+
 async fn dispatch(node: Rc<Node>, request: Request<Incoming>, open: &mut OpenRequest) -> Reply {
     let (head, body) = request.into_parts();
     let Some(routes) = node.routes() else {
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -6,6 +6,7 @@
 
 use prometheus::{Gauge, GaugeVec, Histogram, IntCounter, IntCounterVec};
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
+use tokio::sync::Notify;
 
 use crate::metrics::Metrics;
 
@@ -34,6 +35,10 @@
 pub struct OpenRequests {
     /// Indexed by kind.
     counts: [Cell<usize>; RequestKind::COUNT],
+    /// Whether requests without a reply have to be refused. Never reset.
+    refusing: Cell<bool>,
+    /// Notified when `refusing` is set.
+    refused: Notify,
 }
 
 impl OpenRequests {
@@ -46,6 +51,19 @@
         }
     }
 
+    /// Has all requests refused whose replies have not begun, and all that follow.
+    pub fn refuse(&self) {
+        self.refusing.set(true);
+        self.refused.notify_waiters();
+    }
+
+    /// Waits until requests without a reply have to be refused.
+    pub async fn refused(&self) {
+        while !self.refusing.get() {
+            self.refused.notified().await;
+        }
+    }
+
     /// Open requests of a kind.
     pub fn count(&self, kind: RequestKind) -> usize {
         self.counts[kind as usize].get()
@@ -76,6 +94,11 @@
 }
 
 impl OpenRequest {
+    /// What the request asks for.
+    pub fn kind(&self) -> RequestKind {
+        self.kind
+    }
+
     /// Counts the request as another kind from now on.
     pub fn set_kind(&mut self, kind: RequestKind) {
         let counts = &self.requests.counts;
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -226,7 +226,9 @@
 
 /// Requests from other VMs.
 pub async fn peer_pages(node: Rc<Node>, request: Request<Incoming>) -> Response<CountedBody> {
-    let open = node.open_requests.begin(RequestKind::Peer);
+    // A VM that follows this one's watch asks again elsewhere.
+    let is_counted = !request.uri().path().starts_with(live_watch::PATH);
+    let open = is_counted.then(|| node.open_requests.begin(RequestKind::Peer));
     body::counted(answer_peer(&node, request).await, open)
 }
 
--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -47,8 +47,9 @@
     after: usize,
     wait: Duration,
 ) -> Reply {
-    let until = clock::now() + wait.min(READER_WAIT_MAX);
+    let wait_end = clock::now() + wait.min(READER_WAIT_MAX);
     let record = loop {
+        let until = reader_deadline(&node, wait_end);
         let record = match find_for_caller(&node, caller, &job).await {
             Ok(record) => record,
             Err(reply) => return reply,
@@ -130,7 +131,7 @@
         let Some((record, _)) = current.filter(|(record, _)| is_local(record)) else {
             return replies::empty(404);
         };
-        let left = until.saturating_sub(clock::now());
+        let left = reader_deadline(node, until).saturating_sub(clock::now());
         if record.listed.len() > after || record.ended() || left.is_zero() {
             break record;
         }
@@ -182,6 +183,23 @@
     true
 }
 
+/// When a reader is answered at the latest: at once while the process drains, since the wait could
+/// outlast it.
+fn reader_deadline(node: &Node, until: Duration) -> Duration {
+    match node.is_draining() {
+        true => until.min(clock::now()),
+        false => until,
+    }
+}
+
+/// Wakes all readers, so that they check again whether to wait.
+pub fn wake_readers(node: &Node) {
+    let core = node.core.borrow();
+    for job in core.jobs.rows.values() {
+        job.changed.notify_waiters();
+    }
+}
+
 async fn wait_for_change(node: &Node, job: &JobId, wait: Duration) {
     node.core.borrow_mut().jobs.readers += 1;
     let _reader = WaitingReader { node };
--- a/src/serve/stop.rs
+++ b/src/serve/stop.rs
@@ -7,8 +7,8 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::sleep;
 
-use super::counters::RequestKind;
 use super::node::{Node, Stage};
+use super::results;
 use super::runs;
 use crate::clock;
 use crate::logging;
@@ -64,6 +64,7 @@
     log_open(node, started, "stop: draining");
     node.plan_items.notify_one();
     node.heartbeat_due.notify_one();
+    results::wake_readers(node);
     let drain_time = Duration::from_millis(node.settings.drain_ms);
     let limit = Duration::from_millis(node.settings.stop_limit_ms).saturating_sub(EXIT_TIME);
     sleep(drain_time.min(limit)).await;
@@ -72,13 +73,16 @@
     node.listening.set(false);
     node.closing.notify_waiters();
     log_open(node, started, "stop: closing");
-    let is_busy = || node.open_requests.count(RequestKind::Online) > 0 || runs::busy(node);
+    let is_busy = || node.open_requests.total() > 0 || runs::busy(node);
     let mut idle_since = clock::now();
     // A connection that was accepted just before may bring a request while the others are closed.
     while clock::now() < (idle_since + CLOSE_TIME).min(started + limit + CLOSE_TIME) {
         sleep(CHECK_INTERVAL).await;
         // Also reaches connections that were accepted meanwhile.
         node.closing.notify_waiters();
+        if clock::now() >= started + limit {
+            node.open_requests.refuse();
+        }
         if is_busy() {
             idle_since = clock::now();
         }
