Stop: a request counts from the first byte of its head

Callers saw: a request of which a part of the head had arrived on a connection that is kept open was closed without a reply when the VM stopped: hyper counts such a connection as idle until the head is complete.

The caller's connection now reports that bytes were read, which counts a request unless one is open there. A connection with a part of a head is not closed, and the stop waits for it, up to the limit of the stop. A head that is not complete by then is still closed without a reply.

--- a/src/serve/body.rs
+++ b/src/serve/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of replies to callers.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -61,11 +62,11 @@
 /// A reply whose request counts as open until the body has been sent.
 pub struct CountedBody {
     body: ReplyBody,
-    _request: Option<OpenRequest>,
+    _request: Option<Rc<OpenRequest>>,
 }
 
 /// Keeps a request counted until its reply has been sent.
-pub fn counted(reply: Reply, request: impl Into<Option<OpenRequest>>) -> Response<CountedBody> {
+pub fn counted(reply: Reply, request: impl Into<Option<Rc<OpenRequest>>>) -> Response<CountedBody> {
     let request = request.into();
     reply.map(|body| CountedBody {
         body,
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -1,9 +1,12 @@
 //! Accepts connections from callers and dispatches their requests.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
-use std::io::ErrorKind;
+use std::io::{ErrorKind, IoSlice};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +18,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::Rng;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
@@ -105,9 +109,15 @@
         .as_ref()
         .map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_timeout);
     let head_bytes = limits.map_or(HEAD_BYTES_DEFAULT, |limits| limits.head_bytes);
+    let connection_requests = Rc::<ConnectionRequests>::default();
+    let stream = CallerStream {
+        stream,
+        node: node.clone(),
+        requests: connection_requests.clone(),
+    };
     let service = service_fn(|request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(handle(node, request).await) }
+        let (node, open) = (node.clone(), connection_requests.head_read(&node));
+        async move { Ok::<_, Infallible>(handle(node, request, open).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -115,24 +125,31 @@
         .max_buf_size(head_bytes.max(BUFFER_BYTES_MIN))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let closing = node.closing.notified();
     // An error is a caller that disconnected or sent an invalid request, which hyper has answered.
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = closing => {}
-    }
-    if timeout(ARRIVAL_GRACE, connection.as_mut()).await.is_ok() {
-        return;
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = node.closing.notified() => {}
+        }
+        if timeout(ARRIVAL_GRACE, connection.as_mut()).await.is_ok() {
+            return;
+        }
+        if !connection_requests.has_partial_head() {
+            break;
+        }
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
-async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<CountedBody> {
-    let mut open = node.open_requests.begin(RequestKind::Reading);
+async fn handle(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    open: Rc<OpenRequest>,
+) -> Response<CountedBody> {
     let reply = tokio::select! {
         biased;
-        reply = dispatch(node.clone(), request, &mut open) => Some(reply),
+        reply = dispatch(node.clone(), request, &open) => Some(reply),
         () = node.open_requests.refused() => None,
     };
     let mut reply = reply.unwrap_or_else(|| stopped_reply(open.kind()));
@@ -144,6 +161,94 @@
     body::counted(reply, open)
 }
 
+/// Requests of one connection.
+#[derive(Default)]
+struct ConnectionRequests {
+    /// A request whose head has not been read completely.
+    partial: RefCell<Option<Rc<OpenRequest>>>,
+    /// The newest request; gone once its reply has been sent.
+    newest: RefCell<Weak<OpenRequest>>,
+}
+
+impl ConnectionRequests {
+    /// Counts a request from its first bytes on. Without this, the connection counts as idle, and
+    /// is closed although a caller sends a request.
+    fn bytes_read(&self, node: &Node) {
+        if self.newest.borrow().strong_count() == 0 {
+            self.partial.replace(Some(self.begin(node)));
+        }
+    }
+
+    /// The request whose head has been read.
+    fn head_read(&self, node: &Node) -> Rc<OpenRequest> {
+        let partial = self.partial.take();
+        partial.unwrap_or_else(|| self.begin(node))
+    }
+
+    fn begin(&self, node: &Node) -> Rc<OpenRequest> {
+        let open = node.open_requests.begin(RequestKind::Reading);
+        self.newest.replace(Rc::downgrade(&open));
+        open
+    }
+
+    fn has_partial_head(&self) -> bool {
+        self.partial.borrow().is_some()
+    }
+}
+
+/// A caller's connection, which reports that bytes were read.
+struct CallerStream {
+    stream: TcpStream,
+    node: Rc<Node>,
+    requests: Rc<ConnectionRequests>,
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut this.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            this.requests.bytes_read(&this.node);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
+
 /// The reply to a request that is still open when the process has to end.
 fn stopped_reply(kind: RequestKind) -> Reply {
     let name: &'static str = kind.into();
@@ -153,7 +258,7 @@
     replies::refusal(RefusalKind::NotReady, not_run, Some(STARTING_RETRY_AFTER))
 }
 
-async fn dispatch(node: Rc<Node>, request: Request<Incoming>, open: &mut OpenRequest) -> Reply {
+async fn dispatch(node: Rc<Node>, request: Request<Incoming>, open: &OpenRequest) -> Reply {
     let (head, body) = request.into_parts();
     let Some(routes) = node.routes() else {
         log::info!(path = head.uri.path(); "refused: no configuration is loaded yet");
@@ -227,7 +332,7 @@
     routes: Rc<RouteTable>,
     head: hyper::http::request::Parts,
     body: Incoming,
-    open: &mut OpenRequest,
+    open: &OpenRequest,
 ) -> Reply {
     let params = (node.dialect.request_params)(&head);
     let Some(route) = routes.find(&params.host, head.uri.path()) else {
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -43,12 +43,12 @@
 
 impl OpenRequests {
     /// Counts a request until the returned guard is dropped.
-    pub fn begin(self: &Rc<Self>, kind: RequestKind) -> OpenRequest {
+    pub fn begin(self: &Rc<Self>, kind: RequestKind) -> Rc<OpenRequest> {
         self.counts[kind as usize].update(|count| count + 1);
-        OpenRequest {
+        Rc::new(OpenRequest {
             requests: self.clone(),
-            kind,
-        }
+            kind: Cell::new(kind),
+        })
     }
 
     /// Has all requests refused whose replies have not begun, and all that follow.
@@ -87,30 +87,30 @@
     }
 }
 
-/// Counts a request from its parsed head until its reply has been sent.
+/// Counts a request until its reply has been sent.
 pub struct OpenRequest {
     requests: Rc<OpenRequests>,
-    kind: RequestKind,
+    kind: Cell<RequestKind>,
 }
 
 impl OpenRequest {
     /// What the request asks for.
     pub fn kind(&self) -> RequestKind {
-        self.kind
+        self.kind.get()
     }
 
     /// Counts the request as another kind from now on.
-    pub fn set_kind(&mut self, kind: RequestKind) {
+    pub fn set_kind(&self, kind: RequestKind) {
         let counts = &self.requests.counts;
-        counts[self.kind as usize].update(|count| count - 1);
+        let before = self.kind.replace(kind);
+        counts[before as usize].update(|count| count - 1);
         counts[kind as usize].update(|count| count + 1);
-        self.kind = kind;
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.requests.counts[self.kind as usize].update(|count| count - 1);
+        self.requests.counts[self.kind() as usize].update(|count| count - 1);
     }
 }
 
