Stop: readers whose job is looked up as it begins do not wait either

What callers would see, found by review: a stop wakes the readers that wait, but not one whose job is being read from the store at that moment; it then waited its whole time, and delayed the stop by up to two seconds.

Change: how long a reader may wait is worked out after its job was read. By reading; no test of its own.

--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -49,11 +49,12 @@
 ) -> Reply {
     let wait_end = clock::now() + wait.min(READER_WAIT_MAX);
     let record = loop {
-        let until = reader_deadline(&node, wait_end);
         let record = match find_for_caller(&node, caller, &job).await {
             Ok(record) => record,
             Err(reply) => return reply,
         };
+        // The process may have been told to stop meanwhile.
+        let until = reader_deadline(&node, wait_end);
         let listed = record.listed.len();
         if listed > after || (record.ended() && listed == after) {
             break record;
