Soak: endpoints that pause, and requests without an answer

The soak had no fault in which a sound endpoint sends nothing for a while and goes on, and it passed over requests that got no answer at all, so neither fault of the report could show. engine_pauses (0.6 to 1.5 s, one to all endpoints at once) excuses nothing: beside pauses and planned work alone, no answer may be cut, and no request, read, submission or cancellation that a VM accepted may end without an answer or a refusal. Reads wait 300 ms.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -1,15 +1,17 @@
 //! Simulated callers: online callers on kept-alive and on new connections, and callers that submit,
 //! cancel and read batch jobs.
 
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::thread::Scope;
 use std::time::Duration;
 
 use bramleyseam::clock;
 use bramleyseam::util::lock;
 use bramleyseam_platform_standin::caller::{
-    agent, cancel, open_request, read_data, request_stream_with, request_with_prompt, results,
-    resume_stream, submit,
+    cancel, open_request, read_data, request_stream_with, request_with_prompt, results,
+    resume_stream, submit, Response,
 };
 use bramleyseam_platform_standin::fleet::Fleet;
 use rand::rngs::SmallRng;
@@ -17,7 +19,7 @@
 
 use super::checks::ANSWER_EVENTS;
 use super::faults::FATAL_SEGMENT;
-use super::ledger::{Job, Ledger, OnlineRequest, Result};
+use super::ledger::{Job, Ledger, OnlineRequest, Result, UnansweredRequest};
 
 /// Pause between two requests of one caller.
 const REQUEST_PAUSE: Duration = Duration::from_millis(30);
@@ -38,6 +40,75 @@
 const SUBMIT_ATTEMPTS_MAX: usize = 2;
 /// One job in this number is cancelled by its caller.
 const CANCEL_ONE_IN: u32 = 6;
+/// Time for which a read waits for results.
+const RESULT_WAIT_MS: u64 = 300;
+/// A connection to a process that has ended is refused well within this time.
+const REFUSED_WITHIN: Duration = Duration::from_millis(100);
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Whether the last request reached a VM and got no response.
+#[derive(Clone, Default)]
+struct Unanswered(Arc<AtomicBool>);
+
+impl ureq::Middleware for Unanswered {
+    fn handle(
+        &self,
+        request: ureq::Request,
+        next: ureq::MiddlewareNext,
+    ) -> std::result::Result<ureq::Response, ureq::Error> {
+        let response = next.handle(request);
+        let is_unanswered = match response.as_ref().err().map(ureq::Error::kind) {
+            None | Some(ureq::ErrorKind::HTTP | ureq::ErrorKind::ConnectionFailed) => false,
+            Some(_) => true,
+        };
+        self.0.store(is_unanswered, Ordering::SeqCst);
+        response
+    }
+}
+
+/// Connections of one caller.
+struct Connection {
+    agent: ureq::Agent,
+    unanswered: Unanswered,
+}
+
+impl Connection {
+    fn new() -> Connection {
+        let unanswered = Unanswered::default();
+        let agent = ureq::AgentBuilder::new().timeout(TIMEOUT);
+        Connection {
+            agent: agent.middleware(unanswered.clone()).build(),
+            unanswered,
+        }
+    }
+
+    fn is_unanswered(&self) -> bool {
+        self.unanswered.0.load(Ordering::SeqCst)
+    }
+}
+
+/// Sends a request of a batch caller, and records it if a VM accepted it and no whole answer came.
+fn send_batch(
+    ledger: &Ledger,
+    vm: usize,
+    what: String,
+    send: impl FnOnce(SocketAddr) -> Option<Response>,
+) -> Option<Response> {
+    let accepts = TcpStream::connect(ledger.vms[vm]).is_ok();
+    let sent_at = clock::now();
+    let answer = send(ledger.vms[vm]);
+    let ended_at = clock::now();
+    let is_whole = answer.as_ref().is_some_and(|answer| answer.complete);
+    if accepts && !is_whole && ended_at > sent_at + REFUSED_WITHIN {
+        lock(&ledger.unanswered).push(UnansweredRequest {
+            what,
+            vm,
+            sent_at,
+            ended_at,
+        });
+    }
+    answer
+}
 
 /// All callers of one run.
 pub struct Callers<'a> {
@@ -95,7 +166,7 @@
 
     /// Sends requests to one VM; with `kept`, over one connection for as long as that stays open.
     fn run_online(&self, vm: usize, kept: bool, stopping: &AtomicBool) {
-        let mut connection = agent();
+        let mut connection = Connection::new();
         let mut repeatable = kept;
         while !stopping.load(Ordering::SeqCst) {
             repeatable = !repeatable;
@@ -105,10 +176,10 @@
             };
             let id = self.id(kind);
             if !kept {
-                connection = agent();
+                connection = Connection::new();
             }
             let sent_at = clock::now();
-            let answer = request_stream_with(&connection, self.ledger.vms[vm], path, &id);
+            let answer = request_stream_with(&connection.agent, self.ledger.vms[vm], path, &id);
             let request = OnlineRequest {
                 id,
                 repeatable,
@@ -116,6 +187,7 @@
                 sent_at,
                 ended_at: clock::now(),
                 answer,
+                is_unanswered: connection.is_unanswered(),
             };
             lock(&self.ledger.requests).push(request);
             clock::sleep(REQUEST_PAUSE);
@@ -192,7 +264,9 @@
         let first = rng.random_range(0..self.vms);
         for attempt in 0..SUBMIT_ATTEMPTS_MAX {
             let vm = (first + attempt) % self.vms;
-            let status = submit(self.ledger.vms[vm], job, items).map(|answer| answer.status);
+            let what = format!("submission of {job}");
+            let answer = send_batch(self.ledger, vm, what, |vm| submit(vm, job, items));
+            let status = answer.map(|answer| answer.status);
             record.refused &= matches!(status, Some(429 | 503));
             if status == Some(202) {
                 record.accepted_at = Some(clock::now());
@@ -204,8 +278,10 @@
     }
 
     fn cancel(&self, job: &str, rng: &mut SmallRng) {
-        let vm = self.ledger.vms[rng.random_range(0..self.vms)];
-        let ended = cancel(vm, job).is_some_and(|answer| answer.status == 200);
+        let vm = rng.random_range(0..self.vms);
+        let what = format!("cancellation of {job}");
+        let answer = send_batch(self.ledger, vm, what, |vm| cancel(vm, job));
+        let ended = answer.is_some_and(|answer| answer.status == 200);
         if let (true, Some(record)) = (ended, lock(&self.ledger.jobs).get_mut(job)) {
             record.cancelled_at = Some(clock::now());
         }
@@ -224,7 +300,7 @@
             let already_read = lock(&self.ledger.jobs)[job].results.len();
             let after = rng.random_range(0..=already_read);
             let vm = rng.random_range(0..self.vms);
-            read_results(self.ledger, job, vm, after);
+            read_results(self.ledger, job, vm, after, RESULT_WAIT_MS);
         }
     }
 }
@@ -242,8 +318,10 @@
 
 /// Reads one page of results, compares it with earlier reads, and keeps new results. Returns false
 /// when the VM did not return a complete page.
-pub fn read_results(ledger: &Ledger, job: &str, vm: usize, after: usize) -> bool {
-    let Some(answer) = results(ledger.vms[vm], job, after, 0) else {
+pub fn read_results(ledger: &Ledger, job: &str, vm: usize, after: usize, wait_ms: u64) -> bool {
+    let what = format!("read of {job}");
+    let read = |vm| results(vm, job, after, wait_ms);
+    let Some(answer) = send_batch(ledger, vm, what, read) else {
         return false;
     };
     let now = clock::now();
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -35,6 +35,12 @@
     check_recovered(fleet, ledger);
     check_jobs(fleet, ledger);
     let runs = runs_by_id(fleet);
+    for request in lock(&ledger.unanswered).iter() {
+        if !has_cause(ledger, request.vm, request.sent_at, request.ended_at) {
+            let what = format!("VM {} did not answer: {}", request.vm, request.what);
+            ledger.record_violation(request.ended_at, what);
+        }
+    }
     for request in lock(&ledger.requests).iter() {
         check_answer(ledger, request);
         check_run_counts(ledger, request, &runs);
@@ -101,7 +107,7 @@
     wait_until(Duration::from_millis(1100), || false);
     for job in accepted_jobs(ledger) {
         let done = wait_until(RECOVERY_TIMEOUT, || {
-            read_results(ledger, &job, 0, results(&job));
+            read_results(ledger, &job, 0, results(&job), 0);
             !open(&job)
         });
         if !done {
@@ -109,7 +115,7 @@
             ledger.record_violation(clock::now(), format!("job {job} stays at {listed} results"));
         }
         for vm in 0..fleet.vms.len() {
-            if !wait_until(RECOVERY_TIMEOUT, || read_results(ledger, &job, vm, 0)) {
+            if !wait_until(RECOVERY_TIMEOUT, || read_results(ledger, &job, vm, 0, 0)) {
                 ledger.record_violation(clock::now(), format!("VM {vm} can't tell of job {job}"));
             }
         }
@@ -119,7 +125,12 @@
 /// An answer that looks complete is complete and belongs to its request. A cut answer has a fault
 /// as its cause.
 fn check_answer(ledger: &Ledger, request: &OnlineRequest) {
+    let caused = || has_cause(ledger, request.vm, request.sent_at, request.ended_at);
     let Some(seen) = &request.answer else {
+        if request.is_unanswered && !caused() {
+            let what = format!("VM {} did not answer: {}", request.vm, request.id);
+            ledger.record_violation(request.ended_at, what);
+        }
         return;
     };
     let violation = |what: &str| {
@@ -155,17 +166,16 @@
         true if expected.len() as u64 != ANSWER_EVENTS => {
             violation("an answer that only looks whole")
         }
-        false if !has_cause(ledger, request) => violation("an answer was cut"),
+        false if !caused() => violation("an answer was cut"),
         _ => {}
     }
 }
 
-/// Whether a fault that may cut an answer was active; planned work may not cut any.
-fn has_cause(ledger: &Ledger, request: &OnlineRequest) -> bool {
-    let from = request.sent_at.saturating_sub(FAULT_EFFECT_TIME);
-    ledger.had_fault(from, request.ended_at, |injected| {
-        !injected.fault.is_planned()
-            && (!injected.fault.targets_vm() || injected.target == request.vm)
+/// Whether a fault that may cut or lose an answer of this VM was active.
+fn has_cause(ledger: &Ledger, vm: usize, sent_at: Duration, ended_at: Duration) -> bool {
+    let from = sent_at.saturating_sub(FAULT_EFFECT_TIME);
+    ledger.had_fault(from, ended_at, |injected| {
+        !injected.fault.is_tolerated() && (!injected.fault.targets_vm() || injected.target == vm)
     })
 }
 
@@ -215,7 +225,7 @@
             continue;
         };
         let late = |run: &&Run| run.started_at > ended_at + CANCELLED_AFTER;
-        let unplanned = |injected: &InjectedFault| !injected.fault.is_planned();
+        let unplanned = |injected: &InjectedFault| !injected.fault.is_tolerated();
         let no_fault =
             !ledger.had_fault(ended_at.saturating_sub(FAULT_EFFECT_TIME), now, unplanned);
         if no_fault && runs.iter().any(|run| late(&run)) {
@@ -251,7 +261,7 @@
     {
         let from = drain.from.saturating_sub(FAULT_EFFECT_TIME);
         let until = drain.from + DRAINED_AFTER;
-        let unplanned = |injected: &InjectedFault| !injected.fault.is_planned();
+        let unplanned = |injected: &InjectedFault| !injected.fault.is_tolerated();
         if ledger.had_fault(from, until, unplanned) {
             continue;
         }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -223,6 +223,7 @@
             Fault::EngineLinkSlow => self.fleet.links[target].set_mode(Mode::Delayed(LINK_DELAY)),
             Fault::EngineLinkReset => self.fleet.links[target].reset(),
             Fault::EngineEnds => self.fleet.endpoints[target].end(),
+            Fault::EnginePauses => self.fleet.endpoints[target].pause(step.lasts),
             Fault::EngineLeaves => self.drain(target),
             Fault::RulesChange => self.change_rules(),
             Fault::WatchesSilent => {
@@ -346,7 +347,7 @@
             let from = at.saturating_sub(FAULT_EFFECT_TIME);
             for (vm, process) in self.fleet.vms.iter().enumerate() {
                 let faulty = |injected: &InjectedFault| {
-                    !injected.fault.is_planned() || injected.fault.stops_vm(vm, injected.target)
+                    !injected.fault.is_tolerated() || injected.fault.stops_vm(vm, injected.target)
                 };
                 if self.ledger.had_fault(from, now, faulty) {
                     continue;
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -21,6 +21,16 @@
     pub ended_at: Duration,
     /// `None` when no answer came.
     pub answer: Option<Response>,
+    /// A VM accepted the connection, and no answer came.
+    pub is_unanswered: bool,
+}
+
+/// A request of a batch caller that got neither an answer nor a refusal.
+pub struct UnansweredRequest {
+    pub what: String,
+    pub vm: usize,
+    pub sent_at: Duration,
+    pub ended_at: Duration,
 }
 
 /// A result of a job as it was read first.
@@ -57,6 +67,7 @@
     pub started: Duration,
     pub vms: Vec<SocketAddr>,
     pub requests: Mutex<Vec<OnlineRequest>>,
+    pub unanswered: Mutex<Vec<UnansweredRequest>>,
     pub jobs: Mutex<HashMap<String, Job>>,
     /// Streams that callers resumed: the first attempt, and the data of all events received.
     pub streams: Mutex<Vec<(String, String)>>,
@@ -71,6 +82,7 @@
             started,
             vms: fleet.vms.iter().map(|vm| vm.callers).collect(),
             requests: Mutex::default(),
+            unanswered: Mutex::default(),
             jobs: Mutex::default(),
             streams: Mutex::default(),
             faults: Mutex::default(),
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -52,14 +52,20 @@
     EngineIdleSilent,
     /// An endpoint's process ends with all its runs, and another one replaces it.
     EngineEnds,
+    /// A sound endpoint sends nothing for a while and goes on, at times together with others.
+    EnginePauses,
 }
 
 impl Fault {
-    /// Whether this is planned work, during which no answer may be cut.
-    pub fn is_planned(self) -> bool {
+    /// Whether no answer may be cut or lost beside it: planned work, and pauses of sound endpoints.
+    pub fn is_tolerated(self) -> bool {
         matches!(
             self,
-            Fault::VmStopped | Fault::VmReloaded | Fault::EngineLeaves | Fault::RulesChange
+            Fault::VmStopped
+                | Fault::VmReloaded
+                | Fault::EngineLeaves
+                | Fault::RulesChange
+                | Fault::EnginePauses
         )
     }
 
@@ -121,7 +127,10 @@
             endpoints: 3,
             length: Duration::from_secs(5),
             faults: 6,
-            kinds: Fault::iter().collect(),
+            // One more kind would change what the seeds draw.
+            kinds: Fault::iter()
+                .take_while(|kind| *kind != Fault::EnginePauses)
+                .collect(),
             fatal_prompts: false,
         }
     }
@@ -130,6 +139,10 @@
 /// Time after which VMs whose connections went silent count as free of faults again, with a margin.
 const RECOVERED_AFTER: Duration = Duration::from_millis(4200);
 
+/// Shortest pause of an endpoint, and by how much others are longer.
+const PAUSE_MIN: Duration = Duration::from_millis(600);
+const PAUSE_RANGE_MS: u64 = 900;
+
 /// A configuration change and a draining engine, once the VMs count as free of faults.
 fn followers(step: &Step) -> Vec<Step> {
     if !step.fault.has_followers() {
@@ -145,6 +158,21 @@
     vec![rules, change(Fault::EngineLeaves, 300)]
 }
 
+/// Pauses of several endpoints at once in place of one; other steps are kept.
+fn pauses(step: Step, size: &Size) -> Vec<Step> {
+    if step.fault != Fault::EnginePauses {
+        return vec![step];
+    }
+    let lasts_ms = step.lasts.as_millis() as u64;
+    let together = 1 + lasts_ms as usize % size.endpoints;
+    let pause = |at| Step {
+        lasts: PAUSE_MIN + Duration::from_millis(lasts_ms % PAUSE_RANGE_MS),
+        target: (step.target + at) % size.endpoints,
+        ..step
+    };
+    (0..together).map(pause).collect()
+}
+
 /// Draws the faults of a seed, in order of their start; they may overlap.
 pub fn draw(seed: u64, size: &Size) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -165,6 +193,7 @@
                 target: rng.random_range(0..targets),
             }
         })
+        .flat_map(|step| pauses(step, size))
         .collect();
     let followers: Vec<Step> = steps.iter().flat_map(followers).collect();
     steps.extend(followers);
