Endpoints: an entry that returns has the requests that still run there

What callers would see: an endpoint's entry lapsed and came back, or its address changed, while streams ran there; their count began at zero again, so the endpoint took more than its slots, and its later releases hid others.

Test entry_returns failed before: 0 requests counted where 3 ran. Counts of endpoints that are gone are kept until their requests end.

--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -340,25 +340,38 @@
     pub rows: Vec<Endpoint>,
     /// Many VMs choose among the endpoints and receive late what the others chose.
     pub counts_lag: bool,
+    /// Online requests of this VM at endpoints that are no longer configured. Invariant: an endpoint
+    /// is either here or in `rows`.
+    online_at_departed: HashMap<EndpointId, u32>,
     index: HashMap<EndpointId, usize>,
     by_service: HashMap<ServiceId, Vec<usize>>,
 }
 
 impl Endpoints {
-    /// Applies a new configuration; endpoints that stay keep what was observed of them.
+    /// Applies a new configuration; endpoints that stay keep what was observed of them, and those
+    /// that come back have the requests that still run there.
     pub fn configure(&mut self, declared: impl IntoIterator<Item = (EndpointId, EndpointConfig)>) {
         let mut old: HashMap<EndpointId, Endpoint> =
             self.rows.drain(..).map(|row| (row.id, row)).collect();
         for (id, declared) in declared {
+            let departed = self.online_at_departed.remove(&id);
             let row = match old.remove(&id) {
                 Some(mut row) if row.config.address == declared.address => {
                     row.config = declared;
                     row
                 }
-                _ => Endpoint::new(id, declared),
+                known => {
+                    let mut row = Endpoint::new(id, declared);
+                    let online = known.map(|known| known.online_here).or(departed);
+                    row.online_here = online.unwrap_or(0);
+                    row
+                }
             };
             self.rows.push(row);
         }
+        let in_use = old.into_values().filter(|row| row.online_here > 0);
+        let departed = in_use.map(|row| (row.id, row.online_here));
+        self.online_at_departed.extend(departed);
         self.reindex();
     }
 
@@ -388,6 +401,18 @@
         self.index.get(&id).map(|at| &mut self.rows[*at])
     }
 
+    /// Frees the slot of an online request of this VM, also at an endpoint that is no longer configured.
+    pub fn release_online(&mut self, id: EndpointId) {
+        if let Some(row) = self.get_mut(id) {
+            row.online_here = row.online_here.saturating_sub(1);
+            return;
+        }
+        match self.online_at_departed.get_mut(&id) {
+            Some(count) if *count > 1 => *count -= 1,
+            _ => drop(self.online_at_departed.remove(&id)),
+        }
+    }
+
     /// Endpoints of a service, as positions in `rows`.
     pub fn of_service(&self, service: ServiceId) -> &[usize] {
         self.by_service.get(&service).map_or(&[], Vec::as_slice)
--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -610,8 +610,8 @@
 
     /// Releases what [`Online::send`] reserved.
     fn release(&mut self, row: &RequestRow) {
-        if let Some(endpoint) = row.endpoint.and_then(|id| self.endpoints.get_mut(id)) {
-            endpoint.online_here = endpoint.online_here.saturating_sub(1);
+        if let Some(endpoint) = row.endpoint {
+            self.endpoints.release_online(endpoint);
         }
         let state = self.service_states.entry(row.arrival.service).or_default();
         state.in_flight = state.in_flight.saturating_sub(1);
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -339,9 +339,7 @@
     /// Frees the slot that is reserved for the next attempt.
     pub(super) fn release_successor(&mut self, row: &mut RequestRow) -> Option<Successor> {
         let successor = row.successor.take()?;
-        if let Some(endpoint) = self.endpoints.get_mut(successor.endpoint) {
-            endpoint.online_here = endpoint.online_here.saturating_sub(1);
-        }
+        self.endpoints.release_online(successor.endpoint);
         Some(successor)
     }
 
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -438,6 +438,23 @@
     assert_eq!(simulation.run_for(PAUSE), []);
 }
 
+// The entry of a paused endpoint lapses and returns. Its streams were counted nowhere, so that the
+// endpoint got more requests than it has slots.
+#[test]
+fn entry_returns() {
+    let mut simulation = Simulation::new(1, |_| "v1");
+    simulation.begin(3);
+    let endpoint = simulation.ids()[0];
+    let config = simulation.online.endpoints.rows[0].config.clone();
+    simulation.online.endpoints.configure([]);
+    simulation.run_for(TICK);
+    simulation.online.endpoints.configure([(endpoint, config)]);
+    let online = |simulation: &Simulation| simulation.online.endpoints.rows[0].online_here;
+    assert_eq!(online(&simulation), 3);
+    simulation.close(1);
+    assert_eq!(online(&simulation), 3);
+}
+
 // A connection that is silent while its endpoint sends on others is replaced by a new one, even if
 // there is no other endpoint.
 #[test]
