A request that is queued again waits from then on

What callers would see: a request whose endpoint ended after the goal for its first event was queued again and dropped with the next tick, with seconds left and a slot free soon after, because its wait counted from its arrival.

Test waits_again failed before: 2 requests refused as deadline-unreachable 10 ms after the end, 4.4 s before their deadlines.

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -200,11 +200,11 @@
     }
 
     /// From when on its wait counts. The caller of a stream that broke off has had events since it
-    /// asked.
+    /// asked, and a failed attempt may have taken longer than any wait.
     fn waiting_since(&self) -> Duration {
-        match self.software {
-            Some(_) => self.queued_at,
-            None => self.arrived_at,
+        match self.software.is_some() || self.attempts > 0 {
+            true => self.queued_at,
+            false => self.arrived_at,
         }
     }
 
--- a/tests/online_rules.rs
+++ b/tests/online_rules.rs
@@ -471,6 +471,51 @@
         .all(|row| row.usable(back + ms(1))));
 }
 
+// A request whose endpoint ended after the goal was queued again and dropped with the next tick,
+// though the other endpoint had a slot soon after and the deadline was seconds away.
+#[test]
+fn waits_again() {
+    let mut online = online(1, 2, 1.0);
+    let mut out = Vec::new();
+    for request in 1..=4 {
+        let mut arrival = arrival(request, 1, ms(1), true);
+        arrival.deadline = ms(5_000);
+        online.handle(ms(1), Event::Arrived(arrival), &mut out);
+    }
+    let sent: Vec<(u64, u64)> = out.drain(..).filter_map(sent_to).collect();
+    let (failed, ended) = sent[0];
+    for (request, endpoint) in &sent {
+        if *endpoint == ended {
+            let outcome = AttemptOutcome::Failed {
+                stage: AttemptStage::MaybeSent,
+                endpoint_fault: true,
+                endpoint_ended: true,
+            };
+            let request = *request;
+            online.handle(ms(600), Event::Ended { request, outcome }, &mut out);
+        }
+    }
+    online.tick(ms(610), &mut out);
+    assert_eq!(out, []);
+    for (request, _) in sent.iter().filter(|(_, endpoint)| *endpoint != ended) {
+        let (request, outcome) = (*request, AttemptOutcome::Done);
+        online.handle(ms(650), Event::Ended { request, outcome }, &mut out);
+    }
+    assert!(out
+        .drain(..)
+        .filter_map(sent_to)
+        .any(|(request, _)| request == failed));
+}
+
+fn sent_to(action: Action) -> Option<(u64, u64)> {
+    match action {
+        Action::Send {
+            request, endpoint, ..
+        } => Some((request, endpoint)),
+        _ => None,
+    }
+}
+
 // A report that was in flight when the endpoint restarted says "leaving" about the old process.
 #[test]
 fn old_report() {
