An unused connection that was closed while idle is replaced

What callers would see, found by review: a connection that was opened for a silent attempt's next one could be closed while it waited; the attempt then failed and its endpoint was blamed, since only connections that had carried a request were replaced. By reading; no test.

--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -184,6 +184,7 @@
         true => node.pool.take(target.endpoint),
         false => None,
     };
+    let was_idle = idle.is_some();
     let mut connection = match idle {
         Some(connection) => connection,
         None => open(node, target).await?,
@@ -194,7 +195,7 @@
         Ok(response) => response,
         // The endpoint had closed the idle connection: nothing was sent, so a new connection may
         // work.
-        Err(pool::Error::NotSent { .. }) if !unused => {
+        Err(pool::Error::NotSent { .. }) if was_idle => {
             connection = open(node, target).await?;
             let request = self::build_request(node, target, out, time_left, last_event)?;
             connection.send(request).await.map_err(failure_of)?
