Silence: a successor that goes out of use, or an attempt that fails meanwhile

What callers would see, found by review: while the connection to a successor was opened its endpoint left, or fell silent as well, and the stream was closed for it all the same. And an attempt that broke at that moment lost the slot that was reserved for it, and needed the retry budget.

Change: the successor is looked at again once it is connected; a failed attempt keeps its reservation. A check of a host that fails at once waits before the next one.

silent_successors successor_leaves covers the first (played, with a function that is new).

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -385,13 +385,14 @@
         services: HashMap<ServiceId, ServiceConfig>,
     ) {
         let old = std::mem::replace(&mut self.services, services);
-        let retired = std::mem::take(&mut self.retired_services);
+        let retired_before = std::mem::take(&mut self.retired_services);
+        let retired = &mut self.retired_services;
         for (service, config) in old {
-            if !self.services.contains_key(&service) {
-                let since = retired.get(&service).copied().unwrap_or(now);
-                self.retired_services.insert(service, since);
-                self.services.insert(service, config);
-            }
+            self.services.entry(service).or_insert_with(|| {
+                let since = retired_before.get(&service).copied().unwrap_or(now);
+                retired.insert(service, since);
+                config
+            });
         }
     }
 
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -66,6 +66,19 @@
         row.successor.map(|successor| successor.endpoint)
     }
 
+    /// Whether the successor of an attempt can still take over.
+    pub fn is_successor_usable(&self, now: Duration, request: RequestId) -> bool {
+        let row = self.rows.get(&request);
+        let successor = row.and_then(|row| row.successor.map(|successor| (row, successor)));
+        successor.is_some_and(|(row, successor)| self.can_take_over(now, row, successor))
+    }
+
+    fn can_take_over(&self, now: Duration, row: &RequestRow, successor: Successor) -> bool {
+        let is_same = row.endpoint == Some(successor.endpoint);
+        let endpoint = self.endpoints.get(successor.endpoint);
+        endpoint.is_some_and(|endpoint| is_same || endpoint.usable(now))
+    }
+
     /// Whether an attempt is still to be given up.
     pub fn is_given_up(&self, request: RequestId) -> bool {
         self.rows.get(&request).is_some_and(|row| row.given_up)
@@ -373,9 +386,7 @@
         successor: Successor,
         out: &mut Vec<Action>,
     ) -> Option<RequestRow> {
-        let is_same = row.endpoint == Some(successor.endpoint);
-        let endpoint = self.endpoints.get(successor.endpoint);
-        if !endpoint.is_some_and(|endpoint| is_same || endpoint.usable(now)) {
+        if !self.can_take_over(now, &row, successor) {
             return Some(row);
         }
         row.is_unproven = successor.is_unproven;
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -509,10 +509,8 @@
             let connected = silence::connect_successor(&node, self.request, &out);
             let connected = tokio::select! {
                 biased;
-                value = &mut future => {
-                    self.keep(SuccessorState::NotTried);
-                    return WaitResult::Value(value);
-                }
+                // If the attempt has failed, its successor is still secured.
+                value = &mut future => return WaitResult::Value(value),
                 () = self.chunks.closed() => return WaitResult::CallerLeft,
                 () = &mut deadline => return WaitResult::DeadlinePassed,
                 connected = connected => connected,
--- a/src/serve/silence.rs
+++ b/src/serve/silence.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::sleep;
+
 use super::exchange::{Outgoing, Target};
 use super::node::Node;
 use super::pool::{Connection, Error};
@@ -15,6 +17,7 @@
 /// A host that accepts no connection for this long counts as unreachable. Networks fail for a second
 /// and come back, as processes do, and a lost packet is sent again only after a second.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(1500);
+const HOST_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Logs which endpoints have gone silent or send again, and checks the hosts of silent ones.
 pub fn handle_changes(node: &Rc<Node>) {
@@ -55,7 +58,7 @@
             Ok(_) => break true,
             Err(Error::Refused { .. }) => break false,
             Err(_) if clock::now() >= given_up_at => break false,
-            Err(_) => {}
+            Err(_) => sleep(HOST_CHECK_INTERVAL).await,
         }
     };
     if !is_reachable {
@@ -86,8 +89,12 @@
     match Connection::open(&target.address).await {
         Ok(connection) => {
             node.pool.put(endpoint, connection, None);
-            // Either may have changed while the connection was opened.
-            match is_given_up() && quarantine::check(node, out).is_ok() {
+            // The successor may have gone out of use meanwhile, or the request been quarantined.
+            let is_usable = {
+                let online = &node.core.borrow().online;
+                online.is_successor_usable(clock::now(), request)
+            };
+            match is_usable && quarantine::check(node, out).is_ok() {
                 true => Ok(()),
                 false => Err(SuccessorState::NotTried),
             }
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -292,6 +292,23 @@
     assert_eq!(simulation.online.successor(request), None);
 }
 
+// The successor goes out of use while a connection to it is opened: the stream is not closed.
+#[test]
+fn successor_leaves() {
+    let mut simulation = Simulation::new(2, |_| "v1");
+    simulation.begin(2);
+    let [paused, other] = simulation.ids()[..] else {
+        unreachable!();
+    };
+    let request = simulation.streams_at(paused)[0];
+    simulation.paused = vec![paused];
+    simulation.run_for(SILENCE_TIMEOUT + TICK);
+    let online = &mut simulation.online;
+    assert!(online.is_successor_usable(simulation.now, request));
+    online.endpoints.get_mut(other).unwrap().leaving = Some(1);
+    assert!(!online.is_successor_usable(simulation.now, request));
+}
+
 // Data that arrives before the connection was closed keeps the stream where it is.
 #[test]
 fn heard_in_time() {
