Silence: endpoints that pause together are not left for others that may pause too

Cause: each VM tried one endpoint that it had not heard from; all saw the same few free slots, so 158 and more streams queued at one endpoint, itself paused. Behind that queue an attempt's connection was replaced after 1.5 s, which cost it its place and its last attempt.

Change: while several endpoints of a VM are silent, none lives and their hosts accept connections, nothing is tried elsewhere. Only first attempts have their connection replaced at a silent endpoint.

silent_successors paused_together covers it (played).

--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -106,6 +106,8 @@
     /// Whether its host accepts no connections. Invariant: it was checked after `silent_at`, which
     /// is set.
     pub host_unreachable: bool,
+    /// Whether its host accepted a connection in this silence: its process may merely pause.
+    pub host_accepts: bool,
     /// Since when it is back after an ejection.
     pub returned_at: Option<Duration>,
     /// Moving average of the time to first token, in milliseconds; 0 if unknown.
@@ -140,6 +142,7 @@
             silent_at: None,
             heard_again_at: None,
             host_unreachable: false,
+            host_accepts: false,
             returned_at: None,
             first_token_ms: 0.0,
             barred: false,
@@ -282,6 +285,7 @@
         self.first_token_ms = 0.0;
         self.silent_at = None;
         self.host_unreachable = false;
+        self.host_accepts = false;
     }
 
     /// Takes the endpoint out of use because it sends nothing: until it does, or for a while.
@@ -289,6 +293,7 @@
         self.eject_for(now, SILENT_EJECT_MIN);
         self.silent_at = Some(now);
         self.host_unreachable = false;
+        self.host_accepts = false;
     }
 
     /// Puts the endpoint back into use at once if it was silent and has sent something since.
@@ -298,6 +303,7 @@
             self.silent_at = None;
             self.heard_again_at = Some(now);
             self.host_unreachable = false;
+            self.host_accepts = false;
             self.ejected_until = self.ejected_until.min(now.max(self.failing_until));
             if self.failing_until <= now {
                 self.ejections = 0;
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -19,6 +19,10 @@
 /// An endpoint that sent something within this time lives. Shorter than [`SILENCE_TIMEOUT`], so that
 /// endpoints which pause together do not take over from each other.
 const LIVING_WINDOW: Duration = Duration::from_millis(200);
+/// A host that can be reached accepts a connection within this time.
+const HOST_CHECK_TIME: Duration = Duration::from_millis(100);
+/// Endpoints that are silent for longer after they were found so are not taken for paused.
+const PAUSE_MAX: Duration = Duration::from_millis(1500);
 /// Pause before a successor is sought again for an attempt that was kept.
 const KEPT_RECHECK_AFTER: Duration = Duration::from_millis(300);
 
@@ -88,7 +92,9 @@
     /// dead, so that attempts there end even if nothing can follow.
     pub fn host_checked(&mut self, id: EndpointId, is_reachable: bool) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.host_unreachable = endpoint.silent_at.is_some() && !is_reachable;
+            let is_silent = endpoint.silent_at.is_some();
+            endpoint.host_unreachable = is_silent && !is_reachable;
+            endpoint.host_accepts = is_silent && is_reachable;
         }
     }
 
@@ -262,7 +268,9 @@
         let is_idle = |endpoint: &Endpoint| endpoint.online_here == 0;
         let mut is_unproven = false;
         let mut found = self.choose_free(now, row, lives);
-        if found.is_none() && !self.tries_unproven(now, row.arrival.service) {
+        let service = row.arrival.service;
+        let may_try = !self.tries_unproven(now, service) && !self.may_pause_together(now, service);
+        if found.is_none() && may_try {
             is_unproven = true;
             found = self.choose_free(now, row, is_idle);
         }
@@ -294,8 +302,9 @@
         )
     }
 
-    /// The attempt's own endpoint, to be reached by a new connection: it sends on others, or an
-    /// attempt without a response has waited for so long that its connection may be dead.
+    /// The attempt's own endpoint, to be reached by a new connection: it sends on others, or a first
+    /// attempt without a response has waited for so long that its connection may be dead. Later attempts
+    /// keep their place in the endpoint's queue.
     fn same_endpoint(
         &mut self,
         now: Duration,
@@ -306,6 +315,7 @@
         let is_silent_for_long = now
             >= row.last_received_at.max(self.resumed_at) + QUEUED_SILENCE_TIMEOUT
             && !row.answering
+            && row.attempts == 1
             && !endpoint.host_unreachable;
         let may_reconnect = lives(endpoint) || is_silent_for_long;
         let is_in_service = endpoint.leaving.is_none() && !endpoint.barred;
@@ -318,6 +328,30 @@
         (may_reconnect && is_possible && self.budget.spend(now)).then_some(successor)
     }
 
+    /// Whether all endpoints that this VM uses may have paused at once: several are silent, none lives,
+    /// and their hosts accept connections or have had no time to. Others may then pause as well, and each
+    /// VM's attempt there would queue behind those of all others.
+    fn may_pause_together(&self, now: Duration, service: ServiceId) -> bool {
+        let rows = self.endpoints.of_service(service).iter();
+        let used = rows
+            .map(|at| &self.endpoints.rows[*at])
+            .filter(|endpoint| endpoint.online_here > 0);
+        let mut silent = 0;
+        let mut may_pause = false;
+        for endpoint in used {
+            if now <= endpoint.last_received_at + LIVING_WINDOW {
+                return false;
+            }
+            if let Some(silent_at) = endpoint.silent_at {
+                silent += 1;
+                let is_checked = now >= silent_at + HOST_CHECK_TIME;
+                let is_new = now < silent_at + PAUSE_MAX;
+                may_pause |= is_new && (endpoint.host_accepts || !is_checked);
+            }
+        }
+        silent >= 2 && may_pause
+    }
+
     /// Whether an attempt is on its way to an endpoint that this VM has not heard from recently.
     fn tries_unproven(&self, now: Duration, service: ServiceId) -> bool {
         let mut rows = self.rows.values();
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -617,3 +617,19 @@
     let actions = simulation.run_for(SILENCE_TIMEOUT + TICK);
     assert_eq!(given_up(&actions), [1]);
 }
+
+// All endpoints that a VM uses paused, and one stream of each VM queued at the same endpoint, which
+// paused as well.
+#[test]
+fn paused_together() {
+    let mut simulation = Simulation::new(4, |_| "v1");
+    simulation.begin(3);
+    simulation.paused = simulation.ids();
+    let used: Vec<EndpointId> = simulation.streams.values().copied().collect();
+    assert!(used.iter().any(|endpoint| *endpoint != used[0]));
+    assert_eq!(simulation.run_for(SILENCE_TIMEOUT + TICK), []);
+    for endpoint in used {
+        simulation.online.host_checked(endpoint, true);
+    }
+    assert_eq!(simulation.run_for(PAUSE - SILENCE_TIMEOUT), []);
+}
