--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -260,8 +260,7 @@
     /// Finds an endpoint that a silent attempt can go on at.
     ///
     /// A free slot is taken without the retry budget: it can't add to a load that is too high, as there
-    /// are no free slots then. Where counts lag, many VMs see the same free slots, and the budget bounds
-    /// how many of them take one. Endpoints that this VM has not heard from recently may have paused
+    /// are no free slots then. Endpoints that this VM has not heard from recently may have paused
     /// together with the silent one, so they are tried by one attempt at a time.
     fn find_successor(&mut self, now: Duration, row: &RequestRow) -> Option<Successor> {
         let lives = |endpoint: &Endpoint| now <= endpoint.last_received_at + LIVING_WINDOW;
@@ -277,13 +276,11 @@
         let Some(endpoint) = found else {
             return self.same_endpoint(now, row, lives);
         };
-        let is_charged = self.endpoints.counts_lag;
-        let successor = Successor {
+        Some(Successor {
             endpoint,
             is_unproven,
-            is_charged,
-        };
-        (!is_charged || self.budget.spend(now)).then_some(successor)
+            is_charged: false,
+        })
     }
 
     fn choose_free(
