--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -151,7 +151,8 @@
         }
     }
 
-    /// Whether new work may be sent there.
+    /// Whether new work may be sent there. After an ejection for silence that is the case again although
+    /// nothing has been received: only new work can show whether the endpoint has come back.
     pub fn usable(&self, now: Duration) -> bool {
         self.leaving.is_none() && now >= self.ejected_until && !self.barred
     }
--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -363,7 +363,7 @@
         self.evidence.tick(now, &mut self.endpoints);
         self.endpoints.eject_slow(now);
         if self.watch_silence {
-            self.watch_silence(now, out);
+            self.handle_silence(now, out);
         }
         let services: Vec<ServiceId> = self.service_states.keys().copied().collect();
         for service in services {
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -2,7 +2,7 @@
 //!
 //! Silence does not tell a paused process from a dead one: a sound endpoint may send nothing for a
 //! second and then go on. So an attempt is given up only once its successor is secured: another
-//! endpoint that lives and has a free slot, which is reserved. Otherwise the attempt goes on, and is
+//! responsive endpoint has a free slot, which is reserved. Otherwise the attempt goes on, and is
 //! looked at again with each tick.
 
 use std::collections::{BTreeMap, HashSet};
@@ -16,9 +16,9 @@
 use crate::decide::routing;
 use crate::id::{EndpointId, Name, RequestId, ServiceId};
 
-/// An endpoint that sent something within this time lives. Shorter than [`SILENCE_TIMEOUT`], so that
+/// An endpoint that sent something within this time is responsive. Shorter than [`SILENCE_TIMEOUT`], so that
 /// endpoints which pause together do not take over from each other.
-const LIVING_WINDOW: Duration = Duration::from_millis(200);
+const RESPONSIVE_WINDOW: Duration = Duration::from_millis(200);
 /// A host that can be reached accepts a connection within this time.
 const HOST_CHECK_TIME: Duration = Duration::from_millis(100);
 /// Endpoints that are silent for longer after they were found so are not taken for paused.
@@ -99,7 +99,7 @@
     }
 
     /// Finds silent endpoints, and gives up the attempts that can go on elsewhere.
-    pub(super) fn watch_silence(&mut self, now: Duration, out: &mut Vec<Action>) {
+    pub(super) fn handle_silence(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.silence_changes.clear();
         for endpoint in &mut self.endpoints.rows {
             if endpoint.return_if_heard(now) {
@@ -116,9 +116,9 @@
         // Callers that have part of their answer lose most.
         silent.sort_by_key(|row| (!row.answering, row.arrival.request));
         let silent: Vec<RequestId> = silent.iter().map(|row| row.arrival.request).collect();
-        let mut hopeless = HashSet::new();
+        let mut failed_searches = HashSet::new();
         for request in silent {
-            self.give_up(now, request, &mut hopeless, out);
+            self.give_up_if_secured(now, request, &mut failed_searches, out);
         }
     }
 
@@ -185,13 +185,13 @@
         now >= row.last_received_at.max(self.resumed_at) + bound
     }
 
-    /// Gives up a silent attempt if its successor can be secured, or if its endpoint is dead. `hopeless`
-    /// has what was sought in vain in this tick: services, software versions and endpoints left.
-    fn give_up(
+    /// Gives up a silent attempt if its successor can be secured, or if its endpoint is dead. `failed_searches`
+    /// has the services, software versions and endpoints left for which there was none in this tick.
+    fn give_up_if_secured(
         &mut self,
         now: Duration,
         request: RequestId,
-        hopeless: &mut HashSet<(ServiceId, Option<Name>, Option<EndpointId>)>,
+        failed_searches: &mut HashSet<(ServiceId, Option<Name>, Option<EndpointId>)>,
         out: &mut Vec<Action>,
     ) {
         let Some(mut row) = self.rows.remove(&request) else {
@@ -201,10 +201,10 @@
             let is_dead = |id| self.endpoints.get(id).is_some_and(|e| e.host_unreachable);
             row.given_up = row.endpoint.is_some_and(is_dead);
             let sought = (row.arrival.service, row.software.clone(), row.endpoint);
-            if !hopeless.contains(&sought) {
+            if !failed_searches.contains(&sought) {
                 match self.find_successor(now, &row) {
                     Some(successor) => self.reserve(&mut row, successor),
-                    None => drop(hopeless.insert(sought)),
+                    None => drop(failed_searches.insert(sought)),
                 }
             }
             if row.given_up {
@@ -233,9 +233,16 @@
         let Some(mut row) = self.rows.remove(&request) else {
             return;
         };
-        let lives = |endpoint: &Endpoint| now <= endpoint.last_received_at + LIVING_WINDOW;
+        let is_responsive =
+            |endpoint: &Endpoint| now <= endpoint.last_received_at + RESPONSIVE_WINDOW;
         let query = row.route_query();
-        let found = routing::choose_room(&self.endpoints, self.local_domain, query, now, lives);
+        let found = routing::choose_room(
+            &self.endpoints,
+            self.local_domain,
+            query,
+            now,
+            is_responsive,
+        );
         if let Some(endpoint) = found.filter(|_| self.budget.spend(now)) {
             let successor = Successor {
                 endpoint,
@@ -263,10 +270,11 @@
     /// are no free slots then. Endpoints that this VM has not heard from recently may have paused
     /// together with the silent one, so they are tried by one attempt at a time.
     fn find_successor(&mut self, now: Duration, row: &RequestRow) -> Option<Successor> {
-        let lives = |endpoint: &Endpoint| now <= endpoint.last_received_at + LIVING_WINDOW;
+        let is_responsive =
+            |endpoint: &Endpoint| now <= endpoint.last_received_at + RESPONSIVE_WINDOW;
         let is_idle = |endpoint: &Endpoint| endpoint.online_here == 0;
         let mut is_unproven = false;
-        let mut found = self.choose_free(now, row, lives);
+        let mut found = self.choose_free(now, row, is_responsive);
         let service = row.arrival.service;
         let may_try = !self.tries_unproven(now, service) && !self.may_pause_together(now, service);
         if found.is_none() && may_try {
@@ -274,7 +282,7 @@
             found = self.choose_free(now, row, is_idle);
         }
         let Some(endpoint) = found else {
-            return self.same_endpoint(now, row, lives);
+            return self.same_endpoint(now, row, is_responsive);
         };
         Some(Successor {
             endpoint,
@@ -306,7 +314,7 @@
         &mut self,
         now: Duration,
         row: &RequestRow,
-        lives: impl Fn(&Endpoint) -> bool,
+        is_responsive: impl Fn(&Endpoint) -> bool,
     ) -> Option<Successor> {
         let endpoint = row.endpoint.and_then(|id| self.endpoints.get(id))?;
         let is_silent_for_long = now
@@ -314,7 +322,7 @@
             && !row.answering
             && row.attempts == 1
             && !endpoint.host_unreachable;
-        let may_reconnect = lives(endpoint) || is_silent_for_long;
+        let may_reconnect = is_responsive(endpoint) || is_silent_for_long;
         let is_in_service = endpoint.leaving.is_none() && !endpoint.barred;
         let is_possible = is_in_service && row.route_query().accepts(endpoint);
         let successor = Successor {
@@ -325,8 +333,8 @@
         (may_reconnect && is_possible && self.budget.spend(now)).then_some(successor)
     }
 
-    /// Whether all endpoints that this VM uses may have paused at once: several are silent, none lives,
-    /// and their hosts accept connections or have had no time to. Others may then pause as well, and each
+    /// Whether all endpoints that this VM uses may have paused at once: several are silent, none is
+    /// responsive, and their hosts accept connections or have had no time to. Others may then pause as well, and each
     /// VM's attempt there would queue behind those of all others.
     fn may_pause_together(&self, now: Duration, service: ServiceId) -> bool {
         let rows = self.endpoints.of_service(service).iter();
@@ -336,7 +344,7 @@
         let mut silent = 0;
         let mut may_pause = false;
         for endpoint in used {
-            if now <= endpoint.last_received_at + LIVING_WINDOW {
+            if now <= endpoint.last_received_at + RESPONSIVE_WINDOW {
                 return false;
             }
             if let Some(silent_at) = endpoint.silent_at {
