Log how each call ended on its caller's connection

Calls on jobs (submission, read, body, cancellation) had no line at all, and the line of an online request is written when its reply is handed to the connection's task, not when the connection has taken it.

Change: the guard that counts an open request logs its end: kind, id, status, how much of the reply was handed over, age. Online requests and calls of other VMs only if the reply is not complete.

Conclusion: tells a request that was never read, one that was read and not answered, and one whose reply was cut, by kind.

--- a/src/serve/body.rs
+++ b/src/serve/body.rs
@@ -62,16 +62,20 @@
 /// A reply whose request counts as open until the body has been sent.
 pub struct CountedBody {
     body: ReplyBody,
-    _request: Option<Rc<OpenRequest>>,
+    request: Option<Rc<OpenRequest>>,
 }
 
 /// Keeps a request counted until its reply has been sent.
 pub fn counted(reply: Reply, request: impl Into<Option<Rc<OpenRequest>>>) -> Response<CountedBody> {
     let request = request.into();
-    reply.map(|body| CountedBody {
-        body,
-        _request: request,
-    })
+    if let Some(request) = &request {
+        request.reply_begun(reply.status().as_u16());
+        // An empty body is never polled.
+        if reply.body().size_hint().exact() == Some(0) {
+            request.reply_complete();
+        }
+    }
+    reply.map(|body| CountedBody { body, request })
 }
 
 impl Body for CountedBody {
@@ -82,7 +86,14 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(context)
+        let this = self.get_mut();
+        let frame = Pin::new(&mut this.body).poll_frame(context);
+        // A whole body may not be polled again once its length has been sent.
+        let is_last = matches!(frame, Poll::Ready(None)) || this.body.is_end_stream();
+        if let Some(request) = this.request.as_ref().filter(|_| is_last) {
+            request.reply_complete();
+        }
+        frame
     }
 
     /// Whether the body can be dropped. Never: the server drops a body that has ended before its
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -329,14 +329,17 @@
     match operation {
         Operation::Results { job, after, wait } => {
             open.set_kind(RequestKind::Results);
+            open.set_id(&job);
             results::results(node, &caller, job, after, wait).await
         }
         Operation::ItemBody { job, item } => {
             open.set_kind(RequestKind::ItemBody);
+            open.set_id(&job);
             jobs::item_body(node, &caller, job, item).await
         }
         Operation::Cancel { job } => {
             open.set_kind(RequestKind::Cancellation);
+            open.set_id(&job);
             jobs::cancel(node, &caller, job).await
         }
         // Handled above.
@@ -388,6 +391,7 @@
     open: &OpenRequest,
 ) -> Reply {
     let params = (node.dialect.request_params)(&head);
+    open.set_id(params.id.as_deref().unwrap_or_default());
     let Some(route) = routes.find(&params.host, head.uri.path()) else {
         let version = routes.rules.version;
         let proof_age_ms = node.confirmation_age_ms(StoreSubject::Rules);
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -1,13 +1,16 @@
 //! Metrics of a serving process, and the requests that it has open.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
+use std::time::Duration;
 
 use prometheus::{Gauge, GaugeVec, Histogram, IntCounter, IntCounterVec};
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 use tokio::sync::Notify;
 
+use crate::clock;
+use crate::id::Name;
 use crate::metrics::Metrics;
 
 /// What a request asks for.
@@ -48,6 +51,10 @@
         Rc::new(OpenRequest {
             requests: self.clone(),
             kind: Cell::new(kind),
+            began_at: clock::now(),
+            id: RefCell::default(),
+            status: Cell::new(0),
+            reply: Cell::new(ReplyProgress::NotBegun),
         })
     }
 
@@ -87,10 +94,26 @@
     }
 }
 
-/// Counts a request until its reply has been sent.
+/// How much of a reply has been handed to the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ReplyProgress {
+    NotBegun,
+    /// The head is known; the body is not complete.
+    Begun,
+    Complete,
+}
+
+/// Counts a request until its reply has been sent, and logs how it ended.
 pub struct OpenRequest {
     requests: Rc<OpenRequests>,
     kind: Cell<RequestKind>,
+    began_at: Duration,
+    /// The caller's id of the request, or the job that it is about; empty until it has been read.
+    id: RefCell<Name>,
+    /// Status of the reply; 0 until it is known.
+    status: Cell<u16>,
+    reply: Cell<ReplyProgress>,
 }
 
 impl OpenRequest {
@@ -106,11 +129,48 @@
         counts[before as usize].update(|count| count - 1);
         counts[kind as usize].update(|count| count + 1);
     }
+
+    /// Names the request in the log.
+    pub fn set_id(&self, id: &str) {
+        self.id.replace(id.into());
+    }
+
+    /// Notes that the reply begins with this status.
+    pub fn reply_begun(&self, status: u16) {
+        self.status.set(status);
+        self.reply.set(ReplyProgress::Begun);
+    }
+
+    /// Notes that all of the reply has been handed to the connection.
+    pub fn reply_complete(&self) {
+        self.reply.set(ReplyProgress::Complete);
+    }
+
+    /// Logs requests whose reply is not complete, and all requests on jobs, which have no other line.
+    fn log_end(&self) {
+        let kind = self.kind();
+        let complete = self.reply.get() == ReplyProgress::Complete;
+        let has_own_line = matches!(kind, RequestKind::Online | RequestKind::Peer);
+        if complete && (has_own_line || kind == RequestKind::Reading) {
+            return;
+        }
+        let (kind, reply): (&'static str, &'static str) = (kind.into(), self.reply.get().into());
+        let age_ms = clock::now().saturating_sub(self.began_at).as_millis() as u64;
+        log::info!(
+            kind,
+            id = **self.id.borrow(),
+            status = self.status.get(),
+            reply,
+            age_ms;
+            "call ended"
+        );
+    }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.requests.counts[self.kind() as usize].update(|count| count - 1);
+        self.log_end();
     }
 }
 
