Soak: jobs are read, resent and asked for bodies at every VM, and none may deny them

A VM that told a caller that there is nothing at a position which another VM had shown a second before was noticed by no check: the soak compared results, but passed over an empty page. Accepted jobs were never submitted again, and no body of an item was read.

Change: positions are kept with the time at which they were first read, and an empty page later than a second after it is a violation, at any VM and beside any fault. Accepted jobs are submitted again at random VMs meanwhile and at every VM at the end; item bodies are read until the item is listed.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -10,8 +10,8 @@
 use bramleyseam::clock;
 use bramleyseam::util::lock;
 use bramleyseam_platform_standin::caller::{
-    cancel, open_request, read_data, request_stream_with, request_with_prompt, results,
-    resume_stream, submit, Response,
+    cancel, item_body, item_id, item_text, open_request, read_data, request_stream_with,
+    request_with_prompt, results, resume_stream, submit, Response,
 };
 use bramleyseam_platform_standin::fleet::Fleet;
 use rand::rngs::SmallRng;
@@ -28,7 +28,7 @@
 const FATAL_REQUEST_PAUSE: Duration = Duration::from_millis(300);
 /// Pause between two jobs.
 const JOB_PAUSE: Duration = Duration::from_millis(600);
-/// Time after which every VM must know an accepted job.
+/// Time after which every VM must know an accepted job, and a position that any VM has shown.
 const JOB_KNOWN_AFTER: Duration = Duration::from_millis(1000);
 /// Event after which a caller disconnects from a stream that it resumes.
 const STREAM_CUT_AFTER: u64 = 2;
@@ -249,6 +249,7 @@
             let items = rng.random_range(1..9);
             self.submit(&job, items, &mut rng);
             clock::sleep(JOB_PAUSE);
+            self.resend(&mut rng);
             if rng.random_ratio(1, CANCEL_ONE_IN) {
                 self.cancel(&job, &mut rng);
             }
@@ -277,8 +278,21 @@
         lock(&self.ledger.jobs).insert(job.to_owned(), record);
     }
 
+    /// Submits an accepted job once more at any VM, as a caller does that has missed the answer.
+    fn resend(&self, rng: &mut SmallRng) {
+        let accepted = accepted_jobs(self.ledger);
+        if accepted.is_empty() {
+            return;
+        }
+        let job = &accepted[rng.random_range(0..accepted.len())];
+        resend_job(self.ledger, job, rng.random_range(0..self.vms));
+    }
+
     fn cancel(&self, job: &str, rng: &mut SmallRng) {
         let vm = rng.random_range(0..self.vms);
+        if let Some(record) = lock(&self.ledger.jobs).get_mut(job) {
+            record.cancel_sent = true;
+        }
         let what = format!("cancellation of {job}");
         let answer = send_batch(self.ledger, vm, what, |vm| cancel(vm, job));
         let ended = answer.is_some_and(|answer| answer.status == 200);
@@ -287,7 +301,8 @@
         }
     }
 
-    /// Reads results of random jobs at random VMs, from a random position among those already read.
+    /// Reads results of random jobs at random VMs, from a random position among those already read, and
+    /// bodies of their items.
     fn run_reader(&self, stopping: &AtomicBool) {
         let mut rng = self.rng(2);
         while !stopping.load(Ordering::SeqCst) {
@@ -301,10 +316,43 @@
             let after = rng.random_range(0..=already_read);
             let vm = rng.random_range(0..self.vms);
             read_results(self.ledger, job, vm, after, RESULT_WAIT_MS);
+            let vm = rng.random_range(0..self.vms);
+            let items = lock(&self.ledger.jobs)[job].items;
+            read_body(self.ledger, job, vm, rng.random_range(0..items));
         }
     }
 }
 
+/// Submits an accepted job again. Returns whether the VM accepted it; it may not deny it.
+pub fn resend_job(ledger: &Ledger, job: &str, vm: usize) -> bool {
+    let items = lock(&ledger.jobs)[job].items;
+    let what = format!("repeated submission of {job}");
+    let answer = send_batch(ledger, vm, what, |vm| submit(vm, job, items));
+    let status = answer.map_or(0, |answer| answer.status);
+    if (400..500).contains(&status) && status != 429 {
+        let what = format!("VM {vm} turns the accepted job {job} away with {status}");
+        ledger.record_violation(clock::now(), what);
+    }
+    status == 202
+}
+
+/// Reads the body of an item, which every VM has until the item is listed or its job ends.
+fn read_body(ledger: &Ledger, job: &str, vm: usize, at: usize) {
+    let what = format!("body of item {at} of {job}");
+    let Some(answer) = send_batch(ledger, vm, what, |vm| item_body(vm, job, at)) else {
+        return;
+    };
+    let now = clock::now();
+    if answer.status == 200 && answer.complete && answer.body != item_text(at).as_bytes() {
+        ledger.record_violation(now, format!("item {at} of {job} has another body"));
+    }
+    let jobs = lock(&ledger.jobs);
+    let is_open = !jobs[job].cancel_sent && !jobs[job].is_listed(&item_id(job, at));
+    if answer.status == 404 && is_open {
+        ledger.record_violation(now, format!("VM {vm} has no body of item {at} of {job}"));
+    }
+}
+
 /// Jobs that were accepted long enough ago for every VM to know them.
 pub fn accepted_jobs(ledger: &Ledger) -> Vec<String> {
     let accepted_before = clock::now().saturating_sub(JOB_KNOWN_AFTER);
@@ -321,6 +369,7 @@
 pub fn read_results(ledger: &Ledger, job: &str, vm: usize, after: usize, wait_ms: u64) -> bool {
     let what = format!("read of {job}");
     let read = |vm| results(vm, job, after, wait_ms);
+    let known_by = clock::now().saturating_sub(JOB_KNOWN_AFTER);
     let Some(answer) = send_batch(ledger, vm, what, read) else {
         return false;
     };
@@ -340,6 +389,10 @@
         ledger.record_violation(now, format!("job {job} has {} items", page["total"]));
     }
     let rows = page["results"].as_array().cloned().unwrap_or_default();
+    if rows.is_empty() && after < record.positions_read_by(known_by) {
+        let what = format!("VM {vm} has nothing at position {after} of job {job}");
+        ledger.record_violation(now, what);
+    }
     for (offset, row) in rows.iter().enumerate() {
         let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
         let result = Result {
@@ -348,7 +401,10 @@
             text: text("text"),
         };
         match record.results.get(after + offset) {
-            None => record.results.push(result),
+            None => {
+                record.results.push(result);
+                record.read_at.push(now);
+            }
             Some(before) if *before == result => {}
             Some(before) => {
                 let what = format!(
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -9,7 +9,7 @@
 use bramleyseam_platform_standin::endpoint::{complete_text, event_data, unmarked_text, Run};
 use bramleyseam_platform_standin::fleet::{wait_until, Fleet};
 
-use super::callers::{accepted_jobs, read_results};
+use super::callers::{accepted_jobs, read_results, resend_job};
 use super::faults::FATAL_SEGMENT;
 use super::ledger::{InjectedFault, Job, Ledger, OnlineRequest};
 use super::plan::Fault;
@@ -118,6 +118,10 @@
             if !wait_until(RECOVERY_TIMEOUT, || read_results(ledger, &job, vm, 0, 0)) {
                 ledger.record_violation(clock::now(), format!("VM {vm} can't tell of job {job}"));
             }
+            if !wait_until(RECOVERY_TIMEOUT, || resend_job(ledger, &job, vm)) {
+                let what = format!("VM {vm} does not accept job {job} again");
+                ledger.record_violation(clock::now(), what);
+            }
         }
     }
 }
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -50,7 +50,23 @@
     pub refused: bool,
     /// When the caller's cancellation was confirmed.
     pub cancelled_at: Option<Duration>,
+    /// A cancellation was sent, whatever came of it.
+    pub cancel_sent: bool,
     pub results: Vec<Result>,
+    /// When each position was first read. Invariant: as long as `results`.
+    pub read_at: Vec<Duration>,
+}
+
+impl Job {
+    /// Number of positions that had been read by this time.
+    pub fn positions_read_by(&self, time: Duration) -> usize {
+        self.read_at.iter().filter(|at| **at <= time).count()
+    }
+
+    /// Whether an item was read as listed.
+    pub fn is_listed(&self, item: &str) -> bool {
+        self.results.iter().any(|result| result.item == item)
+    }
 }
 
 /// An injected fault and when it was active.
