Relayed store calls: a VM that was not reached adds no doubt

Cause: the store refused the VM, so nothing was written. It asked another VM, whose connection was refused as well; that was reported as an unknown outcome. The submission was then in doubt, and was read back for 2.5 s, longer than its caller waits, and answered 502.

Change: where the request to the other VM was not sent, the outcome of the first attempt stands.

Conclusion: the class is "known not to have happened, treated as unknown". What a cut leaves in doubt because a request was sent and not answered is still settled for 2.5 s.

--- a/src/serve/ask.rs
+++ b/src/serve/ask.rs
@@ -34,6 +34,19 @@
     TimedOut { source: tokio::time::error::Elapsed },
 }
 
+impl AskError {
+    /// Whether the request certainly did not reach the other VM.
+    pub fn is_unsent(&self) -> bool {
+        let AskError::Connection { source } = self else {
+            return false;
+        };
+        matches!(
+            source,
+            pool::Error::NotSent { .. } | pool::Error::Refused { .. }
+        )
+    }
+}
+
 /// Sends a request to another VM; `body` is sealed, or empty where the path says all.
 pub async fn ask<T: DeserializeOwned>(
     node: &Node,
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -61,6 +61,9 @@
         Ok(sealed) => ask::<CallOutcome>(node, to, PATH, sealed, RELAY_TIMEOUT).await,
         Err(error) => Err(error.into()),
     };
+    if let Err(error) = &outcome {
+        log::info!(call = call_name, by:% = to, error:% = error; "store call not made by another VM");
+    }
     match outcome {
         // What the first attempt left in doubt stays in doubt.
         Ok(Err(Error::Away { .. })) => first,
@@ -68,11 +71,11 @@
             log::info!(call = call_name, by:% = to; "store call made by another VM");
             reply
         }
-        Err(error) => {
-            let detail = format!("{to} did not make the call: {error}");
-            log::info!(call = call_name, detail; "store call not made by another VM");
-            Err(Error::Unknown { detail })
-        }
+        // The other VM has not received the call, so it adds no doubt.
+        Err(error) if error.is_unsent() => first,
+        Err(error) => Err(Error::Unknown {
+            detail: format!("{to} did not make the call: {error}"),
+        }),
     }
 }
 
