A stop waits until the kernel has taken each reply

A caller that reads slowly saw its reply end early when its VM was stopped: the last bytes were missing, and the log said that the request was done and that the stop ended with nothing open.

Cause: a request counted as open until the HTTP library dropped the reply's body. It does so once the end has been put into the connection's buffer (up to 16 KB), which may wait there for the caller. The process ended 0.1 s after the count was zero, and the buffer with it.

Change: the connection keeps the request until the library flushes the socket, which it does only with an empty buffer. The line on a call's end says `buffered` for a reply whose end was never sent. The idle timeout runs as before. Calls of other VMs still end with the hand-over: their connections report nothing.

Conclusion: the same fault without a stop can't happen, since the library flushes before it closes.

--- a/src/serve/body.rs
+++ b/src/serve/body.rs
@@ -72,7 +72,7 @@
         request.reply_begun(reply.status().as_u16());
         // An empty body is never polled.
         if reply.body().size_hint().exact() == Some(0) {
-            request.reply_complete();
+            request.reply_buffered();
         }
     }
     reply.map(|body| CountedBody { body, request })
@@ -91,7 +91,7 @@
         // A whole body may not be polled again once its length has been sent.
         let is_last = matches!(frame, Poll::Ready(None)) || this.body.is_end_stream();
         if let Some(request) = this.request.as_ref().filter(|_| is_last) {
-            request.reply_complete();
+            request.reply_buffered();
         }
         frame
     }
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -1,11 +1,11 @@
 //! Accepts connections from callers and dispatches their requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io::{ErrorKind, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -211,45 +211,60 @@
 /// Requests of one connection.
 #[derive(Default)]
 struct ConnectionRequests {
-    /// A request whose head has not been read completely.
-    partial: RefCell<Option<Rc<OpenRequest>>>,
-    /// The newest request; gone once its reply has been sent.
-    newest: RefCell<Weak<OpenRequest>>,
+    /// The newest request, until its reply has been sent. Other owners hold it only until the reply
+    /// has been handed to the connection, whose buffer may keep the end of it for a slow caller.
+    newest: RefCell<Option<Rc<OpenRequest>>>,
+    /// Whether the head of the newest request has not been read completely.
+    is_partial: Cell<bool>,
 }
 
 impl ConnectionRequests {
     /// Counts a request from its first bytes on. Without this, the connection counts as idle, and
     /// is closed although a caller sends a request.
     fn bytes_read(&self, node: &Node) {
-        if self.newest.borrow().strong_count() == 0 {
-            self.partial.replace(Some(self.begin(node)));
+        if self.stage() == RequestStage::Idle {
+            self.begin(node);
+            self.is_partial.set(true);
         }
     }
 
     /// The request whose head has been read.
     fn head_read(&self, node: &Node) -> Rc<OpenRequest> {
-        let partial = self.partial.take();
+        let partial = self.newest.borrow().clone();
+        let partial = partial.filter(|_| self.is_partial.take());
         partial.unwrap_or_else(|| self.begin(node))
     }
 
+    /// All replies that were handed to the connection have been sent.
+    fn buffer_sent(&self) {
+        if self.stage() != RequestStage::Idle {
+            return;
+        }
+        if let Some(request) = self.newest.take() {
+            request.buffer_sent();
+        }
+    }
+
     fn begin(&self, node: &Node) -> Rc<OpenRequest> {
         let open = node.open_requests.begin(RequestKind::Reading);
-        self.newest.replace(Rc::downgrade(&open));
+        self.newest.replace(Some(open.clone()));
         open
     }
 
     fn stage(&self) -> RequestStage {
-        if self.partial.borrow().is_some() {
+        if self.is_partial.get() {
             return RequestStage::Head;
         }
-        match self.newest.borrow().strong_count() {
-            0 => RequestStage::Idle,
+        let newest = self.newest.borrow();
+        let owners = newest.as_ref().map_or(0, Rc::strong_count);
+        match owners {
+            0 | 1 => RequestStage::Idle,
             _ => RequestStage::Open,
         }
     }
 }
 
-/// A caller's connection, which reports that bytes were read.
+/// A caller's connection, which reports that bytes were read and that all replies were sent.
 struct CallerStream {
     stream: TcpStream,
     node: Rc<Node>,
@@ -294,7 +309,13 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        // Called once the buffer of the connection is empty.
+        let this = self.get_mut();
+        let flushed = Pin::new(&mut this.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            this.requests.buffer_sent();
+        }
+        flushed
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -101,6 +101,9 @@
     NotBegun,
     /// The head is known; the body is not complete.
     Begun,
+    /// All of it has been handed to the connection, which may not have sent it yet.
+    Buffered,
+    /// The connection has sent all of it.
     Complete,
 }
 
@@ -142,14 +145,26 @@
     }
 
     /// Notes that all of the reply has been handed to the connection.
-    pub fn reply_complete(&self) {
-        self.reply.set(ReplyProgress::Complete);
+    pub fn reply_buffered(&self) {
+        self.reply.set(ReplyProgress::Buffered);
+    }
+
+    /// Notes that the connection has sent all that was handed to it.
+    pub fn buffer_sent(&self) {
+        if self.reply.get() == ReplyProgress::Buffered {
+            self.reply.set(ReplyProgress::Complete);
+        }
     }
 
     /// Logs requests whose reply is not complete, and all requests on jobs, which have no other line.
     fn log_end(&self) {
         let kind = self.kind();
-        let complete = self.reply.get() == ReplyProgress::Complete;
+        let complete = match self.reply.get() {
+            ReplyProgress::Complete => true,
+            // Connections of other VMs don't report what they have sent.
+            ReplyProgress::Buffered => kind == RequestKind::Peer,
+            ReplyProgress::NotBegun | ReplyProgress::Begun => false,
+        };
         let has_own_line = matches!(kind, RequestKind::Online | RequestKind::Peer);
         if complete && (has_own_line || kind == RequestKind::Reading) {
             return;
