A stop closes no connection that its caller may use

A caller that kept a connection open saw a request on it end without any answer when the VM was stopped: the request was on its way while the VM closed the connection. Nothing in our log, since the request was never read.

Cause: a stop closes idle connections after its drain time, and callers had not been told that these may go. A reply that had begun before the signal left its connection open without `Connection: close`.

Change: replies carry `Keep-Alive: timeout=N`, whole seconds, 0.3 s less than the drain time at most (and than the idle timeout), so that a caller that respects it no longer uses the connection when a stop closes it. When a stop begins, connections on which a request is served are closed at the end of its reply. A drain time under 1.3 s can't be announced.

--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, AUTHORIZATION, CONNECTION, HOST};
+use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, HOST};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -56,6 +56,10 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time to read requests that have already arrived before an idle connection is closed.
 const ARRIVAL_GRACE: Duration = Duration::from_millis(20);
+/// Time that a reply and the next request of its caller may take together on their ways.
+const TRANSIT_TIME: Duration = Duration::from_millis(300);
+/// Tells callers for how long they may leave a connection idle.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -126,11 +130,13 @@
     let mut idle = IdleTime::default();
     // An error is a caller that disconnected or sent an invalid request, which hyper has answered.
     loop {
-        let is_closing = tokio::select! {
+        let is_notified = tokio::select! {
             _ = connection.as_mut() => return,
             () = node.closing.notified() => true,
             () = sleep(idle.check_interval()) => false,
         };
+        let is_busy = connection_requests.stage() == RequestStage::Open;
+        let is_closing = is_notified || (is_busy && node.is_draining());
         if !is_closing && !idle.is_over(clock::now(), &node, &connection_requests) {
             continue;
         }
@@ -139,6 +145,8 @@
         }
         match (is_closing, connection_requests.stage()) {
             (true, RequestStage::Head) | (false, RequestStage::Open) => {}
+            // Its caller may use it again until the drain time is over.
+            (true, RequestStage::Idle) if node.listening.get() => {}
             (true, _) => break,
             (false, stage) if idle.began_as == Some(stage) => return,
             (false, _) => {}
@@ -204,10 +212,24 @@
         // The caller's next request reaches another VM.
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
+    } else if let Some(keep_alive) = keep_alive(&node) {
+        reply.headers_mut().insert(KEEP_ALIVE, keep_alive);
     }
     body::counted(reply, open)
 }
 
+/// For how long a caller may leave its connection idle and use it again. A stop may begin right after
+/// the reply and closes idle connections after the drain time.
+fn keep_alive(node: &Node) -> Option<HeaderValue> {
+    let drain_time = Duration::from_millis(node.settings.drain_ms);
+    let in_force = node.routes().map(|table| table.rules.limits.idle_timeout);
+    let kept_for = drain_time.min(in_force.unwrap_or(IDLE_TIMEOUT_DEFAULT));
+    let timeout_s = kept_for.saturating_sub(TRANSIT_TIME).as_secs();
+    // A drain time under a second can't be announced.
+    let announced = (timeout_s > 0).then(|| format!("timeout={timeout_s}"));
+    announced.and_then(|timeout| HeaderValue::try_from(timeout).ok())
+}
+
 /// Requests of one connection.
 #[derive(Default)]
 struct ConnectionRequests {
--- a/src/serve/stop.rs
+++ b/src/serve/stop.rs
@@ -27,8 +27,9 @@
 ///
 /// A process that stops listening at once, or closes connections that callers keep open, cuts
 /// requests that are on their way. So the process first reports that it is not ready and continues
-/// to accept requests until the load balancer has sent callers to other VMs, then closes idle
-/// connections, then waits for open requests.
+/// to accept requests until the load balancer has sent callers to other VMs and until callers no
+/// longer use idle connections, then closes these, then waits for open requests. Connections that
+/// are in use are closed at the end of their reply.
 pub async fn wait(node: Rc<Node>) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -61,6 +62,7 @@
 async fn drain(node: &Node) {
     let started = clock::now();
     node.core.borrow_mut().stage = Stage::Draining;
+    node.closing.notify_waiters();
     log_open(node, started, "stop: draining");
     node.plan_items.notify_one();
     node.heartbeat_due.notify_one();
