A stop serves the first request of a new connection

A caller that connected just before a stopping VM closed its listener, and whose request took a few tens of milliseconds to arrive, saw the connection closed without an answer. Nothing in our log, since nothing was read.

Cause: at the end of the drain time a connection without a request was closed 20 ms after the next check, also one that had just been accepted. Callers open connections to send a request; where the load balancer has no other VMs it sends them until the listener is closed.

Change: for one second after it was accepted, a connection on which nothing has arrived counts as one that expects its first request. A stop keeps it open and waits for it. It holds up a stop by two seconds at most.

Conclusion: a connection whose handshake ends while the listener is being closed is still reset by the kernel.

--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::body::{self, CountedBody};
-use super::counters::{OpenRequest, RequestKind};
+use super::counters::{ExpectedRequest, OpenRequest, RequestKind};
 use super::dialect::Operation;
 use super::exchange::{self, Outgoing};
 use super::jobs;
@@ -56,6 +56,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time to read requests that have already arrived before an idle connection is closed.
 const ARRIVAL_GRACE: Duration = Duration::from_millis(20);
+/// Timeout for the first request of a connection, which its caller has opened to send it.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time that a reply and the next request of its caller may take together on their ways.
 const TRANSIT_TIME: Duration = Duration::from_millis(300);
 /// Tells callers for how long they may leave a connection idle.
@@ -113,7 +115,10 @@
 async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
     let limits = node.routes().map(|table| table.rules.limits.clone());
     let head_bytes = limits.map_or(HEAD_BYTES_DEFAULT, |limits| limits.head_bytes);
+    let accepted_at = clock::now();
     let connection_requests = Rc::<ConnectionRequests>::default();
+    let first = node.open_requests.expect();
+    connection_requests.first.replace(Some(first));
     let stream = CallerStream {
         stream,
         node: node.clone(),
@@ -135,6 +140,9 @@
             () = node.closing.notified() => true,
             () = sleep(idle.check_interval()) => false,
         };
+        if clock::now() >= accepted_at + FIRST_REQUEST_TIMEOUT {
+            connection_requests.first.take();
+        }
         let is_busy = connection_requests.stage() == RequestStage::Open;
         let is_closing = is_notified || (is_busy && node.is_draining());
         if !is_closing && !idle.is_over(clock::now(), &node, &connection_requests) {
@@ -147,6 +155,7 @@
             (true, RequestStage::Head) | (false, RequestStage::Open) => {}
             // Its caller may use it again until the drain time is over.
             (true, RequestStage::Idle) if node.listening.get() => {}
+            (true, RequestStage::Idle) if connection_requests.is_first_expected() => {}
             (true, _) => break,
             (false, stage) if idle.began_as == Some(stage) => return,
             (false, _) => {}
@@ -238,6 +247,8 @@
     newest: RefCell<Option<Rc<OpenRequest>>>,
     /// Whether the head of the newest request has not been read completely.
     is_partial: Cell<bool>,
+    /// Present until the first request begins, or its timeout has passed.
+    first: RefCell<Option<ExpectedRequest>>,
 }
 
 impl ConnectionRequests {
@@ -267,7 +278,12 @@
         }
     }
 
+    fn is_first_expected(&self) -> bool {
+        self.first.borrow().is_some()
+    }
+
     fn begin(&self, node: &Node) -> Rc<OpenRequest> {
+        self.first.take();
         let open = node.open_requests.begin(RequestKind::Reading);
         self.newest.replace(Some(open.clone()));
         open
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -38,6 +38,8 @@
 pub struct OpenRequests {
     /// Indexed by kind.
     counts: [Cell<usize>; RequestKind::COUNT],
+    /// Connections whose first request is expected.
+    expected: Cell<usize>,
     /// Whether requests without a reply have to be refused. Never reset.
     refusing: Cell<bool>,
     /// Notified when `refusing` is set.
@@ -58,6 +60,17 @@
         })
     }
 
+    /// Counts a request that has not begun as expected until the returned guard is dropped.
+    pub fn expect(self: &Rc<Self>) -> ExpectedRequest {
+        self.expected.update(|count| count + 1);
+        ExpectedRequest(self.clone())
+    }
+
+    /// Whether a caller has opened a connection and may be about to send its first request.
+    pub fn is_any_expected(&self) -> bool {
+        self.expected.get() > 0
+    }
+
     /// Has all requests refused whose replies have not begun, and all that follow.
     pub fn refuse(&self) {
         self.refusing.set(true);
@@ -82,6 +95,15 @@
     }
 }
 
+/// Counts a request as expected.
+pub struct ExpectedRequest(Rc<OpenRequests>);
+
+impl Drop for ExpectedRequest {
+    fn drop(&mut self) {
+        self.0.expected.update(|count| count - 1);
+    }
+}
+
 impl fmt::Display for OpenRequests {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let open = RequestKind::iter().filter(|kind| self.count(*kind) > 0);
--- a/src/serve/stop.rs
+++ b/src/serve/stop.rs
@@ -75,7 +75,8 @@
     node.listening.set(false);
     node.closing.notify_waiters();
     log_open(node, started, "stop: closing");
-    let is_busy = || node.open_requests.total() > 0 || runs::busy(node);
+    let open = &node.open_requests;
+    let is_busy = || open.total() > 0 || open.is_any_expected() || runs::busy(node);
     let mut idle_since = clock::now();
     // A connection that was accepted just before may bring a request while the others are closed.
     while clock::now() < (idle_since + CLOSE_TIME).min(started + limit + CLOSE_TIME) {
