The soak notices each request that gets no answer

The soak passed over a batch request that a VM accepted and closed within 0.1 s, over streams of the resuming caller that ended without any answer, and over any missing answer beside an endpoint's or the store's fault.

Change: as for online requests, a connection that was made and brought no response counts, at once and for each caller; what was recorded before still is. Only the VM's own kill excuses a missing answer: beside other faults a VM can refuse. An answer that began and was cut is excused as before. No check became looser.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -1,6 +1,7 @@
 //! Simulated callers: online callers on kept-alive and on new connections, and callers that submit,
 //! cancel and read batch jobs.
 
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -10,8 +11,8 @@
 use bramleyseam::clock;
 use bramleyseam::util::lock;
 use bramleyseam_platform_standin::caller::{
-    cancel, open_request, read_data, request_stream_with, request_with_prompt, results,
-    resume_stream, submit, Response,
+    cancel_with, open_request, read_data, request_stream_with, request_with_prompt, results_with,
+    resume_stream_with, submit_with, Response,
 };
 use bramleyseam_platform_standin::fleet::Fleet;
 use rand::rngs::SmallRng;
@@ -87,29 +88,35 @@
     }
 }
 
-/// Sends a request of a batch caller, and records it if a VM accepted it and no whole answer came.
-fn send_batch(
+/// Sends a request on a new connection, and records it if a VM accepted it and no whole answer came.
+fn send_once(
     ledger: &Ledger,
     vm: usize,
     what: String,
-    send: impl FnOnce(SocketAddr) -> Option<Response>,
+    send: impl FnOnce(&ureq::Agent, SocketAddr) -> Option<Response>,
 ) -> Option<Response> {
     let accepts = TcpStream::connect(ledger.vms[vm]).is_ok();
+    let connection = Connection::new();
     let sent_at = clock::now();
-    let answer = send(ledger.vms[vm]);
-    let ended_at = clock::now();
-    let is_whole = answer.as_ref().is_some_and(|answer| answer.complete);
-    if accepts && !is_whole && ended_at > sent_at + REFUSED_WITHIN {
-        lock(&ledger.unanswered).push(UnansweredRequest {
-            what,
-            vm,
-            sent_at,
-            ended_at,
-        });
+    let answer = send(&connection.agent, ledger.vms[vm]);
+    let is_held = accepts && answer.is_none() && clock::now() > sent_at + REFUSED_WITHIN;
+    let is_cut = answer.as_ref().is_some_and(|answer| !answer.complete);
+    if connection.is_unanswered() || is_held || is_cut {
+        record_unanswered(ledger, vm, what, sent_at, is_cut);
     }
     answer
 }
 
+fn record_unanswered(ledger: &Ledger, vm: usize, what: String, sent_at: Duration, is_cut: bool) {
+    lock(&ledger.unanswered).push(UnansweredRequest {
+        what,
+        vm,
+        sent_at,
+        ended_at: clock::now(),
+        is_cut,
+    });
+}
+
 /// All callers of one run.
 pub struct Callers<'a> {
     ledger: &'a Ledger,
@@ -200,8 +207,8 @@
         while !stopping.load(Ordering::SeqCst) {
             clock::sleep(REQUEST_PAUSE);
             let first = self.id("stream");
-            let vm = self.ledger.vms[rng.random_range(0..self.vms)];
-            let begun = open_request(vm, "/query/one", &first);
+            let vm = rng.random_range(0..self.vms);
+            let begun = self.begin_stream(vm, &first);
             let begun = begun.and_then(|stream| read_data(stream, STREAM_CUT_AFTER));
             let Some((last_event, data)) = begun.ok().filter(|(last, _)| *last > 0) else {
                 continue;
@@ -211,13 +218,28 @@
         }
     }
 
+    /// Requests a stream and waits until its response begins.
+    fn begin_stream(&self, vm: usize, id: &str) -> io::Result<TcpStream> {
+        let sent_at = clock::now();
+        let stream = open_request(self.ledger.vms[vm], "/query/one", id)?;
+        stream.set_read_timeout(Some(TIMEOUT))?;
+        if !stream.peek(&mut [0]).is_ok_and(|length| length > 0) {
+            record_unanswered(self.ledger, vm, id.to_owned(), sent_at, false);
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(stream)
+    }
+
     /// Resumes a stream until its rest arrives; returns the data of the events received.
     fn resume(&self, first: &str, mut last_event: u64, rng: &mut SmallRng) -> String {
         let mut data = String::new();
         for _ in 0..RESUMES_MAX {
             let id = self.id("stream");
-            let vm = self.ledger.vms[rng.random_range(0..self.vms)];
-            let answer = resume_stream(vm, "/query/one", &id, first, last_event);
+            let vm = rng.random_range(0..self.vms);
+            let what = format!("resumption of {first}");
+            let answer = send_once(self.ledger, vm, what, |agent, to| {
+                resume_stream_with(agent, to, "/query/one", &id, first, last_event)
+            });
             let Some(answer) = answer.filter(|answer| answer.status == 200) else {
                 clock::sleep(RESUME_PAUSE);
                 continue;
@@ -265,7 +287,9 @@
         for attempt in 0..SUBMIT_ATTEMPTS_MAX {
             let vm = (first + attempt) % self.vms;
             let what = format!("submission of {job}");
-            let answer = send_batch(self.ledger, vm, what, |vm| submit(vm, job, items));
+            let answer = send_once(self.ledger, vm, what, |agent, to| {
+                submit_with(agent, to, job, items)
+            });
             let status = answer.map(|answer| answer.status);
             record.refused &= matches!(status, Some(429 | 503));
             if status == Some(202) {
@@ -280,7 +304,9 @@
     fn cancel(&self, job: &str, rng: &mut SmallRng) {
         let vm = rng.random_range(0..self.vms);
         let what = format!("cancellation of {job}");
-        let answer = send_batch(self.ledger, vm, what, |vm| cancel(vm, job));
+        let answer = send_once(self.ledger, vm, what, |agent, to| {
+            cancel_with(agent, to, job)
+        });
         let ended = answer.is_some_and(|answer| answer.status == 200);
         if let (true, Some(record)) = (ended, lock(&self.ledger.jobs).get_mut(job)) {
             record.cancelled_at = Some(clock::now());
@@ -320,8 +346,8 @@
 /// when the VM did not return a complete page.
 pub fn read_results(ledger: &Ledger, job: &str, vm: usize, after: usize, wait_ms: u64) -> bool {
     let what = format!("read of {job}");
-    let read = |vm| results(vm, job, after, wait_ms);
-    let Some(answer) = send_batch(ledger, vm, what, read) else {
+    let read = |agent: &ureq::Agent, to| results_with(agent, to, job, after, wait_ms);
+    let Some(answer) = send_once(ledger, vm, what, read) else {
         return false;
     };
     let now = clock::now();
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -36,7 +36,11 @@
     check_jobs(fleet, ledger);
     let runs = runs_by_id(fleet);
     for request in lock(&ledger.unanswered).iter() {
-        if !has_cause(ledger, request.vm, request.sent_at, request.ended_at) {
+        let caused = match request.is_cut {
+            true => has_cause(ledger, request.vm, request.sent_at, request.ended_at),
+            false => was_killed(ledger, request.vm, request.sent_at, request.ended_at),
+        };
+        if !caused {
             let what = format!("VM {} did not answer: {}", request.vm, request.what);
             ledger.record_violation(request.ended_at, what);
         }
@@ -127,7 +131,8 @@
 fn check_answer(ledger: &Ledger, request: &OnlineRequest) {
     let caused = || has_cause(ledger, request.vm, request.sent_at, request.ended_at);
     let Some(seen) = &request.answer else {
-        if request.is_unanswered && !caused() {
+        let killed = || was_killed(ledger, request.vm, request.sent_at, request.ended_at);
+        if request.is_unanswered && !killed() {
             let what = format!("VM {} did not answer: {}", request.vm, request.id);
             ledger.record_violation(request.ended_at, what);
         }
@@ -179,6 +184,15 @@
     })
 }
 
+/// Whether this VM was killed. It answers every request that it accepts beside all other faults,
+/// which leave it able to refuse.
+fn was_killed(ledger: &Ledger, vm: usize, sent_at: Duration, ended_at: Duration) -> bool {
+    let from = sent_at.saturating_sub(FAULT_EFFECT_TIME);
+    ledger.had_fault(from, ended_at, |injected| {
+        injected.fault == Fault::VmKilled && injected.target == vm
+    })
+}
+
 /// A request that must not run twice ran at most once, and not at all when its answer said so.
 fn check_run_counts(ledger: &Ledger, request: &OnlineRequest, runs: &HashMap<String, Vec<Run>>) {
     let count = runs.get(&request.id).map_or(0, Vec::len);
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -25,12 +25,14 @@
     pub is_unanswered: bool,
 }
 
-/// A request of a batch caller that got neither an answer nor a refusal.
+/// A request that got neither a whole answer nor a refusal.
 pub struct UnansweredRequest {
     pub what: String,
     pub vm: usize,
     pub sent_at: Duration,
     pub ended_at: Duration,
+    /// An answer began.
+    pub is_cut: bool,
 }
 
 /// A result of a job as it was read first.
