--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -1,18 +1,18 @@
 //! Accepts connections from callers and dispatches their requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io::{ErrorKind, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, AUTHORIZATION, CONNECTION, HOST};
+use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, HOST};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::body::{self, CountedBody};
-use super::counters::{OpenRequest, RequestKind};
+use super::counters::{ExpectedRequest, OpenRequest, RequestKind};
 use super::dialect::Operation;
 use super::exchange::{self, Outgoing};
 use super::jobs;
@@ -56,6 +56,12 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time to read requests that have already arrived before an idle connection is closed.
 const ARRIVAL_GRACE: Duration = Duration::from_millis(20);
+/// Timeout for the first request of a connection, which its caller has opened to send it.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a reply and the next request of its caller may take together on their ways.
+const TRANSIT_TIME: Duration = Duration::from_millis(300);
+/// Tells callers for how long they may leave a connection idle.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -109,7 +115,10 @@
 async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
     let limits = node.routes().map(|table| table.rules.limits.clone());
     let head_bytes = limits.map_or(HEAD_BYTES_DEFAULT, |limits| limits.head_bytes);
+    let accepted_at = clock::now();
     let connection_requests = Rc::<ConnectionRequests>::default();
+    let first = node.open_requests.expect();
+    connection_requests.first.replace(Some(first));
     let stream = CallerStream {
         stream,
         node: node.clone(),
@@ -126,11 +135,16 @@
     let mut idle = IdleTime::default();
     // An error is a caller that disconnected or sent an invalid request, which hyper has answered.
     loop {
-        let is_closing = tokio::select! {
+        let is_notified = tokio::select! {
             _ = connection.as_mut() => return,
             () = node.closing.notified() => true,
             () = sleep(idle.check_interval()) => false,
         };
+        if clock::now() >= accepted_at + FIRST_REQUEST_TIMEOUT {
+            connection_requests.first.take();
+        }
+        let is_busy = connection_requests.stage() == RequestStage::Open;
+        let is_closing = is_notified || (is_busy && node.is_draining());
         if !is_closing && !idle.is_over(clock::now(), &node, &connection_requests) {
             continue;
         }
@@ -139,6 +153,9 @@
         }
         match (is_closing, connection_requests.stage()) {
             (true, RequestStage::Head) | (false, RequestStage::Open) => {}
+            // Its caller may use it again until the drain time is over.
+            (true, RequestStage::Idle) if node.listening.get() => {}
+            (true, RequestStage::Idle) if connection_requests.is_first_expected() => {}
             (true, _) => break,
             (false, stage) if idle.began_as == Some(stage) => return,
             (false, _) => {}
@@ -204,52 +221,88 @@
         // The caller's next request reaches another VM.
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
+    } else if let Some(keep_alive) = keep_alive(&node) {
+        reply.headers_mut().insert(KEEP_ALIVE, keep_alive);
     }
     body::counted(reply, open)
 }
 
+/// For how long a caller may leave its connection idle and use it again. A stop may begin right after
+/// the reply and closes idle connections after the drain time.
+fn keep_alive(node: &Node) -> Option<HeaderValue> {
+    let drain_time = Duration::from_millis(node.settings.drain_ms);
+    let in_force = node.routes().map(|table| table.rules.limits.idle_timeout);
+    let kept_for = drain_time.min(in_force.unwrap_or(IDLE_TIMEOUT_DEFAULT));
+    let timeout_s = kept_for.saturating_sub(TRANSIT_TIME).as_secs();
+    // A drain time under a second can't be announced.
+    let announced = (timeout_s > 0).then(|| format!("timeout={timeout_s}"));
+    announced.and_then(|timeout| HeaderValue::try_from(timeout).ok())
+}
+
 /// Requests of one connection.
 #[derive(Default)]
 struct ConnectionRequests {
-    /// A request whose head has not been read completely.
-    partial: RefCell<Option<Rc<OpenRequest>>>,
-    /// The newest request; gone once its reply has been sent.
-    newest: RefCell<Weak<OpenRequest>>,
+    /// The newest request, until its reply has been sent. Other owners hold it only until the reply
+    /// has been handed to the connection, whose buffer may keep the end of it for a slow caller.
+    newest: RefCell<Option<Rc<OpenRequest>>>,
+    /// Whether the head of the newest request has not been read completely.
+    is_partial: Cell<bool>,
+    /// Present until the first request begins, or its timeout has passed.
+    first: RefCell<Option<ExpectedRequest>>,
 }
 
 impl ConnectionRequests {
     /// Counts a request from its first bytes on. Without this, the connection counts as idle, and
     /// is closed although a caller sends a request.
     fn bytes_read(&self, node: &Node) {
-        if self.newest.borrow().strong_count() == 0 {
-            self.partial.replace(Some(self.begin(node)));
+        if self.stage() == RequestStage::Idle {
+            self.begin(node);
+            self.is_partial.set(true);
         }
     }
 
     /// The request whose head has been read.
     fn head_read(&self, node: &Node) -> Rc<OpenRequest> {
-        let partial = self.partial.take();
+        let partial = self.newest.borrow().clone();
+        let partial = partial.filter(|_| self.is_partial.take());
         partial.unwrap_or_else(|| self.begin(node))
     }
 
+    /// All replies that were handed to the connection have been sent.
+    fn buffer_sent(&self) {
+        if self.stage() != RequestStage::Idle {
+            return;
+        }
+        if let Some(request) = self.newest.take() {
+            request.buffer_sent();
+        }
+    }
+
+    fn is_first_expected(&self) -> bool {
+        self.first.borrow().is_some()
+    }
+
     fn begin(&self, node: &Node) -> Rc<OpenRequest> {
+        self.first.take();
         let open = node.open_requests.begin(RequestKind::Reading);
-        self.newest.replace(Rc::downgrade(&open));
+        self.newest.replace(Some(open.clone()));
         open
     }
 
     fn stage(&self) -> RequestStage {
-        if self.partial.borrow().is_some() {
+        if self.is_partial.get() {
             return RequestStage::Head;
         }
-        match self.newest.borrow().strong_count() {
-            0 => RequestStage::Idle,
+        let newest = self.newest.borrow();
+        let owners = newest.as_ref().map_or(0, Rc::strong_count);
+        match owners {
+            0 | 1 => RequestStage::Idle,
             _ => RequestStage::Open,
         }
     }
 }
 
-/// A caller's connection, which reports that bytes were read.
+/// A caller's connection, which reports that bytes were read and that all replies were sent.
 struct CallerStream {
     stream: TcpStream,
     node: Rc<Node>,
@@ -294,7 +347,13 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        // Called once the buffer of the connection is empty.
+        let this = self.get_mut();
+        let flushed = Pin::new(&mut this.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            this.requests.buffer_sent();
+        }
+        flushed
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -38,6 +38,8 @@
 pub struct OpenRequests {
     /// Indexed by kind.
     counts: [Cell<usize>; RequestKind::COUNT],
+    /// Connections whose first request is expected.
+    expected: Cell<usize>,
     /// Whether requests without a reply have to be refused. Never reset.
     refusing: Cell<bool>,
     /// Notified when `refusing` is set.
@@ -58,6 +60,17 @@
         })
     }
 
+    /// Counts a request that has not begun as expected until the returned guard is dropped.
+    pub fn expect(self: &Rc<Self>) -> ExpectedRequest {
+        self.expected.update(|count| count + 1);
+        ExpectedRequest(self.clone())
+    }
+
+    /// Whether a caller has opened a connection and may be about to send its first request.
+    pub fn is_any_expected(&self) -> bool {
+        self.expected.get() > 0
+    }
+
     /// Has all requests refused whose replies have not begun, and all that follow.
     pub fn refuse(&self) {
         self.refusing.set(true);
@@ -82,6 +95,15 @@
     }
 }
 
+/// Counts a request as expected.
+pub struct ExpectedRequest(Rc<OpenRequests>);
+
+impl Drop for ExpectedRequest {
+    fn drop(&mut self) {
+        self.0.expected.update(|count| count - 1);
+    }
+}
+
 impl fmt::Display for OpenRequests {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let open = RequestKind::iter().filter(|kind| self.count(*kind) > 0);
@@ -101,6 +123,9 @@
     NotBegun,
     /// The head is known; the body is not complete.
     Begun,
+    /// All of it has been handed to the connection, which may not have sent it yet.
+    Buffered,
+    /// The connection has sent all of it.
     Complete,
 }
 
@@ -142,14 +167,26 @@
     }
 
     /// Notes that all of the reply has been handed to the connection.
-    pub fn reply_complete(&self) {
-        self.reply.set(ReplyProgress::Complete);
+    pub fn reply_buffered(&self) {
+        self.reply.set(ReplyProgress::Buffered);
+    }
+
+    /// Notes that the connection has sent all that was handed to it.
+    pub fn buffer_sent(&self) {
+        if self.reply.get() == ReplyProgress::Buffered {
+            self.reply.set(ReplyProgress::Complete);
+        }
     }
 
     /// Logs requests whose reply is not complete, and all requests on jobs, which have no other line.
     fn log_end(&self) {
         let kind = self.kind();
-        let complete = self.reply.get() == ReplyProgress::Complete;
+        let complete = match self.reply.get() {
+            ReplyProgress::Complete => true,
+            // Connections of other VMs don't report what they have sent.
+            ReplyProgress::Buffered => kind == RequestKind::Peer,
+            ReplyProgress::NotBegun | ReplyProgress::Begun => false,
+        };
         let has_own_line = matches!(kind, RequestKind::Online | RequestKind::Peer);
         if complete && (has_own_line || kind == RequestKind::Reading) {
             return;
