Results: an owner with a write in doubt does not say that nothing is new

What callers saw: one VM showed a result, and a second later and for up to 2.3 s after the listing other VMs answered 200 with nothing at its position.

Cause: a job's owner told readers, its own and those of other VMs, that there is nothing new as long as its registration was fresh. While the store's answer to its own listing is lost, the listing stands in the store and any VM that watches the store shows it, but the owner's table does not have it. Calls time out after 1.2 s and a commit settles by reading back, so the doubt lasts for 2.4 s; in a large fleet the owner is not told listings by its delegate either. The same holds for a hand-over whose answer is lost.

Change: a row of the job table knows which writes of this process have no known outcome yet. A write is settled when it was refused, or when the record has passed the revision that it replaces, after which it can no longer take effect. Until then an owner waits shortly for the outcome and then leaves the answer to the store: 503 to a VM that asks, a read of the store for its own readers. Positions that are listed already are told as before.

Conclusion: the position is no longer denied while the listing is in doubt. A kill or a partition of the VM that wrote last meets this state; that it is what the users reported is not shown.

--- a/src/serve/job_table.rs
+++ b/src/serve/job_table.rs
@@ -29,10 +29,20 @@
     pub seen_at: Duration,
     /// When the store last confirmed the record.
     pub confirmed_at: Duration,
+    /// Revisions that writes of this process replace whose outcome it doesn't know. Invariant: none
+    /// is older than `revision`, since a write takes effect only on the revision that it replaces.
+    unsettled_writes: Vec<Revision>,
     /// Notified when the record changes; callers that read results wait for it.
     pub changed: Rc<Notify>,
 }
 
+impl Job {
+    /// Whether this process knows the outcome of all its writes of the record.
+    pub fn is_settled(&self) -> bool {
+        self.unsettled_writes.is_empty()
+    }
+}
+
 /// All jobs that this process has.
 #[derive(Default)]
 pub struct Jobs {
@@ -73,6 +83,8 @@
                 job.open_tokens = open_tokens;
                 job.record = Rc::new(record);
                 job.revision = revision;
+                job.unsettled_writes
+                    .retain(|replaced| *replaced >= revision);
                 job.seen_at = now;
                 job.confirmed_at = job.confirmed_at.max(confirmed_at);
                 job.changed.notify_waiters();
@@ -88,6 +100,7 @@
                     first_seen: now,
                     seen_at: now,
                     confirmed_at,
+                    unsettled_writes: Vec::new(),
                     changed: Rc::default(),
                 };
                 self.rows.insert(id, job);
@@ -96,6 +109,26 @@
         }
     }
 
+    /// Notes a write that replaces a job's record at `replaced` and may take effect from now on.
+    pub fn note_write(&mut self, job: &JobId, replaced: Revision) {
+        let job = self.rows.get_mut(job);
+        if let Some(job) = job.filter(|job| job.revision <= replaced) {
+            job.unsettled_writes.push(replaced);
+        }
+    }
+
+    /// Notes that a write which was to replace the record at `replaced` can't take effect any more.
+    pub fn note_write_refused(&mut self, job: &JobId, replaced: Revision) {
+        let Some(job) = self.rows.get_mut(job) else {
+            return;
+        };
+        let mut writes = job.unsettled_writes.iter();
+        if let Some(at) = writes.position(|unsettled| *unsettled == replaced) {
+            job.unsettled_writes.swap_remove(at);
+            job.changed.notify_waiters();
+        }
+    }
+
     /// Keys under which tokens of a route's jobs are counted, one for each workspace with jobs
     /// there.
     pub fn route_keys(&self, route: &str) -> HashSet<RouteKey> {
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -345,6 +345,7 @@
         writes,
         deletes: Vec::new(),
     };
+    node.core.borrow_mut().jobs.note_write(&record.id, revision);
     let settled = node.store.commit(txn, COMMIT_TIMEOUT).await;
     let now = clock::now();
     let mut core = node.core.borrow_mut();
@@ -364,7 +365,8 @@
         CommitOutcome::Lost(None) => {
             core.jobs.rows.remove(&record.id);
         }
-        CommitOutcome::Away(_) | CommitOutcome::Unknown(_) => {}
+        CommitOutcome::Away(_) => core.jobs.note_write_refused(&record.id, revision),
+        CommitOutcome::Unknown(_) => {}
     }
     settled
 }
--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -9,6 +9,7 @@
 
 use super::ask::{ask, reply};
 use super::dialect::ResultRow;
+use super::job_table::Job;
 use super::jobs::{find_for_caller, read_from_store, STORE_RETRY_AFTER};
 use super::node::Node;
 use super::part_cache;
@@ -17,7 +18,7 @@
 use crate::clock;
 use crate::decide::refusal::RefusalKind;
 use crate::decide::small_jobs::{self, SmallJobRecord};
-use crate::id::{JobId, Name, OwnerId};
+use crate::id::{JobId, Name};
 
 /// Path under which the process that runs a job is asked for its results; job, position and wait
 /// follow.
@@ -33,6 +34,9 @@
 /// A registration lasts for 3 s and is renewed each 0.9 s; one renewed within this time has missed
 /// one renewal at most.
 const REGISTRATION_FRESH_FOR: Duration = Duration::from_millis(2000);
+/// Time for which an owner waits for the outcome of a write before it leaves the answer to the
+/// store; shorter than the margin of the VM that asks.
+const OUTCOME_WAIT_MAX: Duration = Duration::from_millis(250);
 /// Longest wait of a reader for new results; callers time out 1.5 s after the wait that they ask
 /// for.
 const READER_WAIT_MAX: Duration = Duration::from_millis(2000);
@@ -127,16 +131,31 @@
     };
     let until = clock::now() + Duration::from_millis(wait_ms).min(READER_WAIT_MAX);
     let record = loop {
-        let current = node.core.borrow().jobs.current(&job);
-        let is_local = |record: &SmallJobRecord| is_owner(node, record.owner, clock::now());
-        let Some((record, _)) = current.filter(|(record, _)| is_local(record)) else {
+        let now = clock::now();
+        let current = {
+            let core = node.core.borrow();
+            let row = core.jobs.rows.get(&job);
+            let owned = row.filter(|row| is_owner(node, row, now));
+            owned.map(|row| (row.record.clone(), row.is_settled()))
+        };
+        let Some((record, is_settled)) = current else {
             return replies::empty(404);
         };
-        let left = reader_deadline(node, until).saturating_sub(clock::now());
-        if record.listed.len() > after || record.ended() || left.is_zero() {
+        if record.listed.len() > after || record.ended() {
             break record;
         }
-        wait_for_change(node, &job, left).await;
+        let until = match is_settled {
+            true => reader_deadline(node, until),
+            false => until + OUTCOME_WAIT_MAX,
+        };
+        if now >= until && is_settled {
+            break record;
+        }
+        if now >= until {
+            log::info!(job = *job, after; "results not told: a write of the job is in doubt");
+            return replies::empty(503);
+        }
+        wait_for_change(node, &job, until - now).await;
     };
     let page = results_page(node, &record, after).await;
     match page.status().as_u16() {
@@ -151,11 +170,12 @@
     }
 }
 
-/// Whether an owner id is this process's and no other VM can have taken over its jobs: that happens
-/// only when its registration has been gone for 1.5 s, and it was renewed just now.
-fn is_owner(node: &Node, owner: OwnerId, now: Duration) -> bool {
+/// Whether a job is this process's and no other VM can have taken it over: that happens only when
+/// this process's registration has been gone for 1.5 s, and it was renewed just now.
+fn is_owner(node: &Node, job: &Job, now: Duration) -> bool {
     let renewed_at = node.renewed_at.get();
-    owner == node.owner && renewed_at.is_some_and(|at| now < at + REGISTRATION_FRESH_FOR)
+    let is_registered = renewed_at.is_some_and(|at| now < at + REGISTRATION_FRESH_FOR);
+    job.record.owner == node.owner && is_registered
 }
 
 /// Whether a reader can be told that there are no new results.
@@ -167,7 +187,8 @@
     let core = node.core.borrow();
     let row = core.jobs.rows.get(job);
     let confirmed = row.is_some_and(|row| now < row.confirmed_at + CONFIRMATION_FRESH_FOR);
-    let is_local = row.is_some_and(|row| is_owner(node, row.record.owner, now));
+    // Other VMs may have seen a listing whose answer this one has not received.
+    let is_local = row.is_some_and(|row| is_owner(node, row, now) && row.is_settled());
     confirmed || is_local || core.peers.all_confirm_jobs(now, core.jobs.watched_revision)
 }
 
