Jobs: a record counts as confirmed since the store was asked for it

What callers saw: a VM that had just started answered 200 with nothing at a position that another VM had shown more than a second before, for 0.2 s to 0.3 s.

Cause: where not all other VMs are heard, a reader is told that nothing is new if the store confirmed the record within 0.6 s. The time that was kept was that of the answer's arrival, whatever the answer: also of the first read of a start, which may be seconds old, and of answers that were long on their way. Besides, "never confirmed" was kept as time zero, which is less than 0.6 s ago in a process that has just started.

Change: a watch's answer is applied together with the time at which the store was asked, which a stale read and an answer of another VM don't have; a record that only these have told has no time of confirmation. The store of the tests can answer stale reads by an older revision.

Conclusion: the denial after a start is gone in the tests.

--- a/src/serve/job_table.rs
+++ b/src/serve/job_table.rs
@@ -27,8 +27,9 @@
     pub first_seen: Duration,
     /// When it was last received, from the store or from another VM.
     pub seen_at: Duration,
-    /// When the store last confirmed the record.
-    pub confirmed_at: Duration,
+    /// When the store was asked that last confirmed the record; `None` while only other VMs or a read
+    /// that may be stale have told it.
+    pub confirmed_at: Option<Duration>,
     /// Revisions that writes of this process replace whose outcome it doesn't know. Invariant: none
     /// is older than `revision`, since a write takes effect only on the revision that it replaces.
     unsettled_writes: Vec<Revision>,
@@ -60,12 +61,12 @@
 }
 
 impl Jobs {
-    /// Takes a record unless a newer one is here. `confirmed_at` is when the store returned it.
+    /// Takes a record unless a newer one is here. `confirmed_at` is when the store was asked for it.
     /// Returns the key of its route and the number of tokens that finished with this record.
     pub fn apply_record(
         &mut self,
         now: Duration,
-        confirmed_at: Duration,
+        confirmed_at: Option<Duration>,
         record: SmallJobRecord,
         revision: Revision,
     ) -> Option<(RouteKey, u64)> {
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -214,6 +214,7 @@
     job: &JobId,
 ) -> Result<Rc<SmallJobRecord>, Reply> {
     let key = record_key(job);
+    let asked_at = clock::now();
     let item = match node.store.get(&key).await {
         Ok(Some(item)) => item,
         Ok(None) => return Err(replies::refusal(RefusalKind::NotFound, true, None)),
@@ -223,8 +224,7 @@
         return Err(store_unavailable(job, "the record is invalid"));
     };
     let mut core = node.core.borrow_mut();
-    let now = clock::now();
-    core.apply_job(now, now, record, item.revision);
+    core.apply_job(clock::now(), Some(asked_at), record, item.revision);
     let existing = core.jobs.current(job);
     existing
         .map(|(record, _)| record)
@@ -346,12 +346,13 @@
         deletes: Vec::new(),
     };
     node.core.borrow_mut().jobs.note_write(&record.id, revision);
+    let asked_at = clock::now();
     let settled = node.store.commit(txn, COMMIT_TIMEOUT).await;
     let now = clock::now();
     let mut core = node.core.borrow_mut();
     match &settled {
         CommitOutcome::Won(revision) => {
-            core.apply_job(now, now, record.clone(), *revision);
+            core.apply_job(now, Some(asked_at), record.clone(), *revision);
             for part in parts {
                 core.jobs.parts.insert(part.key, part.value);
             }
@@ -359,7 +360,7 @@
         }
         CommitOutcome::Lost(Some(found)) => {
             if let Some(other) = decode(&key, &found.value) {
-                core.apply_job(now, now, other, found.revision);
+                core.apply_job(now, Some(asked_at), other, found.revision);
             }
         }
         CommitOutcome::Lost(None) => {
--- a/src/serve/live_watch.rs
+++ b/src/serve/live_watch.rs
@@ -278,7 +278,12 @@
     }
 }
 
-fn apply_update(node: &Node, update: StoreUpdate, revision: Revision) {
+fn apply_update(node: &Node, answer: WatchAnswer) {
+    let WatchAnswer {
+        update,
+        at: revision,
+        asked_at,
+    } = answer;
     let now = clock::now();
     let mut guard = node.core.borrow_mut();
     let core = &mut *guard;
@@ -288,16 +293,11 @@
             remove_deleted(core, changes)
         }
     }
-    let confirmed_at = match update {
-        // It is not known how late the other VM is, so this confirms nothing as of now.
-        StoreUpdate::Relayed(_) => Duration::ZERO,
-        StoreUpdate::Snapshot(_) | StoreUpdate::Changes(_) => now,
-    };
     for item in update.into_written() {
         if item.key.starts_with(VMS) {
             apply_registration(&mut core.live, item);
         } else if let Some(record) = decode(&item.key, &item.value) {
-            core.apply_job(now, confirmed_at, record, item.revision);
+            core.apply_job(now, asked_at, record, item.revision);
         }
     }
     let vms: Vec<VmRecord> = core.live.vms.values().map(|(vm, _)| vm.clone()).collect();
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -132,7 +132,7 @@
     pub fn apply_job(
         &mut self,
         now: Duration,
-        confirmed_at: Duration,
+        confirmed_at: Option<Duration>,
         record: SmallJobRecord,
         revision: Revision,
     ) {
--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -186,7 +186,8 @@
 fn is_fresh(node: &Node, job: &JobId, now: Duration) -> bool {
     let core = node.core.borrow();
     let row = core.jobs.rows.get(job);
-    let confirmed = row.is_some_and(|row| now < row.confirmed_at + CONFIRMATION_FRESH_FOR);
+    let confirmed_at = row.and_then(|row| row.confirmed_at);
+    let confirmed = confirmed_at.is_some_and(|at| now < at + CONFIRMATION_FRESH_FOR);
     // Other VMs may have seen a listing whose answer this one has not received.
     let is_local = row.is_some_and(|row| is_owner(node, row, now) && row.is_settled());
     confirmed || is_local || core.peers.all_confirm_jobs(now, core.jobs.watched_revision)
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -88,7 +88,8 @@
     pub update: StoreUpdate,
     /// Revision up to which the answer is complete.
     pub at: Revision,
-    /// When the store was asked; `None` for an answer of another VM.
+    /// When the store was asked, if the answer is as new as that; `None` for an answer of another VM
+    /// or one that may be stale.
     pub asked_at: Option<Duration>,
 }
 
@@ -106,7 +107,7 @@
     FollowedPrefix { subject, prefix }: FollowedPrefix,
     interval: fn(&Node) -> Duration,
     ask: impl AsyncFn(&Rc<Node>, Option<Revision>, Duration) -> Result<Option<WatchAnswer>, Error>,
-    mut apply: impl FnMut(&Node, StoreUpdate, Revision),
+    mut apply: impl FnMut(&Node, WatchAnswer),
 ) {
     let mut at: Option<Revision> = None;
     let mut is_unavailable = false;
@@ -137,10 +138,11 @@
                 }
                 pause = RETRY_PAUSE_FIRST;
                 let is_empty = answer.update.is_empty();
-                apply(&node, answer.update, answer.at);
-                at = Some(answer.at);
+                let (revision, asked_at) = (answer.at, answer.asked_at);
+                apply(&node, answer);
+                at = Some(revision);
                 // Only now does this VM have all that the answer confirms.
-                if let Some(asked_at) = answer.asked_at {
+                if let Some(asked_at) = asked_at {
                     node.confirm(subject, asked_at);
                 }
                 if !is_empty {
@@ -254,7 +256,7 @@
 async fn follow_store(
     node: Rc<Node>,
     followed: FollowedPrefix,
-    apply: impl FnMut(&Node, StoreUpdate, Revision),
+    apply: impl FnMut(&Node, WatchAnswer),
 ) {
     let ask = async |node: &Rc<Node>, at: Option<Revision>, wait: Duration| {
         let is_first = followed.subject == StoreSubject::Endpoints && at.is_none();
@@ -278,8 +280,8 @@
         subject: StoreSubject::Rules,
         prefix: node.dialect.keys.operator_prefix,
     };
-    let apply = |node: &Node, update: StoreUpdate, _| {
-        for item in update.into_written() {
+    let apply = |node: &Node, answer: WatchAnswer| {
+        for item in answer.update.into_written() {
             apply_operator_item(node, &item);
         }
     };
@@ -312,10 +314,10 @@
         subject: StoreSubject::Endpoints,
         prefix: node.dialect.keys.endpoints,
     };
-    let apply = |node: &Node, update: StoreUpdate, revision| {
+    let apply = |node: &Node, answer: WatchAnswer| {
         let now = clock::now();
-        let changed = match update {
-            StoreUpdate::Snapshot(items) => apply_endpoint_snapshot(node, now, &items, revision),
+        let changed = match answer.update {
+            StoreUpdate::Snapshot(items) => apply_endpoint_snapshot(node, now, &items, answer.at),
             StoreUpdate::Changes(changes) | StoreUpdate::Relayed(changes) => {
                 let changed = changes
                     .iter()
