--- a/src/serve/job_table.rs
+++ b/src/serve/job_table.rs
@@ -27,12 +27,23 @@
     pub first_seen: Duration,
     /// When it was last received, from the store or from another VM.
     pub seen_at: Duration,
-    /// When the store last confirmed the record.
-    pub confirmed_at: Duration,
+    /// When the store was asked that last confirmed the record; `None` while only other VMs or a read
+    /// that may be stale have told it.
+    pub confirmed_at: Option<Duration>,
+    /// Revisions that writes of this process replace whose outcome it doesn't know. Invariant: none
+    /// is older than `revision`, since a write takes effect only on the revision that it replaces.
+    unsettled_writes: Vec<Revision>,
     /// Notified when the record changes; callers that read results wait for it.
     pub changed: Rc<Notify>,
 }
 
+impl Job {
+    /// Whether this process knows the outcome of all its writes of the record.
+    pub fn is_settled(&self) -> bool {
+        self.unsettled_writes.is_empty()
+    }
+}
+
 /// All jobs that this process has.
 #[derive(Default)]
 pub struct Jobs {
@@ -50,12 +61,12 @@
 }
 
 impl Jobs {
-    /// Takes a record unless a newer one is here. `confirmed_at` is when the store returned it.
+    /// Takes a record unless a newer one is here. `confirmed_at` is when the store was asked for it.
     /// Returns the key of its route and the number of tokens that finished with this record.
     pub fn apply_record(
         &mut self,
         now: Duration,
-        confirmed_at: Duration,
+        confirmed_at: Option<Duration>,
         record: SmallJobRecord,
         revision: Revision,
     ) -> Option<(RouteKey, u64)> {
@@ -73,6 +84,8 @@
                 job.open_tokens = open_tokens;
                 job.record = Rc::new(record);
                 job.revision = revision;
+                job.unsettled_writes
+                    .retain(|replaced| *replaced >= revision);
                 job.seen_at = now;
                 job.confirmed_at = job.confirmed_at.max(confirmed_at);
                 job.changed.notify_waiters();
@@ -88,6 +101,7 @@
                     first_seen: now,
                     seen_at: now,
                     confirmed_at,
+                    unsettled_writes: Vec::new(),
                     changed: Rc::default(),
                 };
                 self.rows.insert(id, job);
@@ -96,6 +110,26 @@
         }
     }
 
+    /// Notes a write that replaces a job's record at `replaced` and may take effect from now on.
+    pub fn note_write(&mut self, job: &JobId, replaced: Revision) {
+        let job = self.rows.get_mut(job);
+        if let Some(job) = job.filter(|job| job.revision <= replaced) {
+            job.unsettled_writes.push(replaced);
+        }
+    }
+
+    /// Notes that a write which was to replace the record at `replaced` can't take effect any more.
+    pub fn note_write_refused(&mut self, job: &JobId, replaced: Revision) {
+        let Some(job) = self.rows.get_mut(job) else {
+            return;
+        };
+        let mut writes = job.unsettled_writes.iter();
+        if let Some(at) = writes.position(|unsettled| *unsettled == replaced) {
+            job.unsettled_writes.swap_remove(at);
+            job.changed.notify_waiters();
+        }
+    }
+
     /// Keys under which tokens of a route's jobs are counted, one for each workspace with jobs
     /// there.
     pub fn route_keys(&self, route: &str) -> HashSet<RouteKey> {
