Count only items that can run when slots are divided

Cause: free slots are granted to VMs in proportion to their waiting items, and a VM reported every item without a run as waiting. A slot that is granted to a VM that can't use it stays empty, and as the division is the same at each plan, it stays so.

Change: a plan marks which waiting items compete for slots: no longer held back than the time in which a start is seen, and an endpoint in use that can run them. Only these are reported.

Conclusion: fixed. Open: the count is one number for all services, so items that wait for full endpoints of one service still take shares of the slots of another; that needs counts by service in heartbeats and summaries.

--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -4,12 +4,12 @@
 //! a slot is free, and is preempted when online requests need the slot. A preempted item resumes
 //! later after its last event, so little work is lost.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::endpoints::{Endpoint, Endpoints};
 use super::idle::{IdleCounter, IdleSnapshot};
-use super::slot_grants::{CompetingVm, EndpointPlace, SlotGrants};
+use super::slot_grants::{CompetingVm, EndpointPlace, SlotGrants, START_UNSEEN_TIME};
 use super::small_jobs::ItemIndex;
 use super::usage::{own_excess, Usage};
 use crate::id::{DomainId, EndpointId, JobId, Name, ServiceId, VmId};
@@ -68,6 +68,9 @@
     software: Option<Name>,
     /// When it was last known to make progress: its text grew, it was preempted or it was added.
     progressed_at: Duration,
+    /// Whether it competes for slots while it waits: it is not held back, and an endpoint is in use
+    /// that can run it.
+    competes: bool,
     /// Endpoints of failed runs, used only when there is no other; the last one alone unless
     /// [`Items::avoid_all_failed`].
     avoid: Vec<EndpointId>,
@@ -197,6 +200,7 @@
             stage,
             software: None,
             progressed_at: now,
+            competes: true,
             avoid: Vec::new(),
         };
         self.states.insert(key, state);
@@ -389,6 +393,7 @@
         for capacity in &mut capacities {
             self.preempt_excess(now, planner.vm, capacity, usage, &mut out);
         }
+        self.update_competing(now, &capacities);
         if planner.may_start {
             self.start(now, planner, &mut capacities, &mut out);
         }
@@ -420,12 +425,47 @@
         snapshot
     }
 
-    /// Number of items that wait for a slot.
+    /// Number of items that compete for slots, as of the last plan.
+    ///
+    /// Slots are granted to VMs by this number. Items that can't run don't count, else their VM
+    /// would be granted slots that it leaves empty.
     pub fn waiting_count(&self) -> usize {
-        let waits = |state: &&ItemState| matches!(state.stage, Stage::Waiting { .. });
+        let waits =
+            |state: &&ItemState| state.competes && matches!(state.stage, Stage::Waiting { .. });
         self.states.values().filter(waits).count()
     }
 
+    /// Updates which items compete for slots.
+    fn update_competing(&mut self, now: Duration, capacities: &[EndpointCapacity]) {
+        let usable = capacities.iter().filter(|capacity| capacity.usable);
+        let usable: HashSet<(ServiceId, &Name)> = usable
+            .map(|capacity| (capacity.service, &capacity.software))
+            .collect();
+        let services: HashSet<ServiceId> = usable.iter().map(|(service, _)| *service).collect();
+        let typical = self.typical_run_time.unwrap_or_default();
+        for state in self.states.values_mut() {
+            let Stage::Waiting { not_before } = state.stage else {
+                continue;
+            };
+            let has_own_version = match &state.software {
+                Some(software) => {
+                    !software.is_empty() && usable.contains(&(state.service, software))
+                }
+                None => true,
+            };
+            let has_endpoint = services.contains(&state.service)
+                && (has_own_version || state.may_restart(now, typical, capacities));
+            // Other VMs have to receive that it competes again before it takes a slot.
+            let seen_at = now + START_UNSEEN_TIME;
+            if has_endpoint && !state.competes && not_before < seen_at {
+                state.stage = Stage::Waiting {
+                    not_before: seen_at,
+                };
+            }
+            state.competes = has_endpoint && not_before <= seen_at;
+        }
+    }
+
     fn capacities(
         &self,
         now: Duration,
--- a/tests/items_finished.rs
+++ b/tests/items_finished.rs
@@ -1,17 +1,21 @@
 //! Items that could run are running again a few seconds after what kept them waiting has ended.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use bramleyseam::decide::endpoints::{EndpointConfig, Endpoints};
 use bramleyseam::decide::items::{Action, ItemKey, ItemPlanner, Items};
-use bramleyseam::decide::usage::Usage;
+use bramleyseam::decide::slot_grants::CompetingVm;
+use bramleyseam::decide::usage::{EndpointUse, Usage};
 use bramleyseam::id::EndpointId;
 use bramleyseam::standin::table::endpoint_configs;
 
 const SERVICE: u64 = 1;
+const OTHER_SERVICE: u64 = 2;
 const LOCAL_DOMAIN: u64 = 1;
 const SLOTS: f64 = 7.0;
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// An item that nobody runs for so long while slots are free counts as lost.
 const IDLE_MAX: Duration = Duration::from_secs(5);
 
@@ -38,11 +42,11 @@
     endpoints
 }
 
-fn planner() -> ItemPlanner<'static> {
+fn planner(vm: u64, competing_vms: &[CompetingVm]) -> ItemPlanner<'_> {
     ItemPlanner {
-        vm: 1,
+        vm,
         domain: LOCAL_DOMAIN,
-        competing_vms: &[],
+        competing_vms,
         may_start: true,
     }
 }
@@ -68,7 +72,7 @@
             return Duration::MAX;
         }
         let now = from + waited;
-        for action in items.plan(now, &planner(), endpoints, &Usage::default()) {
+        for action in items.plan(now, &planner(1, &[]), endpoints, &Usage::default()) {
             if let Action::Start { key, endpoint, .. } = action {
                 if attempt(items, endpoints, now, &key, endpoint) {
                     return waited;
@@ -115,3 +119,146 @@
         assert!(waited < IDLE_MAX, "due at {due:?}: {waited:?}");
     }
 }
+
+/// The time until the only item of VM 1 starts, while VM 2 has items that can't run; `None` if it
+/// doesn't in `IDLE_MAX`.
+fn start_beside(rivals: &mut Items, endpoints: &Endpoints, vms: (u64, u64)) -> Option<Duration> {
+    let mut items = Items::default();
+    items.add(ms(0), key("job", 0), SERVICE, ms(18_000));
+    let mut competing = Vec::new();
+    for step in 0..=(IDLE_MAX.as_millis() / PLAN_INTERVAL.as_millis()) as u32 {
+        let now = PLAN_INTERVAL * step;
+        let started = rivals.plan(now, &planner(vms.1, &[]), endpoints, &Usage::default());
+        assert!(started.is_empty(), "{started:?}");
+        if now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis()) {
+            competing = vec![CompetingVm {
+                vm: vms.1,
+                domain: LOCAL_DOMAIN,
+                items: rivals.waiting_count() as u32,
+            }];
+            competing.retain(|other| other.items > 0);
+        }
+        let own = planner(vms.0, &competing);
+        if !items
+            .plan(now, &own, endpoints, &Usage::default())
+            .is_empty()
+        {
+            return Some(now);
+        }
+    }
+    None
+}
+
+/// How many of a hundred pairs of VMs leave the item waiting, by the number of endpoints.
+fn starved(rivals: impl Fn() -> Items) -> HashMap<usize, usize> {
+    let mut starved = HashMap::new();
+    for count in [1, 3, 10] {
+        let endpoints = endpoints(&vec!["v1"; count]);
+        let pairs = (0..100).map(|pair| (2 * pair + 1, 2 * pair + 2));
+        let waits = pairs.filter(|vms| start_beside(&mut rivals(), &endpoints, *vms).is_none());
+        starved.insert(count, waits.count());
+    }
+    starved.retain(|_, count| *count > 0);
+    starved
+}
+
+// Items of a service without endpoints waited at another VM, which was granted the slots of all
+// other services and never used them.
+#[test]
+fn rivals_without_endpoint() {
+    let starved = starved(|| {
+        let mut rivals = Items::default();
+        (0..100).for_each(|at| rivals.add(ms(0), key("rival", at), OTHER_SERVICE, ms(18_000)));
+        rivals
+    });
+    assert_eq!(starved, HashMap::new());
+}
+
+// The same with items that are held back for minutes.
+#[test]
+fn rivals_held_back() {
+    let starved = starved(|| {
+        let mut rivals = Items::default();
+        for at in 0..100 {
+            rivals.add(ms(0), key("rival", at), SERVICE, ms(18_000));
+            rivals.quarantined(ms(0), &key("rival", at), ms(600_000));
+        }
+        rivals
+    });
+    assert_eq!(starved, HashMap::new());
+}
+
+// All endpoints of a service come back at once while items wait at many VMs. Each VM has to know of
+// the others' items again before it takes slots, or all of them take the same ones.
+#[test]
+fn all_endpoints_back() {
+    const VMS: u64 = 20;
+    let mut endpoints = endpoints(&["v1"; 10]);
+    endpoints.rows.iter_mut().for_each(|row| row.barred = true);
+    let mut vms: Vec<(u64, Items, Usage)> = Vec::new();
+    for vm in 1..=VMS {
+        let mut items = Items::default();
+        let job = format!("job-{vm}");
+        (0..10).for_each(|at| items.add(ms(0), key(&job, at), SERVICE, ms(60_000)));
+        vms.push((vm, items, Usage::default()));
+    }
+    let (back_at, end) = (ms(2_000), ms(3_000));
+    let mut waiting: Vec<CompetingVm> = Vec::new();
+    for step in 0..=(end.as_millis() / PLAN_INTERVAL.as_millis()) as u32 {
+        let now = PLAN_INTERVAL * step;
+        if now == back_at {
+            endpoints.rows.iter_mut().for_each(|row| row.barred = false);
+        }
+        if now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis()) {
+            waiting = report(&mut vms, &endpoints, now);
+        }
+        for (vm, items, usage) in &mut vms {
+            let others = waiting.iter().filter(|other| other.vm != *vm);
+            let others: Vec<CompetingVm> = others.copied().collect();
+            items.plan(now, &planner(*vm, &others), &endpoints, usage);
+        }
+        for row in &endpoints.rows {
+            let running: u32 = vms
+                .iter()
+                .map(|(_, items, _)| items.running_at(row.id))
+                .sum();
+            assert!(f64::from(running) <= SLOTS, "{running} items at {now:?}");
+        }
+    }
+    let running: usize = vms.iter().map(|(_, items, _)| items.counts().1).sum();
+    assert_eq!(running, 70);
+}
+
+/// Sends each VM's items at the endpoints to the others; returns the VMs that compete for slots.
+fn report(
+    vms: &mut [(u64, Items, Usage)],
+    endpoints: &Endpoints,
+    now: Duration,
+) -> Vec<CompetingVm> {
+    let uses_of = |items: &Items| -> Vec<(EndpointId, EndpointUse)> {
+        let placed = items.by_endpoint(now);
+        let use_of = |id: EndpointId| EndpointUse {
+            online: 0,
+            batch: placed.get(&id).map_or(0, |here| here.batch as u16),
+            urgent: 0,
+        };
+        let rows = endpoints.rows.iter();
+        rows.map(|row| (row.id, use_of(row.id))).collect()
+    };
+    let reports: Vec<_> = vms
+        .iter()
+        .map(|(vm, items, _)| (*vm, uses_of(items)))
+        .collect();
+    for (vm, _, usage) in vms.iter_mut() {
+        for (other, uses) in reports.iter().filter(|(other, _)| other != vm) {
+            usage.apply_report(now, *other, uses.clone());
+        }
+        usage.tick(now);
+    }
+    let competing = vms.iter().map(|(vm, items, _)| CompetingVm {
+        vm: *vm,
+        domain: LOCAL_DOMAIN,
+        items: items.waiting_count() as u32,
+    });
+    competing.filter(|one| one.items > 0).collect()
+}
