Forget a job that was completed by a write whose answer was lost

What callers saw: nothing at once. A VM that is stopped keeps running to its stop limit for a job of which nothing is left.

Cause: a VM forgot a job of its own when the write of its last results was answered, when the job was cancelled or when it went to another VM. If the answer is lost for longer than the write may take, the VM learns from its watch or from the next attempt that all results are listed, and the job stays among those that it runs. At a stop, hand_over found nothing to hand over and returned with the job marked as being written, so that it was never looked at again.

Change: the check of all jobs forgets each job that has ended, and a hand-over that finds nothing to do forgets the job too.

--- a/src/serve/runs.rs
+++ b/src/serve/runs.rs
@@ -285,7 +285,8 @@
         let job = &record.id;
         let is_local = record.owner == node.owner;
         let epoch = node.runs.owned.borrow().get(job).map(|owned| owned.epoch);
-        if epoch.is_some_and(|epoch| !is_local || record.cancelled || epoch != record.epoch) {
+        // A job may have been completed by a write whose answer never came.
+        if epoch.is_some_and(|epoch| !is_local || record.ended() || epoch != record.epoch) {
             log::info!(job = **job, cancelled = record.cancelled; "job no longer run here");
             forget(node, job);
         }
--- a/src/serve/runs/listing.rs
+++ b/src/serve/runs/listing.rs
@@ -133,6 +133,8 @@
         .successor(now, id::of(&record.id))
         .unwrap_or(0);
     let Some(handed_over) = record.hand_over(node.owner, to, util::nonce()) else {
+        // It has ended, or belongs to another VM by now.
+        forget(&node, &record.id);
         return;
     };
     progress::save_last(&node, now, &record, revision).await;
