Streams at an unreachable host go on until something can follow

Callers saw: a stream that had begun, at an endpoint whose network was cut, was closed although its deadline was seconds away and nothing could follow elsewhere.

Cause: a silent endpoint's host is asked for a connection for 1.5 s. No answer counted like a refusal: the endpoint was taken for dead, its attempts were given up without a successor, waited 0.3 s in the queue and were cut. A refused connection shows that the process has ended. No answer shows nothing of the kind: a host without power and a network that drops packets look alike, and in the second case what was sent arrives once the network is back.

Change: the state of a silent endpoint's host is one of accepts, refuses, unreachable. Only "refuses" ends attempts without a successor. At an unreachable host they move as soon as a slot is free and secured, and else go on to their deadline. New requests still stay away.

Measured: unreachable_hosts::link_cut, real processes, link that drops everything for 4 s, streams with 12 s. On the code before: cut after event 8, 9.3 s before the deadline (log: silent, unreachable 1.5 s later, given up, `waited_too_long` after 0.3 s).

Conclusion: it needs a cut and no free slot elsewhere.

--- a/src/decide/endpoints.rs
+++ b/src/decide/endpoints.rs
@@ -57,6 +57,19 @@
     pub slots: u32,
 }
 
+/// What the host of a silent endpoint answers to those who open connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HostState {
+    Unknown,
+    /// It accepts them: its process may merely pause.
+    Accepts,
+    /// It refuses them, so that the process has ended.
+    Refuses,
+    /// Nothing: it has lost power, or the network to it is cut. In the latter case what runs there
+    /// arrives later.
+    Unreachable,
+}
+
 /// Configuration of one endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointConfig {
@@ -103,11 +116,9 @@
     pub silent_at: Option<Duration>,
     /// When it sent again after it was last silent.
     pub heard_again_at: Option<Duration>,
-    /// Whether its host accepts no connections. Invariant: it was checked after `silent_at`, which
-    /// is set.
-    pub host_unreachable: bool,
-    /// Whether its host accepted a connection in this silence: its process may merely pause.
-    pub host_accepts: bool,
+    /// What its host answers in this silence. Invariant: [`HostState::Unknown`] unless `silent_at` is
+    /// set.
+    pub host: HostState,
     /// Since when it is back after an ejection.
     pub returned_at: Option<Duration>,
     /// Moving average of the time to first token, in milliseconds; 0 if unknown.
@@ -141,8 +152,7 @@
             failing_until: Duration::ZERO,
             silent_at: None,
             heard_again_at: None,
-            host_unreachable: false,
-            host_accepts: false,
+            host: HostState::Unknown,
             returned_at: None,
             first_token_ms: 0.0,
             barred: false,
@@ -157,6 +167,11 @@
         self.leaving.is_none() && now >= self.ejected_until && !self.barred
     }
 
+    /// Whether its host refuses connections or answers nothing, so that it does not merely pause.
+    pub fn is_host_away(&self) -> bool {
+        matches!(self.host, HostState::Refuses | HostState::Unreachable)
+    }
+
     /// Whether its software has this version; false if its version is not known.
     pub fn runs_software(&self, software: &str) -> bool {
         !software.is_empty() && *self.config.software == *software
@@ -285,16 +300,14 @@
         self.failures = EJECT_FAILURES - 1;
         self.first_token_ms = 0.0;
         self.silent_at = None;
-        self.host_unreachable = false;
-        self.host_accepts = false;
+        self.host = HostState::Unknown;
     }
 
     /// Takes the endpoint out of use because it sends nothing: until it does, or for a while.
     pub fn went_silent(&mut self, now: Duration) {
         self.eject_for(now, SILENT_EJECT_MIN);
         self.silent_at = Some(now);
-        self.host_unreachable = false;
-        self.host_accepts = false;
+        self.host = HostState::Unknown;
     }
 
     /// Puts the endpoint back into use at once if it was silent and has sent something since.
@@ -303,8 +316,7 @@
         if is_heard {
             self.silent_at = None;
             self.heard_again_at = Some(now);
-            self.host_unreachable = false;
-            self.host_accepts = false;
+            self.host = HostState::Unknown;
             self.ejected_until = self.ejected_until.min(now.max(self.failing_until));
             if self.failing_until <= now {
                 self.ejections = 0;
--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -11,7 +11,7 @@
 use super::{
     Action, Online, RequestRow, QUEUED_SILENCE_TIMEOUT, RESPONSE_SILENCE_TIMEOUT, SILENCE_TIMEOUT,
 };
-use crate::decide::endpoints::Endpoint;
+use crate::decide::endpoints::{Endpoint, HostState};
 use crate::decide::retry::AttemptStage;
 use crate::decide::routing;
 use crate::id::{EndpointId, Name, RequestId, ServiceId};
@@ -88,13 +88,26 @@
         self.rows.get(&request).is_some_and(|row| row.given_up)
     }
 
-    /// Records whether the host of a silent endpoint accepts connections. One that does not is taken for
-    /// dead, so that attempts there end even if nothing can follow.
-    pub fn host_checked(&mut self, id: EndpointId, is_reachable: bool) {
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            let is_silent = endpoint.silent_at.is_some();
-            endpoint.host_unreachable = is_silent && !is_reachable;
-            endpoint.host_accepts = is_silent && is_reachable;
+    /// Records whether the host of a silent endpoint accepts or refuses connections. If it refuses them,
+    /// the endpoint has ended, so that attempts there end even if nothing can follow.
+    pub fn host_checked(&mut self, id: EndpointId, is_accepting: bool) {
+        let host = match is_accepting {
+            true => HostState::Accepts,
+            false => HostState::Refuses,
+        };
+        self.set_host(id, host);
+    }
+
+    /// Records that the host of a silent endpoint answers nothing. It may be cut off rather than dead,
+    /// so that attempts there go on until one can follow.
+    pub fn host_unreachable(&mut self, id: EndpointId) {
+        self.set_host(id, HostState::Unreachable);
+    }
+
+    fn set_host(&mut self, id: EndpointId, host: HostState) {
+        let endpoint = self.endpoints.get_mut(id);
+        if let Some(endpoint) = endpoint.filter(|endpoint| endpoint.silent_at.is_some()) {
+            endpoint.host = host;
         }
     }
 
@@ -185,7 +198,7 @@
         now >= row.last_received_at.max(self.resumed_at) + bound
     }
 
-    /// Gives up a silent attempt if its successor can be secured, or if its endpoint is dead. `failed_searches`
+    /// Gives up a silent attempt if its successor can be secured, or if its endpoint has ended. `failed_searches`
     /// has the services, software versions and endpoints left for which there was none in this tick.
     fn give_up_if_secured(
         &mut self,
@@ -198,8 +211,8 @@
             return;
         };
         if row.may_move(now) {
-            let is_dead = |id| self.endpoints.get(id).is_some_and(|e| e.host_unreachable);
-            row.given_up = row.endpoint.is_some_and(is_dead);
+            let endpoint = row.endpoint.and_then(|id| self.endpoints.get(id));
+            row.given_up = endpoint.is_some_and(|endpoint| endpoint.host == HostState::Refuses);
             let sought = (row.arrival.service, row.software.clone(), row.endpoint);
             if !failed_searches.contains(&sought) {
                 match self.find_successor(now, &row) {
@@ -321,7 +334,7 @@
             >= row.last_received_at.max(self.resumed_at) + QUEUED_SILENCE_TIMEOUT
             && !row.answering
             && row.attempts == 1
-            && !endpoint.host_unreachable;
+            && !endpoint.is_host_away();
         let may_reconnect = is_responsive(endpoint) || is_silent_for_long;
         let is_in_service = endpoint.leaving.is_none() && !endpoint.barred;
         let is_possible = is_in_service && row.route_query().accepts(endpoint);
@@ -351,7 +364,7 @@
                 silent += 1;
                 let is_checked = now >= silent_at + HOST_CHECK_TIME;
                 let is_new = now < silent_at + PAUSE_MAX;
-                may_pause |= is_new && (endpoint.host_accepts || !is_checked);
+                may_pause |= is_new && (endpoint.host == HostState::Accepts || !is_checked);
             }
         }
         silent >= 2 && may_pause
@@ -380,7 +393,7 @@
         }
         let may_try = |endpoint: &&Endpoint| {
             let is_in_service = endpoint.leaving.is_none() && !endpoint.barred;
-            let is_paused = endpoint.silent_at.is_some() && !endpoint.host_unreachable;
+            let is_paused = endpoint.silent_at.is_some() && !endpoint.is_host_away();
             let has_room = endpoint.has_room(now);
             is_in_service && is_paused && has_room && query.accepts(endpoint)
         };
@@ -435,13 +448,13 @@
     }
 
     /// Counts a silence as evidence against the endpoint, unless it may be a pause: the endpoint sent
-    /// on other connections meanwhile, or was silent before, or its host is dead.
+    /// on other connections meanwhile, or was silent before, or its host is away.
     pub(super) fn count_silence(&mut self, now: Duration, row: &RequestRow) {
         let Some(endpoint) = row.endpoint.and_then(|id| self.endpoints.get(id)) else {
             return;
         };
         let may_be_pause = endpoint.silent_at.is_some() && endpoint.ejections <= 1;
-        if !may_be_pause || endpoint.host_unreachable {
+        if !may_be_pause || endpoint.is_host_away() {
             self.evidence.failed(now, endpoint.id, row.answering);
         }
     }
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -189,7 +189,7 @@
     pub items_restarted: IntCounter,
     /// Attempts at endpoints, by outcome.
     pub attempts: IntCounterVec,
-    /// Endpoints that went silent, sent again, or turned out unreachable, by state.
+    /// Endpoints that went silent, sent again, or turned out unreachable or ended, by state.
     pub endpoint_silences: IntCounterVec,
     /// New connections to endpoints.
     pub connections: IntCounter,
@@ -269,7 +269,7 @@
             ),
             endpoint_silences: metrics.counters(
                 "bramley_endpoint_silences_total",
-                "Endpoints that went silent, sent again, or turned out unreachable.",
+                "Endpoints that went silent, sent again, or turned out unreachable or ended.",
                 &["state"],
             ),
             connections: metrics.counter(
--- a/src/serve/silence.rs
+++ b/src/serve/silence.rs
@@ -48,24 +48,29 @@
     log::info!(endpoint = target.instance, state, attempts; "endpoint silence");
 }
 
-/// Opens connections to the host of a silent endpoint until one is accepted, or until it is clear that
-/// the endpoint is dead.
+/// Opens connections to the host of a silent endpoint until one is accepted or refused, or until it is
+/// clear that the host can't be reached.
 async fn check_host(node: Rc<Node>, target: Target) {
     let given_up_at = clock::now() + UNREACHABLE_AFTER;
-    let is_reachable = loop {
+    let is_accepting = loop {
         node.counters.connections.inc();
         match Connection::open(&target.address).await {
-            Ok(_) => break true,
-            Err(Error::Refused { .. }) => break false,
-            Err(_) if clock::now() >= given_up_at => break false,
+            Ok(_) => break Some(true),
+            Err(Error::Refused { .. }) => break Some(false),
+            Err(_) if clock::now() >= given_up_at => break None,
             Err(_) => sleep(HOST_CHECK_INTERVAL).await,
         }
     };
-    if !is_reachable {
-        note_state(&node, &target, "unreachable", 0);
+    match is_accepting {
+        Some(true) => {}
+        Some(false) => note_state(&node, &target, "refused", 0),
+        None => note_state(&node, &target, "unreachable", 0),
     }
     let online = &mut node.core.borrow_mut().online;
-    online.host_checked(target.endpoint, is_reachable);
+    match is_accepting {
+        Some(is_accepting) => online.host_checked(target.endpoint, is_accepting),
+        None => online.host_unreachable(target.endpoint),
+    }
 }
 
 /// Makes sure that the successor of a silent attempt can be reached, before that attempt is closed.
@@ -81,7 +86,7 @@
     }
     let successor = node.core.borrow().online.successor(request);
     let Some(endpoint) = successor else {
-        // The endpoint is dead.
+        // The endpoint has ended.
         return Ok(());
     };
     let target = node.target(endpoint).ok_or(SuccessorState::Unreachable)?;
--- a/src/standin/relay.rs
+++ b/src/standin/relay.rs
@@ -9,6 +9,8 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use crate::clock;
 use crate::util::lock;
 
@@ -30,6 +32,11 @@
 /// Interval at which a held direction checks whether it may forward again.
 const HELD_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time within which a listener on this machine accepts a connection, unless its queue is full.
+const ACCEPTED_WITHIN: Duration = Duration::from_millis(50);
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 128;
+
 /// Direction in which a connection permanently stops forwarding, without being closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Silence {
@@ -96,12 +103,16 @@
     next_id: Arc<AtomicU64>,
     /// Number of further connections that will be silent from the start.
     silent_next: Arc<AtomicU32>,
+    listener: Arc<TcpListener>,
+    /// Connections that fill the listener's queue while the link drops all packets.
+    waiting: Arc<Mutex<Vec<TcpStream>>>,
+    dropping: Arc<AtomicBool>,
 }
 
 impl Relay {
     /// Starts a link to `target` on a free local port.
     pub fn start(target: SocketAddr) -> io::Result<Relay> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = Arc::new(TcpListener::bind("127.0.0.1:0")?);
         let relay = Relay {
             address: listener.local_addr()?,
             cut: Arc::default(),
@@ -109,10 +120,16 @@
             connections: Arc::default(),
             next_id: Arc::default(),
             silent_next: Arc::default(),
+            listener: listener.clone(),
+            waiting: Arc::default(),
+            dropping: Arc::default(),
         };
         let relay_clone = relay.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                while relay_clone.dropping.load(Ordering::SeqCst) {
+                    clock::sleep(HELD_CHECK_INTERVAL);
+                }
                 if relay_clone.cut.load(Ordering::SeqCst) {
                     continue;
                 }
@@ -163,6 +180,26 @@
         *lock(&self.mode) = mode;
     }
 
+    /// Drops all packets, or delivers them again: bytes are held, and nothing answers those who open
+    /// connections.
+    pub fn drop_packets(&self, dropping: bool) -> io::Result<()> {
+        self.dropping.store(dropping, Ordering::SeqCst);
+        let listener = SockRef::from(&*self.listener);
+        let mut waiting = lock(&self.waiting);
+        if dropping {
+            self.set_mode(Mode::Silent);
+            listener.listen(0)?;
+            while let Ok(stream) = TcpStream::connect_timeout(&self.address, ACCEPTED_WITHIN) {
+                waiting.push(stream);
+            }
+        } else {
+            listener.listen(BACKLOG)?;
+            waiting.clear();
+            self.set_mode(Mode::Open);
+        }
+        Ok(())
+    }
+
     /// Closes all connections; new ones can be opened.
     pub fn reset(&self) {
         for stream in lock(&self.connections)
