A cancellation in doubt is not refused as not run

A caller saw its cancellation answered 503, "not run", while the store had it and the job was cancelled.

Cause: an outcome that is not known was answered like one that certainly did not happen.

Change: 502, which promises nothing, as for submissions.

Conclusion: the owner is not told of a cancellation in doubt; it learns of it by its watch, and items run on until then.

--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -232,7 +232,7 @@
         .ok_or_else(|| replies::refusal(RefusalKind::NotFound, true, None))
 }
 
-fn store_unavailable(job: &str, detail: &str) -> Reply {
+pub(super) fn store_unavailable(job: &str, detail: &str) -> Reply {
     log::warn!(job, error = detail; "job can't be read: the store is away");
     replies::refusal(RefusalKind::PlatformAway, true, Some(STORE_RETRY_AFTER))
 }
@@ -285,8 +285,10 @@
             }
             // Another writer came first; its record is in the table now.
             CommitOutcome::Lost(_) => {}
-            CommitOutcome::Away(detail) | CommitOutcome::Unknown(detail) => {
-                return store_unavailable(&job, &detail)
+            CommitOutcome::Away(detail) => return store_unavailable(&job, &detail),
+            CommitOutcome::Unknown(detail) => {
+                log::warn!(job = *job, detail; "cancellation in doubt: the store's answer was lost");
+                return replies::refusal(RefusalKind::PlatformAway, false, None);
             }
         }
     }
