Readers at an owner with a write in doubt are answered in time

Callers saw no answer: a reader at the VM that runs its job waited 3.1 s while that VM did not know whether its last listing was written; callers leave 1.5 s after the wait that they ask for.

Cause: since an owner in doubt does not say that nothing is new, its readers first waited 0.7 s for its watch, which can't settle the doubt, and then for a read of the store and of another VM, without a limit of their own.

Change: a reader of a job in doubt goes to the store at once. The read ends when the record changes meanwhile, and 1.2 s after the reader's wait with 503. An owner that stops answers other VMs' readers without their wait, also in doubt.

Conclusion: a reader gets the result, or 503 in time; each reader of a job in doubt costs a read of the store.

--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -10,7 +10,7 @@
 use super::ask::{ask, reply};
 use super::dialect::ResultRow;
 use super::job_table::Job;
-use super::jobs::{find_for_caller, read_from_store, STORE_RETRY_AFTER};
+use super::jobs::{find_for_caller, read_from_store, store_unavailable, STORE_RETRY_AFTER};
 use super::node::Node;
 use super::part_cache;
 use super::peers;
@@ -37,6 +37,8 @@
 /// Time for which an owner waits for the outcome of a write before it leaves the answer to the
 /// store; shorter than the margin of the VM that asks.
 const OUTCOME_WAIT_MAX: Duration = Duration::from_millis(250);
+/// Time beyond its wait within which a reader has an answer; shorter than callers have patience.
+const ANSWER_DELAY_MAX: Duration = Duration::from_millis(1200);
 /// Longest wait of a reader for new results; callers time out 1.5 s after the wait that they ask
 /// for.
 const READER_WAIT_MAX: Duration = Duration::from_millis(2000);
@@ -73,7 +75,11 @@
             wait_for_change(&node, &job, until - now).await;
             continue;
         }
-        if !behind && catch_up(&node, &job).await {
+        let is_settled = {
+            let core = node.core.borrow();
+            core.jobs.rows.get(&job).is_none_or(Job::is_settled)
+        };
+        if !behind && is_settled && catch_up(&node, &job).await {
             let core = node.core.borrow();
             let told = core.peers.newest_job_revision(clock::now());
             let watched = core.jobs.watched_revision;
@@ -84,9 +90,18 @@
             log::info!(job = *job, after, listed, watched, told; "no new results within the wait");
             break record;
         }
-        match read_from_store(&node, &job).await {
-            Ok(record) => break record,
-            Err(reply) => return reply,
+        let answer_by = wait_end + ANSWER_DELAY_MAX;
+        let left = answer_by.saturating_sub(clock::now());
+        tokio::select! {
+            biased;
+            read = read_from_store(&node, &job) => match read {
+                Ok(record) => break record,
+                Err(reply) => return reply,
+            },
+            () = wait_for_change(&node, &job, left) => {}
+        }
+        if clock::now() >= answer_by {
+            return store_unavailable(&job, "no answer in time");
         }
     };
     results_page(&node, &record, after).await
@@ -146,7 +161,7 @@
         }
         let until = match is_settled {
             true => reader_deadline(node, until),
-            false => until + OUTCOME_WAIT_MAX,
+            false => reader_deadline(node, until) + OUTCOME_WAIT_MAX,
         };
         if now >= until && is_settled {
             break record;
