An item that made progress forgets where it had failed

Callers may see (by test): an item drops a text of a minute, beside a free slot of the endpoint that made it, because a run had failed there long before.

Cause: the endpoints to avoid were never forgotten, and an item counted as stalled if it had failed at all endpoints of its version at any time.

Change: progress clears the list, and only the last failure counts for "stalled".

--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -253,6 +253,7 @@
     pub fn progressed(&mut self, now: Duration, key: &ItemKey) {
         if let Some(state) = self.states.get_mut(key) {
             state.progressed_at = now;
+            state.avoid.clear();
         }
     }
 
@@ -721,14 +722,14 @@
     }
 
     /// Whether an item with a text has made no progress for a while, and no endpoint of its software
-    /// version is in use but those where it failed.
+    /// version is in use but the one where it failed last.
     fn is_stalled(&self, now: Duration, capacities: &[EndpointCapacity]) -> bool {
         let Some(software) = &self.software else {
             return false;
         };
         let continues = |capacity: &EndpointCapacity| {
             capacity.usable
-                && !self.avoid.contains(&capacity.id)
+                && self.avoid.last() != Some(&capacity.id)
                 && capacity.can_continue(self.service, Some(software))
         };
         now >= self.progressed_at + OWN_VERSION_WAIT_MAX && !capacities.iter().any(continues)
