Summaries leave out the items of VMs that stop

Callers may see (by reading, not shown): in a large fleet items wait beside free slots that are granted to a VM which stops and starts none.

Cause: a delegate left out VMs that drain when it counted its direct peers, but not when it made the summary of its failure domain, nor itself.

Evidence: found by review, by reading; no test failed before.

Change: VMs that drain are left out there too.

Conclusion: the class is the one of items that can't run and count for slots.

--- a/src/decide/peers/summaries.rs
+++ b/src/decide/peers/summaries.rs
@@ -244,8 +244,11 @@
         {
             *backlog.entry(*route).or_default() += tokens;
         }
-        let waiting = living.iter().map(|(vm, peer)| (**vm, peer.waiting));
-        let waiting = waiting.chain([(local_vm, heartbeat.waiting)]);
+        // A VM that stops starts no items.
+        let waiting = living.iter().filter(|(_, peer)| !peer.draining);
+        let waiting = waiting.map(|(vm, peer)| (**vm, peer.waiting));
+        let own = Some((local_vm, heartbeat.waiting)).filter(|_| !heartbeat.draining);
+        let waiting = waiting.chain(own);
         let mut competing_vms: Vec<_> = waiting.filter(|(_, items)| *items > 0).collect();
         competing_vms.sort_by_key(|(_, items)| std::cmp::Reverse(*items));
         let draining = living.iter().filter(|(_, peer)| peer.draining);
