Requests that have not begun leave an unreachable host

Callers may see (by reading): a request without a first event at a host that answers nothing waits there until its deadline, although another endpoint may become free.

Cause: attempts at an unreachable host go on until a successor is secured. For a stream that has begun that is best; one that has not begun loses nothing by waiting in the queue.

Change: only attempts that have begun stay at an unreachable host.

--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -212,7 +212,12 @@
         };
         if row.may_move(now) {
             let endpoint = row.endpoint.and_then(|id| self.endpoints.get(id));
-            row.given_up = endpoint.is_some_and(|endpoint| endpoint.host == HostState::Refuses);
+            row.given_up = endpoint.is_some_and(|endpoint| match endpoint.host {
+                HostState::Refuses => true,
+                // What has begun may go on once the network is back; what has not may begin elsewhere.
+                HostState::Unreachable => !row.answering,
+                HostState::Unknown | HostState::Accepts => false,
+            });
             let sought = (row.arrival.service, row.software.clone(), row.endpoint);
             if !failed_searches.contains(&sought) {
                 match self.find_successor(now, &row) {
