Say what an item waits for

What operators saw: an item that has no run leaves no trace. The log has the starts and ends of runs, the page of waiting work says "a free slot" of each idle item, also of one that the quarantine delays or whose software version is out of use.

Change: each waiting item has a reason (held back, delayed, no endpoint, other software, no free slot, slots granted to others). `why` has one row for each reason of a job, with the suspect, since when and until when it is held. `items wait` logs each 2 s, one line a reason, how many had no run for 3 s, and the longest. `item ran` with held_back names the suspect.

--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -40,6 +40,33 @@
 /// attempts.
 const UNCHARGED_FACTOR: u32 = 2;
 
+/// Why an item has no run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum WaitReason {
+    /// The quarantine delays it.
+    HeldBack,
+    /// Its last run was preempted or failed a moment ago.
+    Delayed,
+    /// Its service has no endpoint in use.
+    NoEndpoint,
+    /// No endpoint in use has the software version that made its text.
+    OtherSoftware,
+    /// All slots of the endpoints that could run it are taken.
+    NoFreeSlot,
+    /// The free slots are granted to other VMs.
+    SlotsGranted,
+}
+
+/// An item without a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaitingItem {
+    pub key: ItemKey,
+    pub reason: WaitReason,
+    /// When its last run ended, or it was added.
+    pub since: Duration,
+}
+
 /// State of an item's execution.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Stage {
@@ -61,6 +88,10 @@
     /// Run time of earlier runs; their events count.
     earlier_run_time: Duration,
     stage: Stage,
+    /// When its last run ended, or it was added. An attempt that the quarantine refuses is no run.
+    waits_since: Duration,
+    /// The quarantine refused its last attempt.
+    is_held: bool,
     /// Software version of the endpoints that made its text; `None` while it has none.
     software: Option<Name>,
     /// Endpoints of failed runs, used only when there is no other; the last one alone unless
@@ -190,6 +221,8 @@
             due,
             earlier_run_time: Duration::ZERO,
             stage,
+            waits_since: now,
+            is_held: false,
             software: None,
             avoid: Vec::new(),
         };
@@ -234,6 +267,8 @@
         state.stage = Stage::Waiting {
             not_before: now + delay,
         };
+        state.waits_since = now;
+        state.is_held = false;
     }
 
     /// Delays an item whose request is quarantined.
@@ -241,6 +276,7 @@
         if let Some(state) = self.states.get_mut(key) {
             let not_before = now + back_in;
             state.stage = Stage::Waiting { not_before };
+            state.is_held = true;
         }
     }
 
@@ -410,6 +446,21 @@
         self.states.values().filter(waits).count()
     }
 
+    /// Items without a run, the one that has waited longest first.
+    pub fn waiting(&self, now: Duration, endpoints: &Endpoints, usage: &Usage) -> Vec<WaitingItem> {
+        let capacities = self.capacities(now, endpoints, usage);
+        let waiting = |(key, state): (&ItemKey, &ItemState)| {
+            Some(WaitingItem {
+                key: key.clone(),
+                reason: state.wait_reason(now, &capacities)?,
+                since: state.waits_since,
+            })
+        };
+        let mut found: Vec<WaitingItem> = self.states.iter().filter_map(waiting).collect();
+        found.sort_by(|a, b| (a.since, &a.key).cmp(&(b.since, &b.key)));
+        found
+    }
+
     fn capacities(
         &self,
         now: Duration,
@@ -653,6 +704,36 @@
 }
 
 impl ItemState {
+    /// Why it has no run; `None` while it has one.
+    fn wait_reason(&self, now: Duration, capacities: &[EndpointCapacity]) -> Option<WaitReason> {
+        let Stage::Waiting { not_before } = self.stage else {
+            return None;
+        };
+        if self.is_held {
+            return Some(WaitReason::HeldBack);
+        }
+        if now < not_before {
+            return Some(WaitReason::Delayed);
+        }
+        let of_service = |capacity: &&EndpointCapacity| {
+            capacity.usable && capacity.can_continue(self.service, None)
+        };
+        let usable: Vec<&EndpointCapacity> = capacities.iter().filter(of_service).collect();
+        if usable.is_empty() {
+            return Some(WaitReason::NoEndpoint);
+        }
+        let software = self.software.as_ref();
+        let continues = |one: &&&EndpointCapacity| one.can_continue(self.service, software);
+        let suitable: Vec<&&EndpointCapacity> = usable.iter().filter(continues).collect();
+        if suitable.is_empty() {
+            return Some(WaitReason::OtherSoftware);
+        }
+        match suitable.iter().any(|one| one.open_slots(false) > 0) {
+            true => Some(WaitReason::SlotsGranted),
+            false => Some(WaitReason::NoFreeSlot),
+        }
+    }
+
     /// Duration of the current run.
     fn current_run_time(&self, now: Duration) -> Duration {
         match self.stage {
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -32,7 +32,7 @@
 pub use self::report::{QuarantineReport, REPORTS_PER_DATAGRAM_MAX};
 use self::suspect::{cleared_until, Suspect};
 pub use self::suspect::{FAILURE_BURSTS_MIN, HOLD_TIME};
-use crate::id::EndpointId;
+use crate::id::{EndpointId, Name};
 
 /// Failure bursts of unrelated endpoints that raise the threshold by one: where endpoints end for
 /// other reasons as well, a single end is weaker evidence.
@@ -73,6 +73,16 @@
     Refused(Duration),
 }
 
+/// A quarantined suspect that delays a run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Hold {
+    pub suspect: Fingerprint,
+    pub label: Name,
+    pub since: Duration,
+    /// When it may run again, for good or as a trial run.
+    pub until: Duration,
+}
+
 /// Suspects that were running at endpoints which ended, and the evidence for and against each.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -332,6 +342,21 @@
         }
     }
 
+    /// The quarantined suspect that delays this run longest; `None` if there is none.
+    pub fn hold(&self, identity: &RunIdentity) -> Option<Hold> {
+        let refused = identity.fingerprints().filter(|one| self.is_refused(*one));
+        let hold = |suspect: Fingerprint| {
+            let state = self.suspects.get(&suspect)?;
+            Some(Hold {
+                suspect,
+                label: state.label.clone(),
+                since: state.held_since?,
+                until: self.next_run_at(suspect)?,
+            })
+        };
+        refused.filter_map(hold).max_by_key(|hold| hold.until)
+    }
+
     fn start_trial(&mut self, now: Duration, fingerprint: Fingerprint) {
         if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
             suspect.trials += 1;
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -20,7 +20,7 @@
 use crate::clock;
 use crate::decide::peers::Peers;
 use crate::decide::quarantine::{
-    report, Fingerprint, LostRun, QuarantineChange, QuarantineListing, QuarantineVerdict,
+    report, Fingerprint, Hold, LostRun, QuarantineChange, QuarantineListing, QuarantineVerdict,
     RunIdentity, HOLD_TIME,
 };
 use crate::id::{EndpointId, VmId};
@@ -58,6 +58,21 @@
     clock::now() + HOLD_TIME
 }
 
+/// Time until a moment of the quarantine's clock.
+pub fn time_until(moment: Duration) -> Duration {
+    moment.saturating_sub(quarantine_now())
+}
+
+/// Time since a moment of the quarantine's clock.
+pub fn time_since(moment: Duration) -> Duration {
+    quarantine_now().saturating_sub(moment)
+}
+
+/// The suspect that delays a request longest.
+pub fn hold(node: &Node, out: &Outgoing) -> Option<Hold> {
+    node.core.borrow().quarantine.hold(&out.identity())
+}
+
 /// Whether a request may be sent to an endpoint now; else the time after which its caller may
 /// retry.
 pub fn admit(node: &Node, out: &Outgoing, trial: TrialScope) -> Result<(), Duration> {
--- a/src/serve/runs.rs
+++ b/src/serve/runs.rs
@@ -4,6 +4,7 @@
 pub mod item;
 pub mod listing;
 mod progress;
+mod waiting;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -18,12 +19,13 @@
 use self::claims::{claim_if_orphaned, forget_expired, remove_expired};
 use self::item::start;
 use self::listing::write_results;
+pub use self::waiting::waiting;
 use super::job_admission;
 use super::node::{update_remote_uses, Node, Stage};
-use super::waiting_page::WaitingRow;
 use crate::clock;
 use crate::decide::discovery::unknown_software;
 use crate::decide::items::{Action, ItemKey, ItemPlanner};
+use crate::decide::quarantine::Hold;
 use crate::decide::routes::Route;
 use crate::decide::small_jobs::{FinishedItem, Item, ItemIndex, ItemOutcome, SmallJobRecord};
 use crate::id::{self, ConfigVersion, EndpointId, Epoch, JobId, Name, ServiceId};
@@ -50,6 +52,8 @@
     failed_at: Vec<EndpointId>,
     /// The current run.
     run: Option<ItemRun>,
+    /// What delayed its last attempt.
+    hold: Option<Hold>,
 }
 
 /// The current run of an item.
@@ -168,6 +172,7 @@
 /// Plans, checks and lists batch items until the process ends.
 pub async fn run(node: Rc<Node>) {
     let mut checked_at = Duration::ZERO;
+    let mut logged_at = Duration::ZERO;
     loop {
         // After a timeout the loop goes on as after a wake-up.
         let _ = timeout(PLAN_INTERVAL, node.plan_items.notified()).await;
@@ -178,6 +183,10 @@
             job_admission::note_waiting_tokens(&node, now);
         }
         plan(&node, now);
+        if now >= logged_at + waiting::LOG_INTERVAL {
+            logged_at = now;
+            waiting::log_waiting(&node, now);
+        }
     }
 }
 
@@ -336,55 +345,3 @@
     let owned = node.runs.owned.borrow();
     !owned.is_empty()
 }
-
-/// Items and results that wait in the jobs that run here, and jobs without an owner.
-pub fn waiting(node: &Node, now: Duration) -> Vec<WaitingRow> {
-    let owned = node.runs.owned.borrow();
-    let mut rows: Vec<WaitingRow> = owned
-        .iter()
-        .flat_map(|(id, job)| job.waiting(now, id))
-        .collect();
-    for (job, since) in node.runs.orphans.borrow().iter() {
-        rows.push(WaitingRow {
-            what: format!("job {job}"),
-            waits_for: format!(
-                "a VM to take it over; its own was last seen {} ms ago",
-                now.saturating_sub(*since).as_millis()
-            ),
-            until_ms: None,
-        });
-    }
-    rows
-}
-
-impl OwnedJob {
-    fn waiting(&self, now: Duration, job: &JobId) -> Vec<WaitingRow> {
-        let until_ms = Some(self.due.saturating_sub(now).as_millis() as u64);
-        let idle = self
-            .progress
-            .values()
-            .filter(|item| item.run.is_none())
-            .count();
-        let row = |count: usize, what: &str, waits_for: &str| WaitingRow {
-            what: format!("{count} {what} of job {job}"),
-            waits_for: waits_for.into(),
-            until_ms,
-        };
-        let has_failed = now < self.write_after;
-        let listing = match has_failed {
-            true => "the metadata store, which failed a moment ago",
-            false => "the next write of the job's record",
-        };
-        let rows = [
-            (idle, row(idle, "items", "a free slot at an endpoint")),
-            (
-                self.finished.len(),
-                row(self.finished.len(), "results", listing),
-            ),
-        ];
-        rows.into_iter()
-            .filter(|(count, _)| *count > 0)
-            .map(|(_, row)| row)
-            .collect()
-    }
-}
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -99,8 +99,15 @@
         _ => false,
     };
     let now = clock::now();
-    node.runs
-        .with_progress(&key, |progress| progress.run = None);
+    let hold = match (&end, &out) {
+        (RunEnd::Quarantined(_), Some(out)) => quarantine::hold(&node, out),
+        _ => None,
+    };
+    let held_by = hold.as_ref().map(|hold| hold.suspect.to_string());
+    node.runs.with_progress(&key, |progress| {
+        progress.run = None;
+        progress.hold = hold;
+    });
     let what = match &end {
         RunEnd::Complete(_) => "completed",
         RunEnd::Rejected => "rejected",
@@ -118,6 +125,7 @@
         prompt = lost.map_or_else(String::new, Outgoing::prompt_label),
         endpoint = target.map_or_else(String::new, |target| target.instance),
         ended,
+        held_by = held_by.unwrap_or_default(),
         what,
         detail = match &end {
             RunEnd::Failed(failure) => failure.detail.as_str(),
--- a/src/serve/runs/progress.rs
+++ b/src/serve/runs/progress.rs
@@ -172,6 +172,7 @@
             failures,
             failed_at: Vec::new(),
             run: None,
+            hold: None,
         }
     }
 }
