Items that are owed are delayed by the quarantine, never held

What callers saw: an item of an accepted job has no run for 20 s and more, beside free slots, after endpoints had ended under it or under other items with one of its prompt segments. Jobs accepted 20 s after the last crash were not started at all.

Cause: an end under an item counted against the item and each of its segments as if the item might have ended the endpoint, at all VMs. In a burst of crashes three ends come together soon, and nothing else sends the segments that only items have, so no answer clears them. A hold then lasted 15 s and 150 s, or ten minutes: a run with two suspects never got a trial run, and one of a segment was the turn of a VM that may have no such item. By the users' word items never end endpoints by themselves, and are owed.

Change: ends under items are evidence in a quarantine of each VM's own items. It isn't told to other VMs or the store, and refuses no request. There, and where requests proved a segment bad, an item runs as the trial run of all its suspects together 3 s after the last end, then 6 and 12 s apart if it ends endpoints by itself; ends among other ends don't lengthen the time. A second of output clears the suspects, as it excludes them before.

Conclusion: fixed by design for what the quarantine delays. Versions out of use and slots shared by count are apart.

--- a/src/ctl/quarantine.rs
+++ b/src/ctl/quarantine.rs
@@ -42,7 +42,11 @@
 fn show(vm: &Value, row: &Value) {
     let state = match row["held_for_ms"].as_u64() {
         Some(held_ms) => format!(
-            "held back for {held_ms} ms, may run in {} ms",
+            "{} for {held_ms} ms, may run in {} ms",
+            match row["of"] == "item" {
+                true => "its items held back",
+                false => "held back",
+            },
             row["back_in_ms"]
         ),
         None => "suspected".to_owned(),
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -9,6 +9,7 @@
 //! | When is it quarantined? | After three failure bursts without an answer, up to five while unrelated endpoints end too, or two with five ends, and not before 0.3 s after the second one was reported to all VMs. |
 //! | What if several suspects ran at the same endpoints? | Ends of a quarantined one don't count against others that ran at clearly fewer of them. Of those that are equally suspect, each gets an early trial run without the others. |
 //! | Which VMs receive the evidence? | Two aggregators, which add up the reports of all VMs. From the second failure burst on they report to every VM, see [`report`]. |
+//! | What of items? | They are owed, so their ends count only against what requests have proved, and otherwise in a quarantine of each VM's own items, see [`Quarantine::of_items`]. Where a suspect is quarantined, items go on getting trial runs, see [`Quarantine::item_hold`]. |
 //! | For how long? | Ten minutes. Meanwhile it gets one trial run after 15 s and one after 150 s, each at one VM of the fleet, unless five ends count against it and no answer ever spoke for it. |
 //!
 //! Without this, a request that ends each endpoint it runs on, sent again under new ids to any VM
@@ -26,8 +27,8 @@
 use std::time::Duration;
 
 pub use self::change::{EvidenceSource, QuarantineChange, QuarantineListing, QuarantineVerdict};
-pub use self::evidence::LostRun;
 use self::evidence::{count_bursts, EndpointEnd, RecentAnswers, UnconfirmedAnswer};
+pub use self::evidence::{LostRun, RunKind, PROGRESS_TIME_MIN};
 pub use self::fingerprint::{Fingerprint, InvalidFingerprint, RequestIdentity, RunIdentity};
 pub use self::report::{QuarantineReport, REPORTS_PER_DATAGRAM_MAX};
 use self::suspect::{cleared_until, Suspect};
@@ -52,6 +53,10 @@
 const TRIAL_TURN: Duration = Duration::from_secs(2);
 /// Answers that wait for their endpoint to outlive them.
 const UNCONFIRMED_ANSWERS_MAX: usize = 256;
+/// Time by which each VM's trial runs of items follow those of the VM before it in order, so that it has
+/// received their outcome, and the place in the order from which on VMs no longer wait.
+const ITEM_TRIAL_TURN: Duration = Duration::from_millis(100);
+const ITEM_TRIAL_RANK_MAX: usize = 15;
 /// Shortest time between two reports that the same suspect was answered.
 const ANSWER_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// Time that all VMs have to report an answer before a request is quarantined. Without it, when
@@ -97,9 +102,23 @@
     changes: Vec<QuarantineChange>,
     /// Suspects to be reported to other VMs.
     unreported: Vec<Fingerprint>,
+    /// Holds the evidence of this VM's items, of which other VMs receive nothing.
+    is_of_items: bool,
 }
 
 impl Quarantine {
+    /// The quarantine of one VM's items, by the endpoints that ended under them.
+    ///
+    /// An item that waits while others' servers end is still owed, and endpoints mostly end for other
+    /// reasons. What their ends suggest must not refuse the requests that share a prompt segment with
+    /// them, nor bind the next owner of a job.
+    pub fn of_items() -> Quarantine {
+        Quarantine {
+            is_of_items: true,
+            ..Quarantine::default()
+        }
+    }
+
     /// Whether nothing is suspected, so that callers need not compute fingerprints.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -146,18 +165,28 @@
     }
 
     fn count_end_of(&mut self, now: Duration, run: &LostRun, of: Fingerprint, label: &str) {
+        if run.kind == RunKind::Item && !self.is_of_items && !self.is_held(of) {
+            return;
+        }
         let end = EndpointEnd {
             endpoint: run.endpoint,
             at: run.at,
         };
+        let is_of_items = self.is_of_items;
         let suspect = self.track(now, of, label);
+        if is_of_items {
+            // An item's latest ends decide when its next trial run is due.
+            suspect
+                .ends
+                .drop_until(now.saturating_sub(evidence::END_LIFETIME));
+        }
         if !suspect.add_end(end) {
             return;
         }
         suspect.mark_changed(now);
         self.record_change(of, QuarantineVerdict::Suspected, EvidenceSource::Own);
         self.evaluate(now, of);
-        self.unreported.push(of);
+        self.queue_report(of);
     }
 
     fn track(&mut self, now: Duration, fingerprint: Fingerprint, label: &str) -> &mut Suspect {
@@ -187,8 +216,9 @@
             return;
         };
         let fleet_wide_since = suspect.fleet_wide_since;
-        let all_reported =
-            fleet_wide_since.is_some_and(|since| now >= since + ANSWER_REPORT_TIMEOUT);
+        // Answers elsewhere are not reported to the quarantine of items.
+        let all_reported = self.is_of_items
+            || fleet_wide_since.is_some_and(|since| now >= since + ANSWER_REPORT_TIMEOUT);
         if !all_reported || suspect.held_since.is_some() {
             return;
         }
@@ -198,25 +228,28 @@
         let is_fast = bursts >= FAST_BURSTS_MIN && ends.len() >= FAST_ENDS_MIN;
         if is_steady || is_fast {
             self.start_hold(now, fingerprint, now, EvidenceSource::Own);
-            self.unreported.push(fingerprint);
+            self.queue_report(fingerprint);
         }
     }
 
     /// Failure bursts that are asked for beyond [`FAILURE_BURSTS_MIN`], by the recent ends that have
     /// nothing to do with this suspect or with a quarantined one.
     fn threshold_increase(&self, now: Duration, suspect: &Suspect) -> usize {
+        let is_recent = |at: &Duration| now < *at + UNRELATED_END_WINDOW;
+        let bursts = count_bursts(self.unrelated_ends(suspect).filter(is_recent));
+        (bursts / UNRELATED_BURSTS_PER_STEP).min(THRESHOLD_INCREASE_MAX)
+    }
+
+    /// When endpoints ended that ran neither this suspect nor a quarantined one.
+    fn unrelated_ends<'a>(&'a self, suspect: &'a Suspect) -> impl Iterator<Item = Duration> + 'a {
         let held: Vec<&Suspect> = self.held().map(|(_, held)| held).collect();
-        let is_unrelated = |endpoint: EndpointId| {
+        let is_unrelated = move |endpoint: EndpointId| {
             let mut related = held.iter().copied().chain([suspect]);
             !related.any(|suspect| suspect.ends.contains(endpoint))
         };
-        let recent = self
-            .ended_at
-            .iter()
-            .filter(|(_, at)| now < **at + UNRELATED_END_WINDOW);
-        let unrelated = recent.filter(|(endpoint, _)| is_unrelated(**endpoint));
-        let bursts = count_bursts(unrelated.map(|(_, at)| *at));
-        (bursts / UNRELATED_BURSTS_PER_STEP).min(THRESHOLD_INCREASE_MAX)
+        let ended = self.ended_at.iter();
+        let unrelated = ended.filter(move |(endpoint, _)| is_unrelated(**endpoint));
+        unrelated.map(|(_, at)| *at)
     }
 
     /// Times of a suspect's ends for which no other quarantined suspect accounts.
@@ -261,6 +294,14 @@
         suspect.next_run_at(self.has_rival(fingerprint, suspect))
     }
 
+    fn next_listed_run_at(&self, now: Duration, fingerprint: Fingerprint) -> Option<Duration> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        match self.is_of_items {
+            true => suspect.next_item_run_at(self.failed_trials(now, suspect)),
+            false => self.next_run_at(fingerprint),
+        }
+    }
+
     fn held(&self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
         let suspects = self.suspects.iter();
         let held = suspects.filter(|(_, suspect)| suspect.held_since.is_some());
@@ -342,19 +383,65 @@
         }
     }
 
-    /// The quarantined suspect that delays this run longest; `None` if there is none.
-    pub fn hold(&self, identity: &RunIdentity) -> Option<Hold> {
-        let refused = identity.fingerprints().filter(|one| self.is_refused(*one));
+    /// The quarantined suspect for which an item has to wait longest; `None` if it may run now, as the
+    /// trial run of all its quarantined suspects. `rank` is this VM's place in the order in which VMs
+    /// send trial runs.
+    ///
+    /// All suspects are tried together: nobody else may send a run with only one of them.
+    pub fn item_hold(
+        &self,
+        now: Duration,
+        identity: &RunIdentity,
+        rank: impl Fn(Fingerprint) -> usize,
+    ) -> Option<Hold> {
         let hold = |suspect: Fingerprint| {
             let state = self.suspects.get(&suspect)?;
+            let due_at = state.next_item_run_at(self.failed_trials(now, state))?;
+            let turn = rank(suspect).min(ITEM_TRIAL_RANK_MAX) as u32;
             Some(Hold {
                 suspect,
                 label: state.label.clone(),
                 since: state.held_since?,
-                until: self.next_run_at(suspect)?,
+                until: due_at + ITEM_TRIAL_TURN * turn,
             })
         };
-        refused.filter_map(hold).max_by_key(|hold| hold.until)
+        let refused = identity.fingerprints().filter(|one| self.is_refused(*one));
+        let holds = refused.filter_map(hold).filter(|hold| now < hold.until);
+        holds.max_by_key(|hold| hold.until)
+    }
+
+    /// Records that an item is sent, as the trial run of its quarantined suspects.
+    pub fn start_item_trial(&mut self, now: Duration, identity: &RunIdentity) {
+        for fingerprint in identity.fingerprints() {
+            if !self.is_refused(fingerprint) {
+                continue;
+            }
+            if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+                suspect.item_trial_at = Some(now);
+            }
+            let verdict = QuarantineVerdict::OnTrial;
+            self.record_change(fingerprint, verdict, EvidenceSource::Time);
+        }
+    }
+
+    /// Recent failure bursts of a suspect since it was quarantined. Those beside which other endpoints
+    /// ended too don't count: it may have been their cause that ended the trial run.
+    fn failed_trials(&self, now: Duration, suspect: &Suspect) -> usize {
+        let Some(held_since) = suspect.held_since else {
+            return 0;
+        };
+        // What else ended is not known for longer.
+        let known_since = now.saturating_sub(evidence::END_LIFETIME - UNRELATED_END_WINDOW);
+        let unrelated: Vec<Duration> = self.unrelated_ends(suspect).collect();
+        let is_alone = |end: &&EndpointEnd| {
+            let beside = |at: &Duration| at.abs_diff(end.at) < UNRELATED_END_WINDOW;
+            !unrelated.iter().any(beside)
+        };
+        let failed = suspect
+            .ends
+            .since(held_since.max(known_since))
+            .filter(is_alone);
+        count_bursts(failed.map(|end| end.at))
     }
 
     fn start_trial(&mut self, now: Duration, fingerprint: Fingerprint) {
@@ -367,7 +454,7 @@
             QuarantineVerdict::OnTrial,
             EvidenceSource::Time,
         );
-        self.unreported.push(fingerprint);
+        self.queue_report(fingerprint);
     }
 
     /// Records that a request got a complete answer, which a request that ends its endpoints never
@@ -397,7 +484,7 @@
             self.clear(now, fingerprint, EvidenceSource::Own);
         }
         if due && reports {
-            self.unreported.push(fingerprint);
+            self.queue_report(fingerprint);
         }
     }
 
@@ -435,7 +522,7 @@
     pub fn release(&mut self, now: Duration, fingerprint: Fingerprint) -> bool {
         let cleared = self.clear(now, fingerprint, EvidenceSource::Operator);
         if cleared {
-            self.unreported.push(fingerprint);
+            self.queue_report(fingerprint);
         }
         cleared
     }
@@ -537,7 +624,7 @@
 
     /// Marks a request for reporting although its state came from another VM.
     pub fn forward(&mut self, fingerprint: Fingerprint) {
-        self.unreported.push(fingerprint);
+        self.queue_report(fingerprint);
     }
 
     /// Removes expired runs, ends and requests, and re-evaluates those with enough evidence.
@@ -577,6 +664,12 @@
         }
     }
 
+    fn queue_report(&mut self, fingerprint: Fingerprint) {
+        if !self.is_of_items {
+            self.unreported.push(fingerprint);
+        }
+    }
+
     fn record_change(
         &mut self,
         fingerprint: Fingerprint,
@@ -681,7 +774,12 @@
             .suspects
             .iter()
             .filter(|(_, suspect)| suspect.failure_bursts() > 0);
+        let of = match self.is_of_items {
+            true => RunKind::Item,
+            false => RunKind::Request,
+        };
         let listed = suspected.map(|(fingerprint, suspect)| QuarantineListing {
+            of,
             fingerprint: fingerprint.to_string(),
             label: suspect.label.clone(),
             ends: suspect.counted_ends().count(),
@@ -690,7 +788,7 @@
                 .filter(|_| self.is_refused(*fingerprint))
                 .map(|since| millis(now.saturating_sub(since))),
             back_in_ms: millis(
-                self.next_run_at(*fingerprint)
+                self.next_listed_run_at(now, *fingerprint)
                     .map_or(Duration::ZERO, |at| at.saturating_sub(now)),
             ),
             by: suspect.by,
--- a/src/decide/quarantine/change.rs
+++ b/src/decide/quarantine/change.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::Fingerprint;
+use super::{Fingerprint, RunKind};
 use crate::id::Name;
 
 /// Where a change of state originates.
@@ -52,6 +52,8 @@
 /// A suspected or quarantined request as operators see it.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct QuarantineListing {
+    /// Whether it is quarantined for all requests, or for this VM's items.
+    pub of: RunKind,
     pub fingerprint: String,
     pub label: Name,
     /// Endpoints whose ends count as evidence against it.
--- a/src/decide/quarantine/evidence.rs
+++ b/src/decide/quarantine/evidence.rs
@@ -3,6 +3,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use serde::Serialize;
+
 use super::{Fingerprint, RunIdentity};
 use crate::id::{EndpointId, Name};
 
@@ -15,7 +17,7 @@
 /// endpoints.
 pub const END_LIFETIME: Duration = Duration::from_secs(30);
 /// A resumable run that has made progress for this long is not what ended its endpoint.
-const PROGRESS_TIME_MIN: Duration = Duration::from_secs(1);
+pub const PROGRESS_TIME_MIN: Duration = Duration::from_secs(1);
 /// Ends this close together count as one failure burst: a rack loses its power, or a request is
 /// retried at once.
 const BURST_WINDOW: Duration = Duration::from_millis(200);
@@ -27,9 +29,21 @@
 /// Prompt segments of answered requests that are remembered.
 const ANSWERED_SEGMENTS_MAX: usize = 2048;
 
+/// Who asked for a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, strum::IntoStaticStr)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum RunKind {
+    /// A caller that waits for the answer.
+    Request,
+    /// An item of a job.
+    Item,
+}
+
 /// A run that lost its connection.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LostRun {
+    pub kind: RunKind,
     pub identity: RunIdentity,
     /// Description of the request for operators.
     pub label: Name,
--- a/src/decide/quarantine/suspect.rs
+++ b/src/decide/quarantine/suspect.rs
@@ -19,6 +19,13 @@
 /// The same while other suspects account for its ends as well as it does: one of them is innocent,
 /// and a trial run without the others tells which.
 const TRIALS_BESIDE_OTHERS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(4)];
+/// Time from a suspect's last end or trial run until an item may run as its trial run, by the number
+/// of trial runs that ended their endpoints. Items are owed, so the trials never cease.
+const ITEM_TRIAL_INTERVALS: [Duration; 3] = [
+    Duration::from_secs(3),
+    Duration::from_secs(6),
+    Duration::from_secs(12),
+];
 /// Ends from which on a suspect that was never answered gets no more trial runs of its own.
 const TRIAL_ENDS_MAX: usize = 5;
 /// For how long after an answer ends don't count: a request that was answered a moment ago does not
@@ -45,6 +52,8 @@
     /// Where the evidence came from on which it was quarantined.
     pub by: EvidenceSource,
     pub trials: usize,
+    /// When an item was last sent from here as its trial run.
+    pub item_trial_at: Option<Duration>,
     pub changed_at: Duration,
 }
 
@@ -59,6 +68,7 @@
             fleet_wide_since: None,
             by: EvidenceSource::Own,
             trials: 0,
+            item_trial_at: None,
             changed_at: now,
         }
     }
@@ -75,6 +85,16 @@
         Some(trial.map_or(self.expires_at(), |after| since + *after))
     }
 
+    /// When an item may run as its trial run, after `failed_trials` that ended their endpoints; `None`
+    /// while it is not quarantined.
+    pub fn next_item_run_at(&self, failed_trials: usize) -> Option<Duration> {
+        let held_since = self.held_since?;
+        let last_trial_at = self.item_trial_at.unwrap_or_default();
+        let last = held_since.max(self.ends.last_at()).max(last_trial_at);
+        let interval = failed_trials.min(ITEM_TRIAL_INTERVALS.len() - 1);
+        Some(last + ITEM_TRIAL_INTERVALS[interval])
+    }
+
     /// When it is forgotten. Counted from the last end or answer, so that all VMs forget it at the
     /// same time and none learns it again from another.
     pub fn expires_at(&self) -> Duration {
@@ -128,6 +148,7 @@
         if held_before || self.failure_bursts() < FAILURE_BURSTS_MIN {
             self.held_since = None;
             self.trials = 0;
+            self.item_trial_at = None;
         }
     }
 }
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -242,6 +242,8 @@
     pub quarantine_verdicts: IntCounterVec,
     /// Requests in quarantine.
     pub quarantined: Gauge,
+    /// Suspects that delay this VM's items.
+    pub items_quarantined: Gauge,
     /// Runs and items that were not sent because their request is quarantined.
     pub quarantine_refusals: IntCounter,
     /// Endpoints that stay in use although their entries are gone from the store.
@@ -340,6 +342,10 @@
                 "bramley_quarantine_held",
                 "Requests that are held back since they end their endpoints.",
             ),
+            items_quarantined: metrics.gauge(
+                "bramley_quarantine_items_held",
+                "Requests and prompt segments that delay the items of this process.",
+            ),
             quarantine_refusals: metrics.counter(
                 "bramley_quarantine_refusals_total",
                 "Runs that were not made of requests that are held back.",
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -88,6 +88,8 @@
     pub freshness: Freshness,
     /// Requests that end their endpoints.
     pub quarantine: Quarantine,
+    /// The same for the items of the jobs that run here.
+    pub item_quarantine: Quarantine,
     /// Request counts of the workspaces, checked against their quotas.
     pub quotas: Quotas,
     /// Which software began each stream.
@@ -212,6 +214,7 @@
             peers: Peers::new(settings.mesh_max),
             freshness: Freshness::default(),
             quarantine: Quarantine::default(),
+            item_quarantine: Quarantine::of_items(),
             quotas: Quotas::new(quota_measure(&settings), clock::now()),
             streams: StreamOrigins::default(),
             software: SoftwareHistory::default(),
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -18,7 +18,7 @@
 use super::events::{check_next, Splitter};
 use super::exchange::{self, Answer, AnswerEvidence, Failure, Outgoing, Target};
 use super::node::{Node, ANONYMOUS_WORKSPACE};
-use super::quarantine::{self, TrialScope};
+use super::quarantine;
 use super::quotas::{self, CountedRequest};
 use super::replies::{self, Reply};
 use super::silence;
@@ -27,6 +27,7 @@
 use crate::decide::access::{self, Credential};
 use crate::decide::discovery::unknown_software;
 use crate::decide::online::{Action, Arrival, AttemptOutcome, Event, SuccessorState};
+use crate::decide::quarantine::RunKind;
 use crate::decide::refusal::RefusalKind;
 use crate::decide::retry::AttemptStage;
 use crate::decide::routes::{Route, RouteKind, Share};
@@ -325,7 +326,7 @@
             self.refuse(kind, true, None).await;
             return true;
         }
-        if let Err(back_in) = quarantine::admit(&self.node, &self.out, TrialScope::FirstRankedVm) {
+        if let Err(back_in) = quarantine::admit(&self.node, &self.out) {
             self.refuse_quarantined(back_in).await;
             return true;
         }
@@ -461,6 +462,7 @@
     async fn connection_lost(&self, target: &Target) -> bool {
         let sent_at = self.sent_at.unwrap_or(self.arrived_at);
         let run = quarantine::FailedRun {
+            kind: RunKind::Request,
             out: &self.out,
             target,
             ran: clock::now().saturating_sub(sent_at),
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -21,7 +21,7 @@
 use crate::decide::peers::Peers;
 use crate::decide::quarantine::{
     report, Fingerprint, Hold, LostRun, QuarantineChange, QuarantineListing, QuarantineVerdict,
-    RunIdentity, HOLD_TIME,
+    RunKind, HOLD_TIME,
 };
 use crate::id::{EndpointId, VmId};
 use crate::util;
@@ -33,18 +33,9 @@
 /// hundredth of a millisecond.
 const HASHED_BODY_BYTES_MAX: usize = 16 * 1024;
 
-/// Which VM may execute the trial runs of a quarantined request. Those of a prompt segment are the
-/// first ranked VM's.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TrialScope {
-    /// The request is sent by this VM only, as an item is by its job's owner.
-    ThisVm,
-    /// The request may arrive at any VM: the one that ranks first, the same for all VMs.
-    FirstRankedVm,
-}
-
 /// A run that lost its connection.
 pub struct FailedRun<'a> {
+    pub kind: RunKind,
     pub out: &'a Outgoing,
     pub target: &'a Target,
     pub ran: Duration,
@@ -68,21 +59,58 @@
     quarantine_now().saturating_sub(moment)
 }
 
-/// The suspect that delays a request longest.
-pub fn hold(node: &Node, out: &Outgoing) -> Option<Hold> {
-    node.core.borrow().quarantine.hold(&out.identity())
+/// Whether an item may be sent to an endpoint now; else the suspect for which it has to wait longest.
+pub fn admit_item(node: &Node, out: &Outgoing) -> Result<(), Hold> {
+    let held = {
+        let core = &mut *node.core.borrow_mut();
+        if core.quarantine.is_empty() && core.item_quarantine.is_empty() {
+            return Ok(());
+        }
+        let (identity, now) = (out.identity(), quarantine_now());
+        let peers = &core.peers;
+        let rank = trial_rank(peers, node.vm);
+        let by_requests = core.quarantine.item_hold(now, &identity, rank);
+        let by_items = core.item_quarantine.item_hold(now, &identity, |_| 0);
+        let held = by_requests.into_iter().chain(by_items);
+        let held = held.max_by_key(|hold| hold.until);
+        if held.is_none() {
+            core.quarantine.start_item_trial(now, &identity);
+            core.item_quarantine.start_item_trial(now, &identity);
+        }
+        held
+    };
+    publish_changes(node);
+    match held {
+        Some(hold) => {
+            node.counters.quarantine_refusals.inc();
+            Err(hold)
+        }
+        None => Ok(()),
+    }
+}
+
+/// Records that an item has made progress for long enough not to be what ends its endpoint.
+pub fn item_progressed(node: &Node, out: &Outgoing) {
+    if node.core.borrow().item_quarantine.is_empty() {
+        return;
+    }
+    node.core
+        .borrow_mut()
+        .item_quarantine
+        .answered(quarantine_now(), &out.identity(), false);
+    publish_changes(node);
 }
 
 /// Whether a request may be sent to an endpoint now; else the time after which its caller may
 /// retry.
-pub fn admit(node: &Node, out: &Outgoing, trial: TrialScope) -> Result<(), Duration> {
+pub fn admit(node: &Node, out: &Outgoing) -> Result<(), Duration> {
     if node.core.borrow().quarantine.is_empty() {
         return Ok(());
     }
     let identity = out.identity();
     let admitted = {
         let core = &mut *node.core.borrow_mut();
-        let rank = trial_rank(&core.peers, node.vm, trial, &identity);
+        let rank = trial_rank(&core.peers, node.vm);
         core.quarantine.admit(quarantine_now(), &identity, rank)
     };
     publish_changes(node);
@@ -97,25 +125,14 @@
         return Ok(());
     }
     let identity = out.identity();
-    let rank = trial_rank(&core.peers, node.vm, TrialScope::FirstRankedVm, &identity);
+    let rank = trial_rank(&core.peers, node.vm);
     let checked = core.quarantine.check(quarantine_now(), &identity, rank);
     checked.map_err(|back_in| refuse(node, back_in))
 }
 
 /// This VM's place in the order in which VMs execute the trial run of a suspect.
-fn trial_rank<'a>(
-    peers: &'a Peers,
-    vm: VmId,
-    trial: TrialScope,
-    identity: &'a RunIdentity,
-) -> impl Fn(Fingerprint) -> usize + 'a {
-    move |suspect| {
-        let sent_here_only = trial == TrialScope::ThisVm && suspect == identity.request;
-        match sent_here_only {
-            true => 0,
-            false => peers.rank(clock::now(), vm, suspect.rendezvous_key()),
-        }
-    }
+fn trial_rank(peers: &Peers, vm: VmId) -> impl Fn(Fingerprint) -> usize + '_ {
+    move |suspect| peers.rank(clock::now(), vm, suspect.rendezvous_key())
 }
 
 fn refuse(node: &Node, back_in: Duration) -> Duration {
@@ -126,19 +143,21 @@
 /// Records that a request got a complete answer from an endpoint.
 pub fn request_answered(node: &Node, out: &Outgoing, endpoint: EndpointId, answer: AnswerEvidence) {
     let long = out.body.len() > HASHED_BODY_BYTES_MAX;
-    if long && node.core.borrow().quarantine.is_empty() {
-        return;
-    }
-    let identity = out.identity();
     {
         let core = &mut *node.core.borrow_mut();
-        let (quarantine, now) = (&mut core.quarantine, quarantine_now());
-        match answer {
-            AnswerEvidence::Complete => {
-                quarantine.answered(now, &identity, is_answer_reported(&core.peers))
+        if long && core.quarantine.is_empty() && core.item_quarantine.is_empty() {
+            return;
+        }
+        let (identity, now) = (out.identity(), quarantine_now());
+        let reports = is_answer_reported(&core.peers);
+        for quarantine in [&mut core.quarantine, &mut core.item_quarantine] {
+            match answer {
+                AnswerEvidence::Complete => quarantine.answered(now, &identity, reports),
+                AnswerEvidence::UntilClose => {
+                    quarantine.answered_until_close(now, identity.clone(), endpoint)
+                }
+                AnswerEvidence::Error => {}
             }
-            AnswerEvidence::UntilClose => quarantine.answered_until_close(now, identity, endpoint),
-            AnswerEvidence::Error => {}
         }
     }
     publish_changes(node);
@@ -160,6 +179,7 @@
 pub async fn run_lost(node: &Node, run: FailedRun<'_>) -> bool {
     let endpoint = run.target.endpoint;
     let lost = LostRun {
+        kind: run.kind,
         identity: run.out.identity(),
         label: run.out.label().into(),
         endpoint,
@@ -173,10 +193,12 @@
         row.is_some_and(|row| row.leaving.is_none())
     };
     if stays {
-        node.core
-            .borrow_mut()
-            .quarantine
-            .run_lost(quarantine_now(), lost);
+        let core = &mut *node.core.borrow_mut();
+        if lost.kind == RunKind::Item {
+            core.item_quarantine
+                .run_lost(quarantine_now(), lost.clone());
+        }
+        core.quarantine.run_lost(quarantine_now(), lost);
     }
     let ended = pool::refuses_connections(&run.target.address).await;
     log::info!(endpoint = run.target.instance, ended, stays; "a run lost its connection");
@@ -190,26 +212,34 @@
 
 /// Records that an endpoint ended without having announced that it drains.
 pub fn endpoint_ended(node: &Node, endpoint: EndpointId) {
-    node.core
-        .borrow_mut()
-        .quarantine
-        .endpoint_ended(quarantine_now(), endpoint);
+    {
+        let core = &mut *node.core.borrow_mut();
+        core.quarantine.endpoint_ended(quarantine_now(), endpoint);
+        core.item_quarantine
+            .endpoint_ended(quarantine_now(), endpoint);
+    }
     publish_changes(node);
 }
 
 /// Logs and counts state changes, and triggers reports to the other VMs.
 fn publish_changes(node: &Node) {
-    let changes = {
+    let (changes, item_changes) = {
         let mut core = node.core.borrow_mut();
         let refused = core.quarantine.refused().len();
         node.counters.quarantined.set(refused as f64);
-        core.quarantine.take_changes()
+        let items_held = core.item_quarantine.refused().len();
+        node.counters.items_quarantined.set(items_held as f64);
+        let changes = core.quarantine.take_changes();
+        (changes, core.item_quarantine.take_changes())
     };
+    for change in &item_changes {
+        log_change(node, change, RunKind::Item);
+    }
     if changes.is_empty() {
         return;
     }
     for change in &changes {
-        log_change(node, change);
+        log_change(node, change, RunKind::Request);
     }
     let is_held = |change: &QuarantineChange| change.verdict == QuarantineVerdict::Held;
     if changes.iter().any(is_held) {
@@ -218,7 +248,8 @@
     node.quarantine_reports_due.notify_one();
 }
 
-fn log_change(node: &Node, change: &QuarantineChange) {
+fn log_change(node: &Node, change: &QuarantineChange, of: RunKind) {
+    let of: &'static str = of.into();
     let verdict: &'static str = change.verdict.into();
     let by: &'static str = change.by.into();
     let counter = &node.counters.quarantine_verdicts;
@@ -228,14 +259,19 @@
         what = *change.label,
         verdict,
         ends = change.ends,
-        by;
+        by,
+        of;
         "quarantine"
     );
 }
 
 /// Removes expired state.
 pub fn tick(node: &Node) {
-    node.core.borrow_mut().quarantine.tick(quarantine_now());
+    {
+        let core = &mut *node.core.borrow_mut();
+        core.quarantine.tick(quarantine_now());
+        core.item_quarantine.tick(quarantine_now());
+    }
     publish_changes(node);
 }
 
@@ -255,16 +291,19 @@
 
 /// Suspected and quarantined requests.
 pub fn list(core: &Core) -> Vec<QuarantineListing> {
-    core.quarantine.list(quarantine_now())
+    let mut listed = core.quarantine.list(quarantine_now());
+    listed.extend(core.item_quarantine.list(quarantine_now()));
+    listed
 }
 
 /// Releases a request on an operator's order; false if this VM has no evidence against it.
 pub fn release(node: &Node, fingerprint: Fingerprint) -> bool {
-    let released = node
-        .core
-        .borrow_mut()
-        .quarantine
-        .release(quarantine_now(), fingerprint);
+    let released = {
+        let core = &mut *node.core.borrow_mut();
+        let quarantines = [&mut core.quarantine, &mut core.item_quarantine];
+        let released = quarantines.map(|one| one.release(quarantine_now(), fingerprint));
+        released.contains(&true)
+    };
     publish_changes(node);
     released
 }
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -14,6 +14,7 @@
 use super::{finish, ItemRun};
 use crate::clock;
 use crate::decide::items::{self, ItemKey};
+use crate::decide::quarantine::{Hold, RunKind, PROGRESS_TIME_MIN};
 use crate::decide::retry::{AttemptStage, ATTEMPTS_MAX_DEFAULT};
 use crate::decide::small_jobs::{Item, ItemOutcome};
 use crate::id::{EndpointId, Name};
@@ -21,7 +22,7 @@
 use crate::serve::events::{check_next, Splitter};
 use crate::serve::exchange::{self, AnswerEvidence, Failure, Outgoing, Target};
 use crate::serve::node::Node;
-use crate::serve::quarantine::{self, TrialScope};
+use crate::serve::quarantine;
 
 /// Timeout for the answer and for each event. An item is started only where a slot is free, so its
 /// first event comes soon; engines slowed many times over still send one within this time.
@@ -29,7 +30,7 @@
 
 /// Longest time until a quarantined item is considered again: an answer to another request may have
 /// cleared a segment that they share.
-const QUARANTINED_RECHECK_INTERVAL: Duration = Duration::from_secs(2);
+const QUARANTINED_RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How a run of an item ended.
 enum RunEnd {
@@ -40,9 +41,8 @@
     ItemFailed,
     /// The item was preempted by online requests.
     Yielded,
-    /// Not sent: the item is quarantined, since it ends the endpoints that run it. Holds the time
-    /// left.
-    Quarantined(Duration),
+    /// Not sent: a quarantined suspect delays the item.
+    Quarantined(Hold),
     Failed(Failure),
 }
 
@@ -99,8 +99,8 @@
         _ => false,
     };
     let now = clock::now();
-    let hold = match (&end, &out) {
-        (RunEnd::Quarantined(_), Some(out)) => quarantine::hold(&node, out),
+    let hold = match &end {
+        RunEnd::Quarantined(hold) => Some(hold.clone()),
         _ => None,
     };
     let held_by = hold.as_ref().map(|hold| hold.suspect.to_string());
@@ -147,9 +147,10 @@
         RunEnd::Rejected => finish(&node, &key, ItemOutcome::Errored),
         RunEnd::ItemFailed => item_failed(&node, &key, endpoint, now),
         RunEnd::Yielded => node.core.borrow_mut().items.paused(now, &key, false),
-        RunEnd::Quarantined(back_in) => {
-            let mut core = node.core.borrow_mut();
+        RunEnd::Quarantined(hold) => {
+            let back_in = quarantine::time_until(hold.until);
             let recheck_in = back_in.min(QUARANTINED_RECHECK_INTERVAL);
+            let mut core = node.core.borrow_mut();
             core.items.quarantined(now, &key, recheck_in);
         }
         RunEnd::Failed(failure) => {
@@ -223,8 +224,8 @@
         let gone = Failure::not_of_endpoint(AttemptStage::NotSent, "the endpoint is gone");
         return RunEnd::Failed(gone);
     };
-    if let Err(back_in) = quarantine::admit(node, out, TrialScope::ThisVm) {
-        return RunEnd::Quarantined(back_in);
+    if let Err(hold) = quarantine::admit_item(node, out) {
+        return RunEnd::Quarantined(hold);
     }
     let sent = exchange::send(node, &target, out, None, last_event(node, key));
     let answer = match timeout(EVENT_TIMEOUT, sent).await {
@@ -240,7 +241,7 @@
     }
     let keep_alive = exchange::keep_alive(&answer.head);
     let evidence = AnswerEvidence::of(&answer.head);
-    match read_events(node, key, endpoint, &software, answer.body).await {
+    match read_events(node, key, out, endpoint, &software, answer.body).await {
         Ok(()) if evidence == AnswerEvidence::UntilClose && last_event(node, key).is_none() => {
             let detail = "the stream ended without an event";
             RunEnd::Failed(Failure::of_connection(AttemptStage::Answering, detail))
@@ -258,6 +259,7 @@
 async fn read_events(
     node: &Rc<Node>,
     key: &ItemKey,
+    out: &Outgoing,
     endpoint: EndpointId,
     software: &Name,
     mut body: Incoming,
@@ -265,6 +267,7 @@
     let broken = |detail: String| Err(Failure::of_endpoint(AttemptStage::Answering, detail));
     let lost = |detail: String| Err(Failure::of_connection(AttemptStage::Answering, detail));
     let mut splitter = Splitter::default();
+    let mut progress_due_at = Some(clock::now() + PROGRESS_TIME_MIN);
     loop {
         let frame = match timeout(EVENT_TIMEOUT, body.frame()).await {
             Ok(frame) => frame,
@@ -278,6 +281,10 @@
                 };
                 for event in splitter.push(&data) {
                     record_event(node, key, software, event.id, event.data())?;
+                    if progress_due_at.is_some_and(|due_at| clock::now() >= due_at) {
+                        progress_due_at = None;
+                        quarantine::item_progressed(node, out);
+                    }
                 }
                 if splitter.is_too_long() {
                     return broken("an event is too long".into());
@@ -347,6 +354,7 @@
     start: RunStart,
 ) -> bool {
     let run = quarantine::FailedRun {
+        kind: RunKind::Item,
         out,
         target,
         ran: clock::now().saturating_sub(start.at),
--- a/tests/prompt_segments.rs
+++ b/tests/prompt_segments.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bramleyseam::decide::quarantine::{
-    EvidenceSource, Fingerprint, LostRun, Quarantine, RequestIdentity, RunIdentity, HOLD_TIME,
+    EvidenceSource, Fingerprint, LostRun, Quarantine, RequestIdentity, RunIdentity, RunKind,
+    HOLD_TIME,
 };
 use bramleyseam::id::{EndpointId, SegmentId};
 
@@ -38,6 +39,7 @@
 ) {
     for identity in runs {
         let run = LostRun {
+            kind: RunKind::Request,
             identity: identity.clone(),
             label: "POST desk.example/query/a".into(),
             endpoint,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -5,7 +5,7 @@
 
 use bramleyseam::decide::quarantine::{
     EvidenceSource, Fingerprint, LostRun, Quarantine, QuarantineReport, QuarantineVerdict,
-    RequestIdentity, RunIdentity, FAILURE_BURSTS_MIN, HOLD_TIME,
+    RequestIdentity, RunIdentity, RunKind, FAILURE_BURSTS_MIN, HOLD_TIME,
 };
 use bramleyseam::id::EndpointId;
 use quickcheck::{quickcheck, TestResult};
@@ -38,6 +38,7 @@
 
 fn lost_run(at: Duration, body: &str, endpoint: EndpointId) -> LostRun {
     LostRun {
+        kind: RunKind::Request,
         identity: identity(body),
         label: "POST desk.example/query/a".into(),
         endpoint,
--- a/tests/quarantine_play.rs
+++ b/tests/quarantine_play.rs
@@ -6,7 +6,7 @@
 
 use bramleyseam::decide::quarantine::{
     report, EvidenceSource, Fingerprint, LostRun, Quarantine, QuarantineReport, RequestIdentity,
-    RunIdentity, HOLD_TIME, REPORTS_PER_DATAGRAM_MAX,
+    RunIdentity, RunKind, HOLD_TIME, REPORTS_PER_DATAGRAM_MAX,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -316,6 +316,7 @@
 
     fn lost(&mut self, run: &Run, endpoint: u64) {
         let lost = LostRun {
+            kind: RunKind::Request,
             identity: self.identity(run.body),
             label: "simulated".into(),
             endpoint,
