Give a request and its own prompt segment their trial runs together

Cause: request and segment have the same ends, so both are quarantined, and a run with two refused suspects was never admitted: each was to get a trial run without the other, which nobody can send.

A run with several refused suspects is the trial run of all of them at the usual times (15 s and 150 s), in the turn of the VM that ranks first for any.

Conclusion: fixed for request and segment together. Open: a segment that is suspected alone waits for its VM's turn, 2 s a rank.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -7,7 +7,7 @@
 //! | What is evidence against a suspect? | An endpoint that ended while it ran the request, see [`Quarantine::run_lost`] and [`Quarantine::endpoint_ended`]. |
 //! | What clears it? | A complete answer from any endpoint to any request that it is part of, see [`Quarantine::answered`]: ends before it, or within 20 s after it, don't count. |
 //! | When is it quarantined? | After three failure bursts without an answer, up to five while unrelated endpoints end too, or two with five ends, and not before 0.3 s after the second one was reported to all VMs. |
-//! | What if several suspects ran at the same endpoints? | Ends of a quarantined one don't count against others that ran at clearly fewer of them. Of those that are equally suspect, each gets an early trial run without the others. |
+//! | What if several suspects ran at the same endpoints? | Ends of a quarantined one don't count against others that ran at clearly fewer of them. Of those that are equally suspect, each gets an early trial run without the others, if any request allows it, and the usual ones with them. |
 //! | Which VMs receive the evidence? | Two aggregators, which add up the reports of all VMs. From the second failure burst on they report to every VM, see [`report`]. |
 //! | What of items? | They are owed, so their ends count only against what requests have proved, and otherwise in a quarantine of each VM's own items, see [`Quarantine::of_items`]. Where a suspect is quarantined, items go on getting trial runs, see [`Quarantine::item_hold`]. |
 //! | For how long? | Ten minutes. Meanwhile it gets one trial run after 15 s and one after 150 s, each at one VM of the fleet, unless five ends count against it and no answer ever spoke for it. |
@@ -72,8 +72,8 @@
 /// Whether a run may be sent to an endpoint.
 enum Admission {
     Free,
-    /// As the trial run of this suspect.
-    Trial(Fingerprint),
+    /// As the trial run of these suspects.
+    Trial(Vec<Fingerprint>),
     /// Not before this time has passed.
     Refused(Duration),
 }
@@ -335,8 +335,10 @@
         match self.judge(now, identity, rank) {
             Admission::Free => Ok(()),
             Admission::Refused(back_in) => Err(back_in),
-            Admission::Trial(fingerprint) => {
-                self.start_trial(now, fingerprint);
+            Admission::Trial(fingerprints) => {
+                for fingerprint in fingerprints {
+                    self.start_trial(now, fingerprint);
+                }
                 Ok(())
             }
         }
@@ -366,19 +368,25 @@
         }
         let fingerprints = identity.fingerprints();
         let refused: Vec<Fingerprint> = fingerprints.filter(|one| self.is_refused(*one)).collect();
-        let next_runs = refused.iter().filter_map(|one| self.next_run_at(*one));
-        let Some(next_run_at) = next_runs.max() else {
+        // If a trial run with two suspects fails, it tells nothing about either. So it comes later
+        // than their own early ones, but it comes: nobody else may send one without the other.
+        let next_run_at = |one: &Fingerprint| match refused.len() {
+            1 => self.next_run_at(*one),
+            _ => self.suspects.get(one)?.next_run_at(false),
+        };
+        let Some(next_run_at) = refused.iter().filter_map(next_run_at).max() else {
             return Admission::Free;
         };
         let wait = next_run_at.saturating_sub(now);
-        // A trial run with two suspects tells nothing about either.
-        let [only] = refused[..] else {
+        let expires_at = refused.iter().map(|one| self.suspects[one].expires_at());
+        let is_trial_left = expires_at.max().is_some_and(|at| next_run_at < at);
+        if now < next_run_at || !is_trial_left {
             return Admission::Refused(wait);
-        };
-        let turn_at = || next_run_at + TRIAL_TURN * rank(only).min(u32::MAX as usize) as u32;
-        let expires_at = self.suspects[&only].expires_at();
-        match now >= next_run_at && next_run_at < expires_at && now >= turn_at() {
-            true => Admission::Trial(only),
+        }
+        let first_rank = refused.iter().map(|one| rank(*one)).min();
+        let turn = first_rank.unwrap_or_default().min(u32::MAX as usize) as u32;
+        match now >= next_run_at + TRIAL_TURN * turn {
+            true => Admission::Trial(refused),
             false => Admission::Refused(wait),
         }
     }
--- a/tests/prompt_segments.rs
+++ b/tests/prompt_segments.rs
@@ -267,3 +267,22 @@
     assert!(quarantine.list(ms(3500)).len() <= 256);
     assert!(is_refused(&quarantine, ms(3500), &[BAD]));
 }
+
+// Guards against a request that is refused for ten minutes, since nobody else sends its segment: it and
+// the segment waited for each other's trial run.
+#[test]
+fn own_segment() {
+    let mut quarantine = Quarantine::default();
+    let repeated = request(7, &[BESIDE]);
+    for number in 1..=3 {
+        let runs = [repeated.clone()];
+        end_endpoint(&mut quarantine, ms(number * 500), number, &runs);
+    }
+    quarantine.tick(ms(2000));
+    assert!(quarantine.check(ms(2000), &repeated, |_| 0).is_err());
+    assert!(quarantine.check(ms(17_000), &repeated, |_| 1_000).is_err());
+    assert!(quarantine.admit(ms(17_000), &repeated, |_| 0).is_ok());
+    assert!(quarantine.admit(ms(17_100), &repeated, |_| 0).is_err());
+    quarantine.answered(ms(17_500), &repeated, true);
+    assert!(quarantine.check(ms(17_600), &repeated, |_| 1_000).is_ok());
+}
