A completed item ends an endpoint's row of failures

What callers saw: by test: an endpoint that only items use is ejected for up to 30 s at each single failed run, minutes apart, although items complete there in between. With few endpoints items wait for it beside its free slots.

Cause: a completed item told the shared evidence of the success, but not the endpoint's own row, which counts failures in a row and doubles ejections.

Change: it tells both. The test asks the new function that does so.

Open: items have no fallback where all endpoints of a service are ejected.

--- a/src/decide/online.rs
+++ b/src/decide/online.rs
@@ -909,6 +909,14 @@
         self.endpoint_failed(now, id, stage, ended);
     }
 
+    /// Records that an endpoint completed a batch item.
+    pub fn item_succeeded(&mut self, now: Duration, id: EndpointId) {
+        self.evidence.succeeded(now, id);
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.succeeded(None);
+        }
+    }
+
     /// Counts a failed run of a batch item, caused by the endpoint.
     pub fn item_run_failed(&mut self, now: Duration, id: EndpointId, stage: AttemptStage) {
         self.evidence.failed(now, id, false);
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -140,7 +140,7 @@
             }
             let mut core = node.core.borrow_mut();
             core.items.completed(now, &key);
-            core.online.evidence.succeeded(now, endpoint);
+            core.online.item_succeeded(now, endpoint);
             drop(core);
             finish(&node, &key, ItemOutcome::Completed);
         }
--- a/tests/item_ejections.rs
+++ b/tests/item_ejections.rs
@@ -39,7 +39,7 @@
             // Then an item completes there every other second.
             let mut now = back_at;
             while now < failed_at + FAILURE_INTERVAL {
-                online.evidence.succeeded(now, endpoint);
+                online.item_succeeded(now, endpoint);
                 online.evidence.tick(now, &mut online.endpoints);
                 now += ITEM_TIME;
             }
