Only an item's own trial run counts as a failed trial

Cause: a guess again. The time until an item's next trial run grew with each end since the hold began, so runs in flight counted as failed trials; ends of another held item, and those learned of seconds later, did not count as ends for other reasons; a trial that was never sent, and an item that is never answered, used up the time of all others; a second of output kept ends from counting for 20 s; past 24 ends nothing was counted.

Change: a suspect knows its last trial run and the last three that ended their endpoints. A trial that was not sent is withdrawn, an item that was tried goes after those that were not, and output clears what was before it.

Tests: trial_not_sent and ends_after_progress call the functions that are new here; held_items cleared_by_progress too.

Open: item_trials many_owners, each owner of items with a segment that ends endpoints learns it alone.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -31,7 +31,7 @@
 pub use self::evidence::{LostRun, RunKind, PROGRESS_TIME_MIN};
 pub use self::fingerprint::{Fingerprint, InvalidFingerprint, RequestIdentity, RunIdentity};
 pub use self::report::{QuarantineReport, REPORTS_PER_DATAGRAM_MAX};
-use self::suspect::{cleared_until, Suspect};
+use self::suspect::{cleared_until, ItemTrial, Suspect};
 pub use self::suspect::{FAILURE_BURSTS_MIN, HOLD_TIME};
 use crate::id::{EndpointId, Name};
 
@@ -57,6 +57,9 @@
 /// received their outcome, and the place in the order from which on VMs no longer wait.
 const ITEM_TRIAL_TURN: Duration = Duration::from_millis(100);
 const ITEM_TRIAL_RANK_MAX: usize = 15;
+/// Time by which an item's next trial run follows those of other items: one that never gets an answer
+/// must not take all trial runs of a segment.
+const SAME_ITEM_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest time between two reports that the same suspect was answered.
 const ANSWER_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// Time that all VMs have to report an answer before a request is quarantined. Without it, when
@@ -165,13 +168,13 @@
     }
 
     fn count_end_of(&mut self, now: Duration, run: &LostRun, of: Fingerprint, label: &str) {
-        if run.kind == RunKind::Item && !self.is_of_items && !self.is_held(of) {
-            return;
-        }
         let end = EndpointEnd {
             endpoint: run.endpoint,
             at: run.at,
         };
+        if run.kind == RunKind::Item && !self.is_of_items && !self.is_held(of) {
+            return;
+        }
         let is_of_items = self.is_of_items;
         let suspect = self.track(now, of, label);
         if is_of_items {
@@ -180,6 +183,9 @@
                 .ends
                 .drop_until(now.saturating_sub(evidence::END_LIFETIME));
         }
+        if run.kind == RunKind::Item {
+            suspect.item_run_ended(end);
+        }
         if !suspect.add_end(end) {
             return;
         }
@@ -406,11 +412,16 @@
             let state = self.suspects.get(&suspect)?;
             let due_at = state.next_item_run_at(self.failed_trials(now, state))?;
             let turn = rank(suspect).min(ITEM_TRIAL_RANK_MAX) as u32;
+            let tried_before = |trial: ItemTrial| trial.request == identity.request;
+            let pause = match state.item_trial.is_some_and(tried_before) {
+                true => SAME_ITEM_PAUSE,
+                false => Duration::ZERO,
+            };
             Some(Hold {
                 suspect,
                 label: state.label.clone(),
                 since: state.held_since?,
-                until: due_at + ITEM_TRIAL_TURN * turn,
+                until: due_at + ITEM_TRIAL_TURN * turn + pause,
             })
         };
         let refused = identity.fingerprints().filter(|one| self.is_refused(*one));
@@ -425,31 +436,71 @@
                 continue;
             }
             if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-                suspect.item_trial_at = Some(now);
+                suspect.item_trial = Some(ItemTrial {
+                    at: now,
+                    request: identity.request,
+                    has_failed: false,
+                });
             }
             let verdict = QuarantineVerdict::OnTrial;
             self.record_change(fingerprint, verdict, EvidenceSource::Time);
         }
     }
 
-    /// Recent failure bursts of a suspect since it was quarantined. Those beside which other endpoints
-    /// ended too don't count: it may have been their cause that ended the trial run.
+    /// Records that an item's trial run was not sent, so that it may be sent at once.
+    pub fn withdraw_item_trial(&mut self, identity: &RunIdentity) {
+        for fingerprint in identity.fingerprints() {
+            if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+                let is_other = |trial: &ItemTrial| trial.request != identity.request;
+                suspect.item_trial = suspect.item_trial.filter(is_other);
+            }
+        }
+    }
+
+    /// Records that an item made progress for [`PROGRESS_TIME_MIN`], so that none of its suspects ended
+    /// the endpoints where it ran before. Later ends count.
+    pub fn item_progressed(&mut self, now: Duration, identity: &RunIdentity) {
+        for fingerprint in identity.fingerprints() {
+            let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+                continue;
+            };
+            let had_evidence = suspect.failure_bursts() > 0;
+            suspect.ends.drop_until(now);
+            suspect.release();
+            if had_evidence {
+                let verdict = QuarantineVerdict::Cleared;
+                self.record_change(fingerprint, verdict, EvidenceSource::Own);
+            }
+        }
+    }
+
+    /// Recent trial runs by items that ended their endpoints. Those beside which other endpoints ended
+    /// too don't count: what ended these may have ended the trial run.
     fn failed_trials(&self, now: Duration, suspect: &Suspect) -> usize {
         let Some(held_since) = suspect.held_since else {
             return 0;
         };
         // What else ended is not known for longer.
         let known_since = now.saturating_sub(evidence::END_LIFETIME - UNRELATED_END_WINDOW);
-        let unrelated: Vec<Duration> = self.unrelated_ends(suspect).collect();
+        let ended = self.ended_at.iter();
+        let others = ended.filter(|(endpoint, _)| !suspect.has_ended(**endpoint));
+        let others: Vec<Duration> = others.map(|(_, at)| *at).collect();
         let is_alone = |end: &&EndpointEnd| {
-            let beside = |at: &Duration| at.abs_diff(end.at) < UNRELATED_END_WINDOW;
-            !unrelated.iter().any(beside)
+            // An end is learned of late where no run was lost with it.
+            let is_beside = |at: &Duration| {
+                *at + UNRELATED_END_WINDOW > end.at && *at < end.at + evidence::LOST_RUN_LIFETIME
+            };
+            end.at > known_since && !others.iter().any(is_beside)
         };
-        let failed = suspect
-            .ends
-            .since(held_since.max(known_since))
-            .filter(is_alone);
-        count_bursts(failed.map(|end| end.at))
+        let own = suspect.failed_item_trials.iter().filter(is_alone).count();
+        match self.is_of_items {
+            true => own,
+            // Other VMs try their items too, and report the ends alone.
+            false => {
+                let ends = suspect.ends.since(held_since).filter(is_alone);
+                own.max(count_bursts(ends.map(|end| end.at)))
+            }
+        }
     }
 
     fn start_trial(&mut self, now: Duration, fingerprint: Fingerprint) {
--- a/src/decide/quarantine/suspect.rs
+++ b/src/decide/quarantine/suspect.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::evidence::{count_bursts, EndpointEnd, EndpointEnds};
-use super::EvidenceSource;
-use crate::id::Name;
+use super::{EvidenceSource, Fingerprint};
+use crate::id::{EndpointId, Name};
 
 /// Failure bursts that quarantine a suspect. A first end is weak evidence, since up to all slots of
 /// the endpoint are busy; two ends also hit requests that are retried while another request is the
@@ -38,6 +38,16 @@
 /// Longest label of a suspect; longer ones are truncated.
 const LABEL_BYTES_MAX: usize = 64;
 
+/// An item's trial run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ItemTrial {
+    pub at: Duration,
+    /// The item.
+    pub request: Fingerprint,
+    /// Its endpoint has ended.
+    pub has_failed: bool,
+}
+
 /// A request, or a segment of prompts, that was running at endpoints which ended.
 #[derive(Debug, Clone)]
 pub struct Suspect {
@@ -52,8 +62,10 @@
     /// Where the evidence came from on which it was quarantined.
     pub by: EvidenceSource,
     pub trials: usize,
-    /// When an item was last sent from here as its trial run.
-    pub item_trial_at: Option<Duration>,
+    /// The last item that was sent from here as its trial run.
+    pub item_trial: Option<ItemTrial>,
+    /// Endpoints that ended under such trial runs, the latest ones.
+    pub failed_item_trials: Vec<EndpointEnd>,
     pub changed_at: Duration,
 }
 
@@ -68,7 +80,8 @@
             fleet_wide_since: None,
             by: EvidenceSource::Own,
             trials: 0,
-            item_trial_at: None,
+            item_trial: None,
+            failed_item_trials: Vec::new(),
             changed_at: now,
         }
     }
@@ -89,7 +102,7 @@
     /// while it is not quarantined.
     pub fn next_item_run_at(&self, failed_trials: usize) -> Option<Duration> {
         let held_since = self.held_since?;
-        let last_trial_at = self.item_trial_at.unwrap_or_default();
+        let last_trial_at = self.item_trial.map_or(Duration::ZERO, |trial| trial.at);
         let last = held_since.max(self.ends.last_at()).max(last_trial_at);
         let interval = failed_trials.min(ITEM_TRIAL_INTERVALS.len() - 1);
         Some(last + ITEM_TRIAL_INTERVALS[interval])
@@ -146,10 +159,35 @@
             .held_since
             .is_some_and(|since| since <= self.cleared_until());
         if held_before || self.failure_bursts() < FAILURE_BURSTS_MIN {
-            self.held_since = None;
-            self.trials = 0;
-            self.item_trial_at = None;
+            self.release();
+        }
+    }
+
+    /// Ends its quarantine.
+    pub fn release(&mut self) {
+        self.held_since = None;
+        self.trials = 0;
+        self.item_trial = None;
+        self.failed_item_trials.clear();
+    }
+
+    /// Records that an endpoint ended under an item. The first one after the start of a trial run is
+    /// taken for its end; runs that began before the quarantine may end meanwhile.
+    pub fn item_run_ended(&mut self, end: EndpointEnd) {
+        let Some(trial) = self.item_trial.as_mut().filter(|trial| !trial.has_failed) else {
+            return;
+        };
+        trial.has_failed = true;
+        if self.failed_item_trials.len() >= ITEM_TRIAL_INTERVALS.len() {
+            self.failed_item_trials.remove(0);
         }
+        self.failed_item_trials.push(end);
+    }
+
+    /// Whether an endpoint ended under one of its runs.
+    pub fn has_ended(&self, endpoint: EndpointId) -> bool {
+        let mut trials = self.failed_item_trials.iter();
+        self.ends.contains(endpoint) || trials.any(|end| end.endpoint == endpoint)
     }
 }
 
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -89,6 +89,17 @@
     }
 }
 
+/// Records that an item that was admitted has not been sent.
+pub fn item_not_sent(node: &Node, out: &Outgoing) {
+    let core = &mut *node.core.borrow_mut();
+    if core.quarantine.is_empty() && core.item_quarantine.is_empty() {
+        return;
+    }
+    let identity = out.identity();
+    core.quarantine.withdraw_item_trial(&identity);
+    core.item_quarantine.withdraw_item_trial(&identity);
+}
+
 /// Records that an item has made progress for long enough not to be what ends its endpoint.
 pub fn item_progressed(node: &Node, out: &Outgoing) {
     if node.core.borrow().item_quarantine.is_empty() {
@@ -97,7 +108,7 @@
     node.core
         .borrow_mut()
         .item_quarantine
-        .answered(quarantine_now(), &out.identity(), false);
+        .item_progressed(quarantine_now(), &out.identity());
     publish_changes(node);
 }
 
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -230,7 +230,12 @@
     let sent = exchange::send(node, &target, out, None, last_event(node, key));
     let answer = match timeout(EVENT_TIMEOUT, sent).await {
         Ok(Ok(answer)) => answer,
-        Ok(Err(failure)) => return RunEnd::Failed(failure),
+        Ok(Err(failure)) => {
+            if failure.stage == AttemptStage::NotSent {
+                quarantine::item_not_sent(node, out);
+            }
+            return RunEnd::Failed(failure);
+        }
         Err(_) => return failed(AttemptStage::MaybeSent, "no answer in time"),
     };
     match answer.head.status {
--- a/tests/held_items.rs
+++ b/tests/held_items.rs
@@ -127,7 +127,7 @@
     let now = ended_at + held_for(&mut quarantine, ended_at, &segments, 0);
     quarantine.start_item_trial(now, &identity(&segments));
     assert!(held_for(&mut quarantine, now, &segments, 0) > Duration::ZERO);
-    quarantine.answered(now, &identity(&segments), false);
+    quarantine.item_progressed(now, &identity(&segments));
     assert_eq!(held_for(&mut quarantine, now, &segments, 0), Duration::ZERO);
 }
 
--- a/tests/item_trials.rs
+++ b/tests/item_trials.rs
@@ -172,6 +172,7 @@
     let ended_at = quarantined(&mut quarantine, &item, 0);
     let mut now = ended_at + held_for(&mut quarantine, ended_at, &item);
     quarantine.start_item_trial(now, &item);
+    quarantine.withdraw_item_trial(&item);
     now += held_for(&mut quarantine, now, &item);
     let without_run = now - ended_at;
     assert!(without_run < IDLE_MAX, "{without_run:?}");
@@ -363,7 +364,7 @@
 fn ends_after_progress() {
     let mut quarantine = Quarantine::of_items();
     let item = identity("a", &[OWN]);
-    quarantine.answered(HOLD_TIME, &item, false);
+    quarantine.item_progressed(HOLD_TIME, &item);
     let mut runs = 0;
     let mut now = HOLD_TIME;
     while now < HOLD_TIME + LOAD_TIME {
