Ends under items don't raise the threshold for requests with the same segment

What callers saw: by the review's test: a segment that ends endpoints, in requests and in items, is quarantined for requests after five of their ends, three without the items.

Cause: since ends under items are no evidence for requests they counted as ends for other reasons, which raise the threshold.

Change: a suspect remembers endpoints that ended under items with it, and they count neither way.

Measured: item_trials requests_beside_items failed before (5 and 3), passes after.

Conclusion: fixed where one VM sees both.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -173,6 +173,11 @@
             at: run.at,
         };
         if run.kind == RunKind::Item && !self.is_of_items && !self.is_held(of) {
+            if let Some(suspect) = self.suspects.get_mut(&of) {
+                let known_since = now.saturating_sub(evidence::END_LIFETIME);
+                suspect.ends_of_items.drop_until(known_since);
+                suspect.ends_of_items.add(end);
+            }
             return;
         }
         let is_of_items = self.is_of_items;
@@ -251,7 +256,9 @@
         let held: Vec<&Suspect> = self.held().map(|(_, held)| held).collect();
         let is_unrelated = move |endpoint: EndpointId| {
             let mut related = held.iter().copied().chain([suspect]);
-            !related.any(|suspect| suspect.ends.contains(endpoint))
+            !related.any(|suspect| {
+                suspect.ends.contains(endpoint) || suspect.ends_of_items.contains(endpoint)
+            })
         };
         let ended = self.ended_at.iter();
         let unrelated = ended.filter(move |(endpoint, _)| is_unrelated(**endpoint));
--- a/src/decide/quarantine/suspect.rs
+++ b/src/decide/quarantine/suspect.rs
@@ -54,6 +54,9 @@
     /// Description for operators.
     pub label: Name,
     pub ends: EndpointEnds,
+    /// Endpoints that ended under items with it, which count neither against it nor as ends for other
+    /// reasons.
+    pub ends_of_items: EndpointEnds,
     /// When it was last answered completely or released.
     pub cleared_at: Option<Duration>,
     pub held_since: Option<Duration>,
@@ -75,6 +78,7 @@
         Suspect {
             label: truncated(label),
             ends: EndpointEnds::default(),
+            ends_of_items: EndpointEnds::default(),
             cleared_at,
             held_since: None,
             fleet_wide_since: None,
