Held items cost no log lines and no counts of the quarantine

Change: `item starts` is written when the item is sent; `item ran` with held_back once for each suspect, later at debug level (`items wait` goes on telling). The counts are worked out when something changed.

--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -235,13 +235,17 @@
 /// Logs and counts state changes, and triggers reports to the other VMs.
 fn publish_changes(node: &Node) {
     let (changes, item_changes) = {
-        let mut core = node.core.borrow_mut();
+        let core = &mut *node.core.borrow_mut();
+        let changes = core.quarantine.take_changes();
+        let item_changes = core.item_quarantine.take_changes();
+        if changes.is_empty() && item_changes.is_empty() {
+            return;
+        }
         let refused = core.quarantine.refused().len();
         node.counters.quarantined.set(refused as f64);
         let items_held = core.item_quarantine.refused().len();
         node.counters.items_quarantined.set(items_held as f64);
-        let changes = core.quarantine.take_changes();
-        (changes, core.item_quarantine.take_changes())
+        (changes, item_changes)
     };
     for change in &item_changes {
         log_change(node, change, RunKind::Item);
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -58,14 +58,6 @@
         return;
     };
     let stop = Rc::new(Notify::new());
-    log::info!(
-        job = *key.job,
-        item = items.get(key.item as usize).map_or("", |item| &*item.id),
-        endpoint = node.target(endpoint).map_or_else(String::new, |t| t.instance),
-        software = *node.software(endpoint),
-        after_event = progress.last_event.unwrap_or(0);
-        "item starts"
-    );
     let run = run_item(node.clone(), key, endpoint, items, stop.clone());
     let abort = tokio::task::spawn_local(run).abort_handle();
     progress.run = Some(ItemRun { abort, stop });
@@ -103,11 +95,14 @@
         RunEnd::Quarantined(hold) => Some(hold.clone()),
         _ => None,
     };
-    let held_by = hold.as_ref().map(|hold| hold.suspect.to_string());
-    node.runs.with_progress(&key, |progress| {
+    let held_by = hold.as_ref().map(|hold| hold.suspect);
+    let held_before = node.runs.with_progress(&key, |progress| {
         progress.run = None;
-        progress.hold = hold;
+        let before = std::mem::replace(&mut progress.hold, hold);
+        before.map(|hold| hold.suspect)
     });
+    // A held item is tried again each second.
+    let is_known = held_by.is_some() && held_by == held_before.flatten();
     let what = match &end {
         RunEnd::Complete(_) => "completed",
         RunEnd::Rejected => "rejected",
@@ -118,14 +113,20 @@
     };
     node.counters.items.with_label_values(&[what]).inc();
     let lost = lost_request(out.as_ref(), &end);
-    log::info!(
+    let level = if is_known {
+        log::Level::Debug
+    } else {
+        log::Level::Info
+    };
+    log::log!(
+        level,
         job = *key.job,
         item = items.get(key.item as usize).map_or("", |item| &*item.id),
         asked = lost.map_or_else(String::new, |out| out.fingerprint().to_string()),
         prompt = lost.map_or_else(String::new, Outgoing::prompt_label),
         endpoint = target.map_or_else(String::new, |target| target.instance),
         ended,
-        held_by = held_by.unwrap_or_default(),
+        held_by = held_by.map_or_else(String::new, |suspect| suspect.to_string()),
         what,
         detail = match &end {
             RunEnd::Failed(failure) => failure.detail.as_str(),
@@ -227,7 +228,16 @@
     if let Err(hold) = quarantine::admit_item(node, out) {
         return RunEnd::Quarantined(hold);
     }
-    let sent = exchange::send(node, &target, out, None, last_event(node, key));
+    let after_event = last_event(node, key);
+    log::info!(
+        job = *key.job,
+        item = out.id,
+        endpoint = target.instance,
+        software = *software,
+        after_event = after_event.unwrap_or(0);
+        "item starts"
+    );
+    let sent = exchange::send(node, &target, out, None, after_event);
     let answer = match timeout(EVENT_TIMEOUT, sent).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(failure)) => {
