Readers have an answer in time while texts are read from a silent store

Cause: the limit of 1.2 s held for the read of the record alone. A call on the store that gets no answer is made by another VM after 1.2 s. When the record came that way just before the limit, its texts (a part in doubt is not cached) were read for as long again, without a limit; so was each part of a page. The two timers run out together, so a delay of the machine decides whether the record comes first. Without any doubt, a reader of two parts that are not cached always waits for 2.4 s while the store is silent.

Change: one limit for the whole answer, the first look for the job, the question to its owner and the texts included. It is 1.3 s in place of 1.2 s, so that a call made by another VM can still answer within it. What was read is kept, so readers that ask again get further.

Readers of a record that they do not have yet still need two or more tries while the store is silent for their VM.

--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -37,15 +37,16 @@
 /// Time for which an owner waits for the outcome of a write before it leaves the answer to the
 /// store; shorter than the margin of the VM that asks.
 const OUTCOME_WAIT_MAX: Duration = Duration::from_millis(250);
-/// Time beyond its wait within which a reader has an answer; shorter than callers have patience.
-const ANSWER_DELAY_MAX: Duration = Duration::from_millis(1200);
+/// Time beyond its wait within which a reader has an answer; shorter than callers have patience,
+/// longer than the store is waited for before another VM is asked to make the call.
+const ANSWER_DELAY_MAX: Duration = Duration::from_millis(1300);
 /// Longest wait of a reader for new results; callers time out 1.5 s after the wait that they ask
 /// for.
 const READER_WAIT_MAX: Duration = Duration::from_millis(2000);
 /// Bytes of texts in one page of results; quoting in JSON stays within the page's 1 MB.
 const PAGE_BYTES_MAX: usize = 600 * 1024;
 
-/// Answers with the results from a position on.
+/// Answers with the results from a position on, in time for the caller to have the answer.
 pub async fn results(
     node: Rc<Node>,
     caller: &Option<Name>,
@@ -53,58 +54,70 @@
     after: usize,
     wait: Duration,
 ) -> Reply {
-    let wait_end = clock::now() + wait.min(READER_WAIT_MAX);
+    let wait = wait.min(READER_WAIT_MAX);
+    let wait_end = clock::now() + wait;
+    let page = read_results(&node, caller, &job, after, wait_end);
+    match timeout(wait + ANSWER_DELAY_MAX, page).await {
+        Ok(page) => page,
+        Err(_) => store_unavailable(&job, "no answer in time"),
+    }
+}
+
+/// Reads the results from a position on, after a wait until `wait_end` if there are none. Calls on
+/// the store and on other VMs may take longer than the caller waits.
+async fn read_results(
+    node: &Rc<Node>,
+    caller: &Option<Name>,
+    job: &JobId,
+    after: usize,
+    wait_end: Duration,
+) -> Reply {
     let record = loop {
-        let record = match find_for_caller(&node, caller, &job).await {
+        let record = match find_for_caller(node, caller, job).await {
             Ok(record) => record,
             Err(reply) => return reply,
         };
         // The process may have been told to stop meanwhile.
-        let until = reader_deadline(&node, wait_end);
+        let until = reader_deadline(node, wait_end);
         let listed = record.listed.len();
         if listed > after || (record.ended() && listed == after) {
             break record;
         }
-        if let Some(reply) = read_from_owner(&node, &record, after, until).await {
+        if let Some(reply) = read_from_owner(node, &record, after, until).await {
             return reply;
         }
         // The caller has seen more than this VM: it is behind.
         let behind = after > listed;
         let now = clock::now();
         if now < until && !behind {
-            wait_for_change(&node, &job, until - now).await;
+            wait_for_change(node, job, until - now).await;
             continue;
         }
         let is_settled = {
             let core = node.core.borrow();
-            core.jobs.rows.get(&job).is_none_or(Job::is_settled)
+            core.jobs.rows.get(job).is_none_or(Job::is_settled)
         };
-        if !behind && is_settled && catch_up(&node, &job).await {
+        if !behind && is_settled && catch_up(node, job).await {
             let core = node.core.borrow();
             let told = core.peers.newest_job_revision(clock::now());
             let watched = core.jobs.watched_revision;
             // The record as it is after the wait, not before it.
-            let current = core.jobs.rows.get(&job).map(|row| row.record.clone());
+            let current = core.jobs.rows.get(job).map(|row| row.record.clone());
             let record = current.unwrap_or(record);
             let listed = record.listed.len();
-            log::info!(job = *job, after, listed, watched, told; "no new results within the wait");
+            log::info!(job = **job, after, listed, watched, told; "no new results within the wait");
             break record;
         }
-        let answer_by = wait_end + ANSWER_DELAY_MAX;
-        let left = answer_by.saturating_sub(clock::now());
         tokio::select! {
             biased;
-            read = read_from_store(&node, &job) => match read {
+            read = read_from_store(node, job) => match read {
                 Ok(record) => break record,
                 Err(reply) => return reply,
             },
-            () = wait_for_change(&node, &job, left) => {}
-        }
-        if clock::now() >= answer_by {
-            return store_unavailable(&job, "no answer in time");
+            () = wait_for_change(node, job, ANSWER_DELAY_MAX) => {}
         }
     };
-    results_page(&node, &record, after).await
+    results_page(node, &record, after).await
 }
 
 /// Asks the process that runs a job, in a large fleet; `None` when there is no other owner to ask.
