Let an item restart when its software version stays out of use, again

Cause: an item gave up its text only when no endpoint of its version was in service, which asked whether it drains, not whether it can be used, or at the last moment at which a whole run ends in time, which never comes for a late item.

An item without progress for 3 s, whose version has no endpoint in use but the one where its last run failed, may start again at another version. Progress forgets where it had failed. Other than there: the endpoint of a failed run counts against its version only if that run had no new event, else an item that was delayed for 3 s dropped a text that had just grown. An item that may restart isn't shown as `other_software`.

--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -28,6 +28,9 @@
 /// Delay before a preempted item may start again. The actions of other VMs show within this time;
 /// without the delay items are started and preempted many times a second during a burst.
 pub const PREEMPTED_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Time without progress after which an item no longer waits for endpoints of its software version
+/// that are out of use: they may never come back.
+const OWN_VERSION_WAIT_MAX: Duration = Duration::from_millis(3000);
 
 /// One item of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -50,7 +53,7 @@
     Delayed,
     /// Its service has no endpoint in use.
     NoEndpoint,
-    /// No endpoint in use has the software version that made its text.
+    /// No endpoint in use has the software version that made its text, and it may not restart yet.
     OtherSoftware,
     /// All slots of the endpoints that could run it are taken.
     NoFreeSlot,
@@ -94,6 +97,10 @@
     is_held: bool,
     /// Software version of the endpoints that made its text; `None` while it has none.
     software: Option<Name>,
+    /// When it was last known to make progress: its text grew, it was preempted or it was added.
+    progressed_at: Duration,
+    /// Endpoint of the last failed run, if that run had no new event.
+    unproductive_at: Option<EndpointId>,
     /// Endpoints of failed runs, used only when there is no other; the last one alone unless
     /// [`Items::avoid_all_failed`].
     avoid: Vec<EndpointId>,
@@ -224,6 +231,8 @@
             waits_since: now,
             is_held: false,
             software: None,
+            progressed_at: now,
+            unproductive_at: None,
             avoid: Vec::new(),
         };
         self.states.insert(key, state);
@@ -253,11 +262,21 @@
             return;
         };
         state.earlier_run_time += state.current_run_time(now);
-        if let (Stage::Running { endpoint, .. }, true) = (state.stage, failed) {
+        if let (
+            Stage::Running {
+                endpoint, since, ..
+            },
+            true,
+        ) = (state.stage, failed)
+        {
             if !self.avoid_all_failed {
                 state.avoid.clear();
             }
             state.avoid.push(endpoint);
+            state.unproductive_at = (state.progressed_at <= since).then_some(endpoint);
+        }
+        if !failed {
+            state.progressed_at = now;
         }
         let delay = if failed {
             FAILED_RETRY_AFTER
@@ -271,6 +290,15 @@
         state.is_held = false;
     }
 
+    /// Records that an item's text grew in its current run.
+    pub fn progressed(&mut self, now: Duration, key: &ItemKey) {
+        if let Some(state) = self.states.get_mut(key) {
+            state.progressed_at = now;
+            state.unproductive_at = None;
+            state.avoid.clear();
+        }
+    }
+
     /// Delays an item whose request is quarantined.
     pub fn quarantined(&mut self, now: Duration, key: &ItemKey, back_in: Duration) {
         if let Some(state) = self.states.get_mut(key) {
@@ -449,10 +477,11 @@
     /// Items without a run, the one that has waited longest first.
     pub fn waiting(&self, now: Duration, endpoints: &Endpoints, usage: &Usage) -> Vec<WaitingItem> {
         let capacities = self.capacities(now, endpoints, usage);
+        let typical = self.typical_run_time.unwrap_or_default();
         let waiting = |(key, state): (&ItemKey, &ItemState)| {
             Some(WaitingItem {
                 key: key.clone(),
-                reason: state.wait_reason(now, &capacities)?,
+                reason: state.wait_reason(now, typical, &capacities)?,
                 since: state.waits_since,
             })
         };
@@ -557,11 +586,13 @@
         let mut queue: Vec<_> = self.states.iter().filter_map(waiting).collect();
         queue.sort();
         let mut waiting_count = self.waiting_count() as u32;
+        let typical = self.typical_run_time.unwrap_or_default();
         for ((.., key), urgent) in queue {
-            let may_restart = self.may_restart(now, &key, capacities);
             let Some(state) = self.states.get_mut(&key) else {
                 continue;
             };
+            let may_restart = state.may_restart(now, typical, capacities);
+            let is_stalled = state.is_stalled(now, capacities);
             let mut find = |software: Option<&Name>, avoid: &[EndpointId]| {
                 let needs = ItemNeeds {
                     service: state.service,
@@ -579,10 +610,16 @@
                 )
             };
             let software = state.software.as_ref();
-            let mut found = find(software, &state.avoid).or_else(|| find(software, &[]));
-            let from_start = found.is_none() && may_restart;
-            if from_start {
+            let mut found = find(software, &state.avoid);
+            let mut from_start = false;
+            if found.is_none() && is_stalled {
+                found = find(None, &state.avoid);
+                from_start = found.is_some();
+            }
+            found = found.or_else(|| find(software, &[]));
+            if found.is_none() && may_restart {
                 found = find(None, &state.avoid).or_else(|| find(None, &[]));
+                from_start = true;
             }
             let Some(capacity) = found.map(|at| &mut capacities[at]) else {
                 continue;
@@ -590,6 +627,7 @@
             if from_start {
                 state.software = None;
                 state.earlier_run_time = Duration::ZERO;
+                state.progressed_at = now;
             }
             capacity.batch_here += 1;
             capacity.urgent += u32::from(urgent);
@@ -608,26 +646,6 @@
             });
         }
     }
-
-    /// Whether an item may give up its text and run again at another software version: at once if no
-    /// endpoint of its own version is left, else at the last moment at which a whole run still ends
-    /// in time.
-    fn may_restart(&self, now: Duration, key: &ItemKey, capacities: &[EndpointCapacity]) -> bool {
-        let Some(state) = self.states.get(key) else {
-            return false;
-        };
-        let Some(software) = &state.software else {
-            return false;
-        };
-        let continues = |capacity: &EndpointCapacity| {
-            capacity.in_service && capacity.can_continue(state.service, Some(software))
-        };
-        if !capacities.iter().any(continues) {
-            return true;
-        }
-        let whole_run_ends = now + self.typical_run_time.unwrap_or_default();
-        whole_run_ends < state.due && whole_run_ends + URGENT_MARGIN >= state.due
-    }
 }
 
 fn update_endpoint_usage(
@@ -705,7 +723,12 @@
 
 impl ItemState {
     /// Why it has no run; `None` while it has one.
-    fn wait_reason(&self, now: Duration, capacities: &[EndpointCapacity]) -> Option<WaitReason> {
+    fn wait_reason(
+        &self,
+        now: Duration,
+        typical_run_time: Duration,
+        capacities: &[EndpointCapacity],
+    ) -> Option<WaitReason> {
         let Stage::Waiting { not_before } = self.stage else {
             return None;
         };
@@ -722,7 +745,8 @@
         if usable.is_empty() {
             return Some(WaitReason::NoEndpoint);
         }
-        let software = self.software.as_ref();
+        let may_restart = self.may_restart(now, typical_run_time, capacities);
+        let software = self.software.as_ref().filter(|_| !may_restart);
         let continues = |one: &&&EndpointCapacity| one.can_continue(self.service, software);
         let suitable: Vec<&&EndpointCapacity> = usable.iter().filter(continues).collect();
         if suitable.is_empty() {
@@ -734,6 +758,42 @@
         }
     }
 
+    /// Whether an item may give up its text and run again at another software version: at once if no
+    /// endpoint of its own version is left, after a while if none is in use, else at the last moment
+    /// at which a whole run still ends in time.
+    fn may_restart(
+        &self,
+        now: Duration,
+        typical_run_time: Duration,
+        capacities: &[EndpointCapacity],
+    ) -> bool {
+        let Some(software) = &self.software else {
+            return false;
+        };
+        let continues = |capacity: &EndpointCapacity| {
+            capacity.in_service && capacity.can_continue(self.service, Some(software))
+        };
+        if !capacities.iter().any(continues) || self.is_stalled(now, capacities) {
+            return true;
+        }
+        let whole_run_ends = now + typical_run_time;
+        whole_run_ends < self.due && whole_run_ends + URGENT_MARGIN >= self.due
+    }
+
+    /// Whether an item with a text has made no progress for a while, and no endpoint of its software
+    /// version is in use but the one where its last run failed without an event.
+    fn is_stalled(&self, now: Duration, capacities: &[EndpointCapacity]) -> bool {
+        let Some(software) = &self.software else {
+            return false;
+        };
+        let continues = |capacity: &EndpointCapacity| {
+            capacity.usable
+                && self.unproductive_at != Some(capacity.id)
+                && capacity.can_continue(self.service, Some(software))
+        };
+        now >= self.progressed_at + OWN_VERSION_WAIT_MAX && !capacities.iter().any(continues)
+    }
+
     /// Duration of the current run.
     fn current_run_time(&self, now: Duration) -> Duration {
         match self.stage {
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -108,6 +108,9 @@
         progress.run = None;
         progress.hold = hold;
     });
+    if last_event(&node, &key) > start.last_event {
+        node.core.borrow_mut().items.progressed(now, &key);
+    }
     let what = match &end {
         RunEnd::Complete(_) => "completed",
         RunEnd::Rejected => "rejected",
@@ -335,6 +338,7 @@
 }
 
 /// An item's state when its run began.
+#[derive(Debug, Clone, Copy)]
 struct RunStart {
     at: Duration,
     last_event: Option<u64>,
