Count only items that can run when slots are divided, again

What callers saw: by arithmetic and by test, not in a play: one item waits for ever beside free slots, since another VM has a hundred items that wait but can't run: no endpoint of their service is in use, or the quarantine holds them.

Cause: free slots are granted to VMs by their number of waiting items, also those that can't run; nobody uses these slots.

Only items that can run within 0.4 s and have an endpoint in use are reported; one that competes again waits 0.4 s first, so that all VMs divide by the same counts. Items now go on competing for 3 s after their last endpoint went out of use, so that neither a gap nor a restart delays them. - A held item is tried again each second and counted as ready for 0.4 s of it; it counts from 0.4 s before the end of its hold now, and is still tried before. - Endpoints that are in use for less than 0.4 s at a time: an item is delayed at most once in 10 s.

--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -4,12 +4,12 @@
 //! a slot is free, and is preempted when online requests need the slot. A preempted item resumes
 //! later after its last event, so little work is lost.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::endpoints::{Endpoint, Endpoints};
 use super::idle::{IdleCounter, IdleSnapshot};
-use super::slot_grants::{CompetingVm, EndpointPlace, SlotGrants};
+use super::slot_grants::{CompetingVm, EndpointPlace, SlotGrants, START_UNSEEN_TIME};
 use super::small_jobs::ItemIndex;
 use super::usage::{own_excess, Usage};
 use crate::id::{DomainId, EndpointId, JobId, Name, ServiceId, VmId};
@@ -31,6 +31,12 @@
 /// Time without progress after which an item no longer waits for endpoints of its software version
 /// that are out of use: they may never come back.
 const OWN_VERSION_WAIT_MAX: Duration = Duration::from_millis(3000);
+/// Time for which items go on competing after their last endpoint went out of use: endpoints that
+/// restart are back by then, and nobody has to be told.
+const OUT_OF_USE_MAX: Duration = Duration::from_secs(3);
+/// Shortest time between two announcements of an item, each of which delays it. Without it an item
+/// whose endpoints go in and out of use would never start.
+const ANNOUNCE_INTERVAL_MIN: Duration = Duration::from_secs(10);
 
 /// One item of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -49,7 +55,7 @@
 pub enum WaitReason {
     /// The quarantine delays it.
     HeldBack,
-    /// Its last run was preempted or failed a moment ago.
+    /// Its last run was preempted or failed a moment ago, or nothing could run it until then.
     Delayed,
     /// Its service has no endpoint in use.
     NoEndpoint,
@@ -93,8 +99,13 @@
     stage: Stage,
     /// When its last run ended, or it was added. An attempt that the quarantine refuses is no run.
     waits_since: Duration,
-    /// The quarantine refused its last attempt.
-    is_held: bool,
+    /// Until when the quarantine delays it, if it refused the last attempt.
+    held_until: Option<Duration>,
+    /// Whether it competes for slots while it waits: it is not held back, and an endpoint that can
+    /// run it is in use or was a moment ago.
+    competes: bool,
+    /// When the other VMs were last told that it competes again.
+    announced_at: Option<Duration>,
     /// Software version of the endpoints that made its text; `None` while it has none.
     software: Option<Name>,
     /// When it was last known to make progress: its text grew, it was preempted or it was added.
@@ -126,6 +137,9 @@
     /// Moving average of the run time of a completed item.
     typical_run_time: Option<Duration>,
     slot_grants: SlotGrants,
+    /// When a software version of a service last had an endpoint in use, as of the last plan; not
+    /// longer ago than [`OUT_OF_USE_MAX`].
+    last_usable: HashMap<(ServiceId, Name), Duration>,
     /// Whether an item avoids all endpoints where it failed, not only the last.
     pub avoid_all_failed: bool,
     /// Free slots that stayed unused while items waited.
@@ -229,7 +243,9 @@
             earlier_run_time: Duration::ZERO,
             stage,
             waits_since: now,
-            is_held: false,
+            held_until: None,
+            competes: true,
+            announced_at: None,
             software: None,
             progressed_at: now,
             unproductive_at: None,
@@ -287,7 +303,7 @@
             not_before: now + delay,
         };
         state.waits_since = now;
-        state.is_held = false;
+        state.held_until = None;
     }
 
     /// Records that an item's text grew in its current run.
@@ -299,12 +315,19 @@
         }
     }
 
-    /// Delays an item whose request is quarantined.
-    pub fn quarantined(&mut self, now: Duration, key: &ItemKey, back_in: Duration) {
+    /// Delays an item that the quarantine refused to run for `back_in`; it is tried again after
+    /// `recheck_in`, since it may be admitted sooner.
+    pub fn quarantined(
+        &mut self,
+        now: Duration,
+        key: &ItemKey,
+        back_in: Duration,
+        recheck_in: Duration,
+    ) {
         if let Some(state) = self.states.get_mut(key) {
-            let not_before = now + back_in;
+            let not_before = now + recheck_in;
             state.stage = Stage::Waiting { not_before };
-            state.is_held = true;
+            state.held_until = Some(now + back_in);
         }
     }
 
@@ -437,6 +460,7 @@
         for capacity in &mut capacities {
             self.preempt_excess(now, planner.vm, capacity, usage, &mut out);
         }
+        self.update_competing(now, &capacities);
         if planner.may_start {
             self.start(now, planner, &mut capacities, &mut out);
         }
@@ -468,12 +492,59 @@
         snapshot
     }
 
-    /// Number of items that wait for a slot.
+    /// Number of items that compete for slots, as of the last plan.
+    ///
+    /// Slots are granted to VMs by this number. Items that can't run don't count, else their VM
+    /// would be granted slots that it leaves empty.
     pub fn waiting_count(&self) -> usize {
-        let waits = |state: &&ItemState| matches!(state.stage, Stage::Waiting { .. });
+        let waits =
+            |state: &&ItemState| state.competes && matches!(state.stage, Stage::Waiting { .. });
         self.states.values().filter(waits).count()
     }
 
+    /// Updates which items compete for slots.
+    fn update_competing(&mut self, now: Duration, capacities: &[EndpointCapacity]) {
+        for capacity in capacities.iter().filter(|capacity| capacity.usable) {
+            let version = (capacity.service, capacity.software.clone());
+            self.last_usable.insert(version, now);
+        }
+        self.last_usable.retain(|_, at| now < *at + OUT_OF_USE_MAX);
+        let usable: HashSet<(ServiceId, &Name)> = self
+            .last_usable
+            .keys()
+            .map(|(service, software)| (*service, software))
+            .collect();
+        let services: HashSet<ServiceId> = usable.iter().map(|(service, _)| *service).collect();
+        let typical = self.typical_run_time.unwrap_or_default();
+        // Other VMs have to receive that an item competes again before it takes a slot.
+        let seen_at = now + START_UNSEEN_TIME;
+        for state in self.states.values_mut() {
+            let Stage::Waiting { not_before } = state.stage else {
+                continue;
+            };
+            let has_own_version = match &state.software {
+                Some(software) => {
+                    !software.is_empty() && usable.contains(&(state.service, software))
+                }
+                None => true,
+            };
+            let has_endpoint = services.contains(&state.service)
+                && (has_own_version || state.may_restart(now, typical, capacities));
+            let runs_from = state.held_until.map_or(not_before, |at| at.max(not_before));
+            let competes = has_endpoint && runs_from <= seen_at;
+            let may_announce = state
+                .announced_at
+                .is_none_or(|at| now >= at + ANNOUNCE_INTERVAL_MIN);
+            if competes && !state.competes && may_announce {
+                state.announced_at = Some(now);
+                state.stage = Stage::Waiting {
+                    not_before: not_before.max(seen_at),
+                };
+            }
+            state.competes = competes;
+        }
+    }
+
     /// Items without a run, the one that has waited longest first.
     pub fn waiting(&self, now: Duration, endpoints: &Endpoints, usage: &Usage) -> Vec<WaitingItem> {
         let capacities = self.capacities(now, endpoints, usage);
@@ -604,7 +675,8 @@
                     &self.slot_grants,
                     now,
                     planner,
-                    waiting_count,
+                    // An item that doesn't count yet may be admitted again.
+                    waiting_count.max(1),
                     needs,
                     avoid,
                 )
@@ -637,7 +709,7 @@
                 since: now,
                 stopping: false,
             };
-            waiting_count = waiting_count.saturating_sub(1);
+            waiting_count = waiting_count.saturating_sub(u32::from(state.competes));
             self.slot_grants.record_start(now, endpoint);
             out.push(Action::Start {
                 key,
@@ -732,7 +804,7 @@
         let Stage::Waiting { not_before } = self.stage else {
             return None;
         };
-        if self.is_held {
+        if self.held_until.is_some() {
             return Some(WaitReason::HeldBack);
         }
         if now < not_before {
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -154,7 +154,7 @@
             let back_in = quarantine::time_until(hold.until);
             let recheck_in = back_in.min(QUARANTINED_RECHECK_INTERVAL);
             let mut core = node.core.borrow_mut();
-            core.items.quarantined(now, &key, recheck_in);
+            core.items.quarantined(now, &key, back_in, recheck_in);
         }
         RunEnd::Failed(failure) => {
             let mut core = node.core.borrow_mut();
--- a/tests/items_finished.rs
+++ b/tests/items_finished.rs
@@ -18,6 +18,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// An item that nobody runs for so long while slots are free counts as lost.
 const IDLE_MAX: Duration = Duration::from_secs(5);
+const HOLD_TIME: Duration = Duration::from_secs(600);
+const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -121,15 +123,20 @@
 }
 
 /// The time until the only item of VM 1 starts, while VM 2 has items that can't run; `None` if it
-/// doesn't in `IDLE_MAX`.
-fn start_beside(rivals: &mut Items, endpoints: &Endpoints, vms: (u64, u64)) -> Option<Duration> {
+/// doesn't in `IDLE_MAX`. `rivals_start` gets what the plans of VM 2 start.
+fn start_beside(
+    rivals: &mut Items,
+    rivals_start: impl Fn(&mut Items, Duration, Vec<Action>),
+    endpoints: &Endpoints,
+    vms: (u64, u64),
+) -> Option<Duration> {
     let mut items = Items::default();
     items.add(ms(0), key("job", 0), SERVICE, ms(18_000));
     let mut competing = Vec::new();
     for step in 0..=(IDLE_MAX.as_millis() / PLAN_INTERVAL.as_millis()) as u32 {
         let now = PLAN_INTERVAL * step;
         let started = rivals.plan(now, &planner(vms.1, &[]), endpoints, &Usage::default());
-        assert!(started.is_empty(), "{started:?}");
+        rivals_start(rivals, now, started);
         if now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis()) {
             competing = vec![CompetingVm {
                 vm: vms.1,
@@ -149,13 +156,40 @@
     None
 }
 
+/// Nothing may start.
+fn none_starts(_: &mut Items, now: Duration, started: Vec<Action>) {
+    assert!(started.is_empty(), "{started:?} at {now:?}");
+}
+
+/// The quarantine refuses each item that starts.
+fn refuse(items: &mut Items, now: Duration, started: Vec<Action>) {
+    for action in started {
+        if let Action::Start { key, .. } = action {
+            items.quarantined(now, &key, HOLD_TIME, RECHECK_INTERVAL);
+        }
+    }
+}
+
+/// A hundred items that are held back and tried again at different times, each once a second.
+fn add_held(items: &mut Items, job: &str) {
+    for at in 0..100 {
+        items.add(ms(0), key(job, at), SERVICE, ms(10_000));
+        let recheck_in = RECHECK_INTERVAL / 100 * at;
+        items.quarantined(ms(0), &key(job, at), HOLD_TIME, recheck_in);
+    }
+}
+
 /// How many of a hundred pairs of VMs leave the item waiting, by the number of endpoints.
-fn starved(rivals: impl Fn() -> Items) -> HashMap<usize, usize> {
+fn starved(
+    rivals: impl Fn() -> Items,
+    rivals_start: impl Fn(&mut Items, Duration, Vec<Action>),
+) -> HashMap<usize, usize> {
     let mut starved = HashMap::new();
     for count in [1, 3, 10] {
         let endpoints = endpoints(&vec!["v1"; count]);
         let pairs = (0..100).map(|pair| (2 * pair + 1, 2 * pair + 2));
-        let waits = pairs.filter(|vms| start_beside(&mut rivals(), &endpoints, *vms).is_none());
+        let waits = pairs
+            .filter(|vms| start_beside(&mut rivals(), &rivals_start, &endpoints, *vms).is_none());
         starved.insert(count, waits.count());
     }
     starved.retain(|_, count| *count > 0);
@@ -166,26 +200,122 @@
 // other services and never used them.
 #[test]
 fn rivals_without_endpoint() {
-    let starved = starved(|| {
-        let mut rivals = Items::default();
-        (0..100).for_each(|at| rivals.add(ms(0), key("rival", at), OTHER_SERVICE, ms(18_000)));
-        rivals
-    });
+    let starved = starved(
+        || {
+            let mut rivals = Items::default();
+            (0..100).for_each(|at| rivals.add(ms(0), key("rival", at), OTHER_SERVICE, ms(18_000)));
+            rivals
+        },
+        none_starts,
+    );
     assert_eq!(starved, HashMap::new());
 }
 
 // The same with items that are held back for minutes.
 #[test]
 fn rivals_held_back() {
-    let starved = starved(|| {
+    let starved = starved(
+        || {
+            let mut rivals = Items::default();
+            for at in 0..100 {
+                rivals.add(ms(0), key("rival", at), SERVICE, ms(18_000));
+                rivals.quarantined(ms(0), &key("rival", at), HOLD_TIME, HOLD_TIME);
+            }
+            rivals
+        },
+        none_starts,
+    );
+    assert_eq!(starved, HashMap::new());
+}
+
+// The same with held items that are tried again each second: they counted as ready in between.
+#[test]
+fn rivals_tried_again() {
+    let rivals = || {
         let mut rivals = Items::default();
-        for at in 0..100 {
-            rivals.add(ms(0), key("rival", at), SERVICE, ms(18_000));
-            rivals.quarantined(ms(0), &key("rival", at), ms(600_000));
-        }
+        add_held(&mut rivals, "rival");
         rivals
-    });
-    assert_eq!(starved, HashMap::new());
+    };
+    assert_eq!(starved(rivals, refuse), HashMap::new());
+}
+
+// A held item was not tried again before the end of its hold, although what it was held for may be
+// cleared sooner, while items waited at another VM.
+#[test]
+fn held_tried_again() {
+    let endpoints = endpoints(&["v1"]);
+    let competing = [CompetingVm {
+        vm: 2,
+        domain: LOCAL_DOMAIN,
+        items: 1,
+    }];
+    let mut items = Items::default();
+    items.add(ms(0), key("job", 0), SERVICE, ms(18_000));
+    items.quarantined(ms(0), &key("job", 0), HOLD_TIME, RECHECK_INTERVAL);
+    let mut now = ms(0);
+    let own = planner(1, &competing);
+    while items
+        .plan(now, &own, &endpoints, &Usage::default())
+        .is_empty()
+    {
+        now += PLAN_INTERVAL;
+        assert!(now < IDLE_MAX);
+    }
+}
+
+// Items that wait at the full endpoints of another service are granted the slots of this one.
+#[test]
+fn rivals_at_full_service() {
+    let mut configs: Vec<_> = endpoint_configs(2, SERVICE, SLOTS, |_| LOCAL_DOMAIN).collect();
+    configs[1].1.service = OTHER_SERVICE;
+    let mut endpoints = Endpoints::default();
+    endpoints.configure(configs);
+    endpoints.rows[1].online_here = SLOTS as u32;
+    let mut rivals = Items::default();
+    (0..100).for_each(|at| rivals.add(ms(0), key("rival", at), OTHER_SERVICE, ms(18_000)));
+    let pairs = (0..100).map(|pair| (2 * pair + 1, 2 * pair + 2));
+    let starved = pairs
+        .filter(|vms| start_beside(&mut rivals.clone(), none_starts, &endpoints, *vms).is_none());
+    assert_eq!(starved.count(), 0);
+}
+
+// Items waited to be announced after each gap in which no endpoint was in use, and all of them then
+// started at once.
+#[test]
+fn short_gap() {
+    let mut endpoints = endpoints(&["v1"]);
+    let mut items = Items::default();
+    items.add(ms(0), key("job", 0), SERVICE, ms(18_000));
+    for (now, is_out_of_use) in [(ms(0), false), (ms(50), true), (ms(2_500), false)] {
+        endpoints.rows[0].barred = is_out_of_use;
+        let actions = items.plan(now, &planner(1, &[]), &endpoints, &Usage::default());
+        assert_eq!(actions.is_empty(), is_out_of_use, "{now:?}");
+        for _ in actions {
+            items.paused(now, &key("job", 0), true);
+        }
+    }
+}
+
+// An item was delayed each time an endpoint came into use again, and never started where endpoints
+// went in and out of use.
+#[test]
+fn endpoints_flap() {
+    const IN_USE_TIME: Duration = Duration::from_millis(300);
+    const CYCLE_TIME: Duration = Duration::from_millis(3_800);
+    let mut endpoints = endpoints(&["v1"]);
+    let mut items = Items::default();
+    items.add(ms(0), key("job", 0), SERVICE, ms(18_000));
+    let mut now = ms(0);
+    loop {
+        let phase = now.as_millis() % CYCLE_TIME.as_millis();
+        endpoints.rows[0].barred = phase < (CYCLE_TIME - IN_USE_TIME).as_millis();
+        let actions = items.plan(now, &planner(1, &[]), &endpoints, &Usage::default());
+        if !actions.is_empty() {
+            break;
+        }
+        now += PLAN_INTERVAL;
+        assert!(now < CYCLE_TIME + IDLE_MAX);
+    }
 }
 
 // All endpoints of a service come back at once while items wait at many VMs. Each VM has to know of
