Attempts that the quarantine refuses are no starts

Cause: a held item is tried again each second. Each attempt was recorded as a start that other VMs don't know of yet, which used up the VM's share of the slots for 0.4 s, and held items that are due sooner came first.

Change: the quarantine's refusal takes the start back; held items are tried after the others.

--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -325,6 +325,12 @@
         recheck_in: Duration,
     ) {
         if let Some(state) = self.states.get_mut(key) {
+            if let Stage::Running {
+                endpoint, since, ..
+            } = state.stage
+            {
+                self.slot_grants.withdraw_start(since, endpoint);
+            }
             let not_before = now + recheck_in;
             state.stage = Stage::Waiting { not_before };
             state.held_until = Some(now + back_in);
@@ -649,7 +655,12 @@
     ) {
         let waiting = |(key, state): (&ItemKey, &ItemState)| match state.stage {
             Stage::Waiting { not_before } if now >= not_before => {
-                let order = (self.is_hopeless(now, state), state.due, key.clone());
+                let order = (
+                    state.is_held(now),
+                    self.is_hopeless(now, state),
+                    state.due,
+                    key.clone(),
+                );
                 Some((order, self.is_urgent(now, state)))
             }
             _ => None,
@@ -866,6 +877,11 @@
         now >= self.progressed_at + OWN_VERSION_WAIT_MAX && !capacities.iter().any(continues)
     }
 
+    /// Whether the quarantine refused it and would do so now, as far as is known.
+    fn is_held(&self, now: Duration) -> bool {
+        self.held_until.is_some_and(|until| now < until)
+    }
+
     /// Duration of the current run.
     fn current_run_time(&self, now: Duration) -> Duration {
         match self.stage {
--- a/src/decide/slot_grants.rs
+++ b/src/decide/slot_grants.rs
@@ -73,6 +73,16 @@
         });
         self.recent_starts.entry(endpoint).or_default().push(now);
     }
+
+    /// Takes back a start at a time: nothing was sent.
+    pub fn withdraw_start(&mut self, at: Duration, endpoint: EndpointId) {
+        let Some(starts) = self.recent_starts.get_mut(&endpoint) else {
+            return;
+        };
+        if let Some(found) = starts.iter().position(|start| *start == at) {
+            starts.swap_remove(found);
+        }
+    }
 }
 
 fn count_unseen(now: Duration, starts: &[Duration]) -> u32 {
--- a/tests/items_finished.rs
+++ b/tests/items_finished.rs
@@ -239,6 +239,53 @@
     assert_eq!(starved(rivals, refuse), HashMap::new());
 }
 
+/// Whether a new item starts in `IDLE_MAX` beside another VM's, and beside held items of its own VM.
+fn starts_beside_held(endpoints: &Endpoints, vms: (u64, u64), has_held: bool) -> bool {
+    let mut items = Items::default();
+    if has_held {
+        add_held(&mut items, "held");
+    }
+    let competing = [CompetingVm {
+        vm: vms.1,
+        domain: LOCAL_DOMAIN,
+        items: 10,
+    }];
+    let added_at = ms(2_000);
+    let mut now = ms(0);
+    while now < added_at + IDLE_MAX {
+        if now == added_at {
+            items.add(now, key("job", 0), SERVICE, ms(60_000));
+        }
+        let own = planner(vms.0, &competing);
+        let started = items.plan(now, &own, endpoints, &Usage::default());
+        let is_new =
+            |action: &Action| matches!(action, Action::Start { key, .. } if &*key.job == "job");
+        if started.iter().any(is_new) {
+            return true;
+        }
+        refuse(&mut items, now, started);
+        now += PLAN_INTERVAL;
+    }
+    false
+}
+
+// Attempts that the quarantine refused counted as starts and came first: an item waited beside free
+// slots while its VM had held items.
+#[test]
+fn beside_held() {
+    let endpoints = endpoints(&["v1"]);
+    let pairs = (0..100).map(|pair| (2 * pair + 1, 2 * pair + 2));
+    let starts = |has_held: bool| -> Vec<(u64, u64)> {
+        let pairs = pairs.clone();
+        pairs
+            .filter(|vms| starts_beside_held(&endpoints, *vms, has_held))
+            .collect()
+    };
+    let without = starts(false);
+    assert!(!without.is_empty());
+    assert_eq!(starts(true), without);
+}
+
 // A held item was not tried again before the end of its hold, although what it was held for may be
 // cleared sooner, while items waited at another VM.
 #[test]
