--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -4,12 +4,12 @@
 //! a slot is free, and is preempted when online requests need the slot. A preempted item resumes
 //! later after its last event, so little work is lost.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::endpoints::{Endpoint, Endpoints};
 use super::idle::{IdleCounter, IdleSnapshot};
-use super::slot_grants::{CompetingVm, EndpointPlace, SlotGrants};
+use super::slot_grants::{CompetingVm, EndpointPlace, SlotGrants, START_UNSEEN_TIME};
 use super::small_jobs::ItemIndex;
 use super::usage::{own_excess, Usage};
 use crate::id::{DomainId, EndpointId, JobId, Name, ServiceId, VmId};
@@ -28,6 +28,15 @@
 /// Delay before a preempted item may start again. The actions of other VMs show within this time;
 /// without the delay items are started and preempted many times a second during a burst.
 pub const PREEMPTED_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Time without progress after which an item no longer waits for endpoints of its software version
+/// that are out of use: they may never come back.
+const OWN_VERSION_WAIT_MAX: Duration = Duration::from_millis(3000);
+/// Time for which items go on competing after their last endpoint went out of use: endpoints that
+/// restart are back by then, and nobody has to be told.
+const OUT_OF_USE_MAX: Duration = Duration::from_secs(3);
+/// Shortest time between two announcements of an item, each of which delays it. Without it an item
+/// whose endpoints go in and out of use would never start.
+const ANNOUNCE_INTERVAL_MIN: Duration = Duration::from_secs(10);
 
 /// One item of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -46,11 +55,11 @@
 pub enum WaitReason {
     /// The quarantine delays it.
     HeldBack,
-    /// Its last run was preempted or failed a moment ago.
+    /// Its last run was preempted or failed a moment ago, or nothing could run it until then.
     Delayed,
     /// Its service has no endpoint in use.
     NoEndpoint,
-    /// No endpoint in use has the software version that made its text.
+    /// No endpoint in use has the software version that made its text, and it may not restart yet.
     OtherSoftware,
     /// All slots of the endpoints that could run it are taken.
     NoFreeSlot,
@@ -90,10 +99,19 @@
     stage: Stage,
     /// When its last run ended, or it was added. An attempt that the quarantine refuses is no run.
     waits_since: Duration,
-    /// The quarantine refused its last attempt.
-    is_held: bool,
+    /// Until when the quarantine delays it, if it refused the last attempt.
+    held_until: Option<Duration>,
+    /// Whether it competes for slots while it waits: it is not held back, and an endpoint that can
+    /// run it is in use or was a moment ago.
+    competes: bool,
+    /// When the other VMs were last told that it competes again.
+    announced_at: Option<Duration>,
     /// Software version of the endpoints that made its text; `None` while it has none.
     software: Option<Name>,
+    /// When it was last known to make progress: its text grew, it was preempted or it was added.
+    progressed_at: Duration,
+    /// Endpoint of the last failed run, if that run had no new event.
+    unproductive_at: Option<EndpointId>,
     /// Endpoints of failed runs, used only when there is no other; the last one alone unless
     /// [`Items::avoid_all_failed`].
     avoid: Vec<EndpointId>,
@@ -119,6 +137,9 @@
     /// Moving average of the run time of a completed item.
     typical_run_time: Option<Duration>,
     slot_grants: SlotGrants,
+    /// When a software version of a service last had an endpoint in use, as of the last plan; not
+    /// longer ago than [`OUT_OF_USE_MAX`].
+    last_usable: HashMap<(ServiceId, Name), Duration>,
     /// Whether an item avoids all endpoints where it failed, not only the last.
     pub avoid_all_failed: bool,
     /// Free slots that stayed unused while items waited.
@@ -222,8 +243,12 @@
             earlier_run_time: Duration::ZERO,
             stage,
             waits_since: now,
-            is_held: false,
+            held_until: None,
+            competes: true,
+            announced_at: None,
             software: None,
+            progressed_at: now,
+            unproductive_at: None,
             avoid: Vec::new(),
         };
         self.states.insert(key, state);
@@ -253,11 +278,21 @@
             return;
         };
         state.earlier_run_time += state.current_run_time(now);
-        if let (Stage::Running { endpoint, .. }, true) = (state.stage, failed) {
+        if let (
+            Stage::Running {
+                endpoint, since, ..
+            },
+            true,
+        ) = (state.stage, failed)
+        {
             if !self.avoid_all_failed {
                 state.avoid.clear();
             }
             state.avoid.push(endpoint);
+            state.unproductive_at = (state.progressed_at <= since).then_some(endpoint);
+        }
+        if !failed {
+            state.progressed_at = now;
         }
         let delay = if failed {
             FAILED_RETRY_AFTER
@@ -268,15 +303,37 @@
             not_before: now + delay,
         };
         state.waits_since = now;
-        state.is_held = false;
+        state.held_until = None;
+    }
+
+    /// Records that an item's text grew in its current run.
+    pub fn progressed(&mut self, now: Duration, key: &ItemKey) {
+        if let Some(state) = self.states.get_mut(key) {
+            state.progressed_at = now;
+            state.unproductive_at = None;
+            state.avoid.clear();
+        }
     }
 
-    /// Delays an item whose request is quarantined.
-    pub fn quarantined(&mut self, now: Duration, key: &ItemKey, back_in: Duration) {
+    /// Delays an item that the quarantine refused to run for `back_in`; it is tried again after
+    /// `recheck_in`, since it may be admitted sooner.
+    pub fn quarantined(
+        &mut self,
+        now: Duration,
+        key: &ItemKey,
+        back_in: Duration,
+        recheck_in: Duration,
+    ) {
         if let Some(state) = self.states.get_mut(key) {
-            let not_before = now + back_in;
+            if let Stage::Running {
+                endpoint, since, ..
+            } = state.stage
+            {
+                self.slot_grants.withdraw_start(since, endpoint);
+            }
+            let not_before = now + recheck_in;
             state.stage = Stage::Waiting { not_before };
-            state.is_held = true;
+            state.held_until = Some(now + back_in);
         }
     }
 
@@ -409,6 +466,7 @@
         for capacity in &mut capacities {
             self.preempt_excess(now, planner.vm, capacity, usage, &mut out);
         }
+        self.update_competing(now, &capacities);
         if planner.may_start {
             self.start(now, planner, &mut capacities, &mut out);
         }
@@ -440,19 +498,67 @@
         snapshot
     }
 
-    /// Number of items that wait for a slot.
+    /// Number of items that compete for slots, as of the last plan.
+    ///
+    /// Slots are granted to VMs by this number. Items that can't run don't count, else their VM
+    /// would be granted slots that it leaves empty.
     pub fn waiting_count(&self) -> usize {
-        let waits = |state: &&ItemState| matches!(state.stage, Stage::Waiting { .. });
+        let waits =
+            |state: &&ItemState| state.competes && matches!(state.stage, Stage::Waiting { .. });
         self.states.values().filter(waits).count()
     }
 
+    /// Updates which items compete for slots.
+    fn update_competing(&mut self, now: Duration, capacities: &[EndpointCapacity]) {
+        for capacity in capacities.iter().filter(|capacity| capacity.usable) {
+            let version = (capacity.service, capacity.software.clone());
+            self.last_usable.insert(version, now);
+        }
+        self.last_usable.retain(|_, at| now < *at + OUT_OF_USE_MAX);
+        let usable: HashSet<(ServiceId, &Name)> = self
+            .last_usable
+            .keys()
+            .map(|(service, software)| (*service, software))
+            .collect();
+        let services: HashSet<ServiceId> = usable.iter().map(|(service, _)| *service).collect();
+        let typical = self.typical_run_time.unwrap_or_default();
+        // Other VMs have to receive that an item competes again before it takes a slot.
+        let seen_at = now + START_UNSEEN_TIME;
+        for state in self.states.values_mut() {
+            let Stage::Waiting { not_before } = state.stage else {
+                continue;
+            };
+            let has_own_version = match &state.software {
+                Some(software) => {
+                    !software.is_empty() && usable.contains(&(state.service, software))
+                }
+                None => true,
+            };
+            let has_endpoint = services.contains(&state.service)
+                && (has_own_version || state.may_restart(now, typical, capacities));
+            let runs_from = state.held_until.map_or(not_before, |at| at.max(not_before));
+            let competes = has_endpoint && runs_from <= seen_at;
+            let may_announce = state
+                .announced_at
+                .is_none_or(|at| now >= at + ANNOUNCE_INTERVAL_MIN);
+            if competes && !state.competes && may_announce {
+                state.announced_at = Some(now);
+                state.stage = Stage::Waiting {
+                    not_before: not_before.max(seen_at),
+                };
+            }
+            state.competes = competes;
+        }
+    }
+
     /// Items without a run, the one that has waited longest first.
     pub fn waiting(&self, now: Duration, endpoints: &Endpoints, usage: &Usage) -> Vec<WaitingItem> {
         let capacities = self.capacities(now, endpoints, usage);
+        let typical = self.typical_run_time.unwrap_or_default();
         let waiting = |(key, state): (&ItemKey, &ItemState)| {
             Some(WaitingItem {
                 key: key.clone(),
-                reason: state.wait_reason(now, &capacities)?,
+                reason: state.wait_reason(now, typical, &capacities)?,
                 since: state.waits_since,
             })
         };
@@ -549,7 +655,12 @@
     ) {
         let waiting = |(key, state): (&ItemKey, &ItemState)| match state.stage {
             Stage::Waiting { not_before } if now >= not_before => {
-                let order = (self.is_hopeless(now, state), state.due, key.clone());
+                let order = (
+                    state.is_held(now),
+                    self.is_hopeless(now, state),
+                    state.due,
+                    key.clone(),
+                );
                 Some((order, self.is_urgent(now, state)))
             }
             _ => None,
@@ -557,11 +668,13 @@
         let mut queue: Vec<_> = self.states.iter().filter_map(waiting).collect();
         queue.sort();
         let mut waiting_count = self.waiting_count() as u32;
+        let typical = self.typical_run_time.unwrap_or_default();
         for ((.., key), urgent) in queue {
-            let may_restart = self.may_restart(now, &key, capacities);
             let Some(state) = self.states.get_mut(&key) else {
                 continue;
             };
+            let may_restart = state.may_restart(now, typical, capacities);
+            let is_stalled = state.is_stalled(now, capacities);
             let mut find = |software: Option<&Name>, avoid: &[EndpointId]| {
                 let needs = ItemNeeds {
                     service: state.service,
@@ -573,16 +686,23 @@
                     &self.slot_grants,
                     now,
                     planner,
-                    waiting_count,
+                    // An item that doesn't count yet may be admitted again.
+                    waiting_count.max(1),
                     needs,
                     avoid,
                 )
             };
             let software = state.software.as_ref();
-            let mut found = find(software, &state.avoid).or_else(|| find(software, &[]));
-            let from_start = found.is_none() && may_restart;
-            if from_start {
+            let mut found = find(software, &state.avoid);
+            let mut from_start = false;
+            if found.is_none() && is_stalled {
+                found = find(None, &state.avoid);
+                from_start = found.is_some();
+            }
+            found = found.or_else(|| find(software, &[]));
+            if found.is_none() && may_restart {
                 found = find(None, &state.avoid).or_else(|| find(None, &[]));
+                from_start = true;
             }
             let Some(capacity) = found.map(|at| &mut capacities[at]) else {
                 continue;
@@ -590,6 +710,7 @@
             if from_start {
                 state.software = None;
                 state.earlier_run_time = Duration::ZERO;
+                state.progressed_at = now;
             }
             capacity.batch_here += 1;
             capacity.urgent += u32::from(urgent);
@@ -599,7 +720,7 @@
                 since: now,
                 stopping: false,
             };
-            waiting_count = waiting_count.saturating_sub(1);
+            waiting_count = waiting_count.saturating_sub(u32::from(state.competes));
             self.slot_grants.record_start(now, endpoint);
             out.push(Action::Start {
                 key,
@@ -608,26 +729,6 @@
             });
         }
     }
-
-    /// Whether an item may give up its text and run again at another software version: at once if no
-    /// endpoint of its own version is left, else at the last moment at which a whole run still ends
-    /// in time.
-    fn may_restart(&self, now: Duration, key: &ItemKey, capacities: &[EndpointCapacity]) -> bool {
-        let Some(state) = self.states.get(key) else {
-            return false;
-        };
-        let Some(software) = &state.software else {
-            return false;
-        };
-        let continues = |capacity: &EndpointCapacity| {
-            capacity.in_service && capacity.can_continue(state.service, Some(software))
-        };
-        if !capacities.iter().any(continues) {
-            return true;
-        }
-        let whole_run_ends = now + self.typical_run_time.unwrap_or_default();
-        whole_run_ends < state.due && whole_run_ends + URGENT_MARGIN >= state.due
-    }
 }
 
 fn update_endpoint_usage(
@@ -705,11 +806,16 @@
 
 impl ItemState {
     /// Why it has no run; `None` while it has one.
-    fn wait_reason(&self, now: Duration, capacities: &[EndpointCapacity]) -> Option<WaitReason> {
+    fn wait_reason(
+        &self,
+        now: Duration,
+        typical_run_time: Duration,
+        capacities: &[EndpointCapacity],
+    ) -> Option<WaitReason> {
         let Stage::Waiting { not_before } = self.stage else {
             return None;
         };
-        if self.is_held {
+        if self.held_until.is_some() {
             return Some(WaitReason::HeldBack);
         }
         if now < not_before {
@@ -722,7 +828,8 @@
         if usable.is_empty() {
             return Some(WaitReason::NoEndpoint);
         }
-        let software = self.software.as_ref();
+        let may_restart = self.may_restart(now, typical_run_time, capacities);
+        let software = self.software.as_ref().filter(|_| !may_restart);
         let continues = |one: &&&EndpointCapacity| one.can_continue(self.service, software);
         let suitable: Vec<&&EndpointCapacity> = usable.iter().filter(continues).collect();
         if suitable.is_empty() {
@@ -734,6 +841,47 @@
         }
     }
 
+    /// Whether an item may give up its text and run again at another software version: at once if no
+    /// endpoint of its own version is left, after a while if none is in use, else at the last moment
+    /// at which a whole run still ends in time.
+    fn may_restart(
+        &self,
+        now: Duration,
+        typical_run_time: Duration,
+        capacities: &[EndpointCapacity],
+    ) -> bool {
+        let Some(software) = &self.software else {
+            return false;
+        };
+        let continues = |capacity: &EndpointCapacity| {
+            capacity.in_service && capacity.can_continue(self.service, Some(software))
+        };
+        if !capacities.iter().any(continues) || self.is_stalled(now, capacities) {
+            return true;
+        }
+        let whole_run_ends = now + typical_run_time;
+        whole_run_ends < self.due && whole_run_ends + URGENT_MARGIN >= self.due
+    }
+
+    /// Whether an item with a text has made no progress for a while, and no endpoint of its software
+    /// version is in use but the one where its last run failed without an event.
+    fn is_stalled(&self, now: Duration, capacities: &[EndpointCapacity]) -> bool {
+        let Some(software) = &self.software else {
+            return false;
+        };
+        let continues = |capacity: &EndpointCapacity| {
+            capacity.usable
+                && self.unproductive_at != Some(capacity.id)
+                && capacity.can_continue(self.service, Some(software))
+        };
+        now >= self.progressed_at + OWN_VERSION_WAIT_MAX && !capacities.iter().any(continues)
+    }
+
+    /// Whether the quarantine refused it and would do so now, as far as is known.
+    fn is_held(&self, now: Duration) -> bool {
+        self.held_until.is_some_and(|until| now < until)
+    }
+
     /// Duration of the current run.
     fn current_run_time(&self, now: Duration) -> Duration {
         match self.stage {
--- a/tests/item_trials.rs
+++ b/tests/item_trials.rs
@@ -215,7 +215,10 @@
             };
             let item = identity(&key.job, &[SHARED]);
             match quarantine.item_hold(now, &item, |_| 0) {
-                Some(hold) => items.quarantined(now, &key, (hold.until - now).min(ms(1000))),
+                Some(hold) => {
+                    let back_in = hold.until - now;
+                    items.quarantined(now, &key, back_in, back_in.min(ms(1000)));
+                }
                 None if &*key.job == "sound" => return,
                 None => {
                     quarantine.start_item_trial(now, &item);
