Soak: series of crashes, items with prompt segments, and how long items wait

The soak never found items that are left waiting. Its items had no prompt segments, ran for an eighth of a second, eight at most in 0.6 s, and an endpoint ended once at a time, so that hardly any item had three ends; and what counted as whole again was any time up to 25 s, so that a hold of 15 s passed.

Change: `engine_crashes` ends a third of the endpoints, three to six times, 0.15 to 0.5 s apart; others replace them after a while. A third of a job's items have a segment that the job shares, a third that and one of their own. `--event-ms` and `--items` make answers longer and jobs larger. Once the faults are over, the soak follows which items have runs at the endpoints: none that is open goes without one for 5 s while slots are free. Each VM lists each job to its last item.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -12,7 +12,8 @@
 use bramleyseam::util::lock;
 use bramleyseam_platform_standin::caller::{
     cancel_with, item_body_with, item_id, item_text, open_request, read_data, request_stream_with,
-    request_with_prompt, results_with, resume_stream_with, submit_with, Response,
+    request_with_prompt, results_with, resume_stream_with, submission_with, submit_body_with,
+    Response,
 };
 use bramleyseam_platform_standin::fleet::Fleet;
 use rand::rngs::SmallRng;
@@ -122,16 +123,19 @@
     ledger: &'a Ledger,
     seed: u64,
     vms: usize,
+    /// Most items of a job.
+    items_max: usize,
     next_id: AtomicU64,
 }
 
 impl<'a> Callers<'a> {
     /// Creates the callers; none has sent a request yet.
-    pub fn new(fleet: &Fleet, ledger: &'a Ledger, seed: u64) -> Callers<'a> {
+    pub fn new(fleet: &Fleet, ledger: &'a Ledger, seed: u64, items_max: usize) -> Callers<'a> {
         Callers {
             ledger,
             seed,
             vms: fleet.vms.len(),
+            items_max,
             next_id: AtomicU64::new(1),
         }
     }
@@ -268,7 +272,7 @@
         let mut rng = self.rng(1);
         while !stopping.load(Ordering::SeqCst) {
             let job = self.id("job");
-            let items = rng.random_range(1..9);
+            let items = rng.random_range(1..=self.items_max);
             self.submit(&job, items, &mut rng);
             clock::sleep(JOB_PAUSE);
             self.resend(&mut rng);
@@ -289,7 +293,7 @@
             let vm = (first + attempt) % self.vms;
             let what = format!("submission of {job}");
             let answer = send_once(self.ledger, vm, what, |agent, to| {
-                submit_with(agent, to, job, items)
+                submit_job(agent, to, job, items)
             });
             let status = answer.map(|answer| answer.status);
             record.refused &= matches!(status, Some(429 | 503));
@@ -349,12 +353,28 @@
     }
 }
 
+fn submit_job(agent: &ureq::Agent, to: SocketAddr, job: &str, items: usize) -> Option<Response> {
+    let body = submission_with(job, items, |at| item_prompt(job, at));
+    submit_body_with(agent, to, job, &body)
+}
+
+/// Prompt segments of an item: none, one that its job shares, or that and one of its own before the
+/// last one. A repeated submission has the same. The ids are hexadecimal numbers.
+fn item_prompt(job: &str, at: usize) -> Option<String> {
+    let job = job.trim_start_matches("job-");
+    match at % 3 {
+        0 => None,
+        1 => Some(format!("a{job}:50,c{job}a{at}:20")),
+        _ => Some(format!("a{job}:50,b{job}a{at}:30,c{job}a{at}:20")),
+    }
+}
+
 /// Submits an accepted job again. Returns whether the VM accepted it; it may not deny it.
 pub fn resend_job(ledger: &Ledger, job: &str, vm: usize) -> bool {
     let items = lock(&ledger.jobs)[job].items;
     let what = format!("repeated submission of {job}");
     let answer = send_once(ledger, vm, what, |agent, to| {
-        submit_with(agent, to, job, items)
+        submit_job(agent, to, job, items)
     });
     let status = answer.map_or(0, |answer| answer.status);
     if (400..500).contains(&status) && status != 429 {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -5,9 +5,11 @@
 
 use bramleyseam::clock;
 use bramleyseam::util::lock;
-use bramleyseam_platform_standin::caller::{item_id, request_stream};
-use bramleyseam_platform_standin::endpoint::{complete_text, event_data, unmarked_text, Run};
-use bramleyseam_platform_standin::fleet::{wait_until, Fleet};
+use bramleyseam_platform_standin::caller::{item_id, request_stream, results};
+use bramleyseam_platform_standin::endpoint::{
+    complete_text, event_data, unmarked_text, Endpoint, Run,
+};
+use bramleyseam_platform_standin::fleet::{entry_key, wait_until, Fleet};
 
 use super::callers::{accepted_jobs, read_results, resend_job};
 use super::faults::FATAL_SEGMENT;
@@ -29,6 +31,12 @@
 /// long.
 pub const FAULT_EFFECT_TIME: Duration = Duration::from_secs(4);
 
+/// Longest time for which an open item may have no run while slots are free.
+const IDLE_MAX: Duration = Duration::from_secs(5);
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Runs that an endpoint has room for, as its entry says.
+const SLOTS_PER_ENDPOINT: usize = 4;
+
 /// Runs all checks once the faults are over. Returns all violations, those found during the run
 /// first.
 pub fn check_all(fleet: &Fleet, ledger: &Ledger) -> Vec<String> {
@@ -70,6 +78,89 @@
     }
 }
 
+/// From the end of all faults on, no open item of an accepted job goes without a run for `IDLE_MAX`
+/// while slots are free. Returns once no item is open, or each that is has been reported.
+pub fn check_waits(fleet: &Fleet, ledger: &Ledger, calm_from: Duration) {
+    let mut busy_until: HashMap<String, Duration> = HashMap::new();
+    let mut reported = HashSet::new();
+    let until = calm_from + RECOVERY_TIMEOUT;
+    for (poll, vm) in (0..fleet.vms.len()).cycle().enumerate() {
+        let (running, ended_at) = runs_of_items(fleet);
+        let now = clock::now();
+        let has_room = running.len() < SLOTS_PER_ENDPOINT * ready_endpoints(fleet);
+        let open = open_items(ledger);
+        if now >= until || open.iter().all(|(_, item)| reported.contains(item)) {
+            return;
+        }
+        for (job, item) in open {
+            let from = busy_until.entry(item.clone()).or_insert(now);
+            let ended_at = ended_at.get(&item).copied().unwrap_or_default();
+            *from = match has_room && !running.contains(&item) {
+                true => ended_at.max(*from),
+                false => now,
+            };
+            let idle = now.saturating_sub(*from);
+            if idle < IDLE_MAX || reported.contains(&item) {
+                continue;
+            }
+            read_new_results(ledger, &job, vm);
+            if !lock(&ledger.jobs)[&job].is_listed(&item) {
+                let what = format!("item {item} has no run for {idle:?} beside free slots");
+                ledger.record_violation(now, what);
+                reported.insert(item);
+            }
+        }
+        let open = open_items(ledger);
+        if let Some((job, _)) = open.get(poll % open.len().max(1)) {
+            read_new_results(ledger, job, vm);
+        }
+        clock::sleep(IDLE_POLL_INTERVAL);
+    }
+}
+
+fn read_new_results(ledger: &Ledger, job: &str, vm: usize) {
+    let read = lock(&ledger.jobs)[job].results.len();
+    read_results(ledger, job, vm, read, 0);
+}
+
+/// Unlisted items of accepted jobs, with their jobs.
+fn open_items(ledger: &Ledger) -> Vec<(String, String)> {
+    let jobs = lock(&ledger.jobs);
+    let mut found = Vec::new();
+    for (id, job) in jobs.iter().filter(|(_, job)| job.is_open()) {
+        let items = (0..job.items).map(|at| item_id(id, at));
+        let open = items.filter(|item| !job.is_listed(item));
+        found.extend(open.map(|item| (id.clone(), item)));
+    }
+    found
+}
+
+/// Ids of the runs under way at living endpoints, one for each run, and when each id's last run ended.
+fn runs_of_items(fleet: &Fleet) -> (Vec<String>, HashMap<String, Duration>) {
+    let (mut running, mut last_ends) = (Vec::new(), HashMap::new());
+    for endpoint in &fleet.endpoints {
+        for run in endpoint.runs() {
+            match run.ended_at {
+                Some(at) => {
+                    let last = last_ends.entry(run.id).or_insert(at);
+                    *last = at.max(*last);
+                }
+                None if endpoint.ended_at().is_none() => running.push(run.id),
+                None => {}
+            }
+        }
+    }
+    (running, last_ends)
+}
+
+fn ready_endpoints(fleet: &Fleet) -> usize {
+    let is_ready = |endpoint: &&Endpoint| {
+        let entry = fleet.store.get(&entry_key(endpoint)).unwrap_or_default();
+        endpoint.ended_at().is_none() && entry["state"] == "ready"
+    };
+    fleet.endpoints.iter().filter(is_ready).count()
+}
+
 fn runs_by_id(fleet: &Fleet) -> HashMap<String, Vec<Run>> {
     let mut found: HashMap<String, Vec<Run>> = HashMap::new();
     for run in fleet.endpoints.iter().flat_map(|endpoint| endpoint.runs()) {
@@ -122,6 +213,12 @@
             if !wait_until(RECOVERY_TIMEOUT, || read_results(ledger, &job, vm, 0, 0)) {
                 ledger.record_violation(clock::now(), format!("VM {vm} can't tell of job {job}"));
             }
+            if !wait_until(RECOVERY_TIMEOUT, || is_listed_whole(ledger, &job, vm)) {
+                ledger.record_violation(
+                    clock::now(),
+                    format!("VM {vm} does not list job {job} whole"),
+                );
+            }
             if !wait_until(RECOVERY_TIMEOUT, || resend_job(ledger, &job, vm)) {
                 let what = format!("VM {vm} does not accept job {job} again");
                 ledger.record_violation(clock::now(), what);
@@ -130,6 +227,20 @@
     }
 }
 
+/// Whether a VM lists the last item of a job. Positions before it have been compared with earlier reads.
+fn is_listed_whole(ledger: &Ledger, job: &str, vm: usize) -> bool {
+    let items = lock(&ledger.jobs)[job].items;
+    let is_cancelled = lock(&ledger.jobs)[job].cancel_sent;
+    is_cancelled
+        || results(ledger.vms[vm], job, items - 1, 0).is_some_and(|answer| {
+            let page = answer.json();
+            answer.status == 200
+                && page["results"]
+                    .as_array()
+                    .is_some_and(|rows| rows.len() == 1)
+        })
+}
+
 /// An answer that looks complete is complete and belongs to its request. A cut answer has a fault
 /// as its cause.
 fn check_answer(ledger: &Ledger, request: &OnlineRequest) {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -31,8 +31,6 @@
 /// Time in which a process must end after a stop signal; its settings allow it 6 s.
 pub const STOP_TIMEOUT: Duration = Duration::from_secs(9);
 
-/// Pause between two events of an engine's answers.
-pub const EVENT_PAUSE: Duration = Duration::from_millis(25);
 /// Time from the end of an endpoint until another one replaces it.
 const REPLACED_AFTER: Duration = Duration::from_millis(1000);
 /// Prompt segment that ends endpoints.
@@ -222,7 +220,7 @@
             Fault::EngineLinkOneWay => self.fleet.links[target].set_mode(Mode::SilentUp),
             Fault::EngineLinkSlow => self.fleet.links[target].set_mode(Mode::Delayed(LINK_DELAY)),
             Fault::EngineLinkReset => self.fleet.links[target].reset(),
-            Fault::EngineEnds => self.fleet.endpoints[target].end(),
+            Fault::EngineEnds | Fault::EngineCrashes => self.fleet.endpoints[target].end(),
             Fault::EnginePauses => self.fleet.endpoints[target].pause(step.lasts),
             Fault::EngineLeaves => self.drain(target),
             Fault::RulesChange => self.change_rules(),
@@ -272,7 +270,7 @@
                 self.fleet.vms[target].store_link.set_mode(Mode::Open);
             }
             Fault::EngineSilent => self.fleet.endpoints[target].behave(|b| b.silent = false),
-            Fault::EngineEnds => self.replace(target),
+            Fault::EngineEnds | Fault::EngineCrashes => self.replace(target),
             Fault::EngineLinkOneWay | Fault::EngineLinkSlow => {
                 self.fleet.links[target].set_mode(Mode::Open);
             }
@@ -310,7 +308,7 @@
             }
         };
         next.behave(|b| {
-            b.event_interval = EVENT_PAUSE;
+            b.event_interval = ended.event_interval();
             b.fatal_segments = ended.fatal_segments();
             b.software = SOFTWARE[self.fleet.endpoints.len() % SOFTWARE.len()].into();
         });
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -65,6 +65,11 @@
         self.read_at.iter().filter(|at| **at <= time).count()
     }
 
+    /// Whether it was accepted, nobody tried to cancel it, and not all of its results were read.
+    pub fn is_open(&self) -> bool {
+        self.accepted_at.is_some() && !self.cancel_sent && self.results.len() < self.items
+    }
+
     /// Whether an item was read as listed.
     pub fn is_listed(&self, item: &str) -> bool {
         self.results.iter().any(|result| result.item == item)
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -41,7 +41,7 @@
 pub fn run(program: &str, seed: u64, size: &Size) -> io::Result<Report> {
     let mut fleet = Fleet::start_linked(program, size.vms, size.endpoints)?;
     for endpoint in &fleet.endpoints {
-        endpoint.behave(|b| b.event_interval = faults::EVENT_PAUSE);
+        endpoint.behave(|b| b.event_interval = size.event_interval);
     }
     // Callers may come only once all VMs know the versions, which endpoints don't change otherwise.
     if !fleet.assign_software(&faults::SOFTWARE) {
@@ -55,10 +55,10 @@
     let steps = plan::draw(seed, size);
     let ledger = Ledger::new(&fleet, clock::now());
     let stopping = AtomicBool::new(false);
-    let callers = Callers::new(&fleet, &ledger, seed);
-    let mut injector = FaultInjector::new(program, &mut fleet, &ledger);
+    let callers = Callers::new(&fleet, &ledger, seed, size.items_max);
     let mut calm_from = None;
     thread::scope(|scope| {
+        let mut injector = FaultInjector::new(program, &mut fleet, &ledger);
         callers.spawn(scope, &stopping);
         if size.fatal_prompts {
             injector.begin_fatal_prompts();
@@ -71,6 +71,7 @@
         }
         injector.restore();
         stopping.store(true, Ordering::SeqCst);
+        checks::check_waits(&fleet, &ledger, clock::now());
     });
     if let Some(calm_from) = calm_from {
         checks::check_fatal_runs(&fleet, &ledger, calm_from);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -40,6 +40,12 @@
         .arg(number("endpoints", "3", "Endpoints of one seed"))
         .arg(number("seconds", "5", "Time in which faults begin"))
         .arg(number("faults", "6", "Faults of one seed"))
+        .arg(number(
+            "event-ms",
+            "25",
+            "Pause between two events of an answer, in milliseconds",
+        ))
+        .arg(number("items", "8", "Most items of a job"))
         .arg(only)
         .arg(fatal_prompts)
 }
@@ -81,6 +87,8 @@
         faults: number("faults") as usize,
         kinds: kinds(matches),
         fatal_prompts: matches.get_flag("fatal_prompts"),
+        event_interval: Duration::from_millis(number("event-ms")),
+        items_max: number("items") as usize,
     };
     let program = matches.get_one::<String>("program");
     match run(program.map_or("", String::as_str), seed, &size) {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -54,6 +54,8 @@
     EngineEnds,
     /// A sound endpoint sends nothing for a while and goes on, at times together with others.
     EnginePauses,
+    /// Several endpoints end as with `EngineEnds`, several times in short order.
+    EngineCrashes,
 }
 
 impl Fault {
@@ -117,6 +119,10 @@
     pub kinds: Vec<Fault>,
     /// Some callers send prompts with a segment that ends endpoints, all the time.
     pub fatal_prompts: bool,
+    /// Pause between two events of an answer.
+    pub event_interval: Duration,
+    /// Most items of a job.
+    pub items_max: usize,
 }
 
 impl Size {
@@ -132,6 +138,8 @@
                 .take_while(|kind| *kind != Fault::EnginePauses)
                 .collect(),
             fatal_prompts: false,
+            event_interval: EVENT_INTERVAL,
+            items_max: ITEMS_MAX,
         }
     }
 }
@@ -143,6 +151,22 @@
 const PAUSE_MIN: Duration = Duration::from_millis(600);
 const PAUSE_RANGE_MS: u64 = 900;
 
+/// Pause between two events of an answer where it isn't given.
+const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// Most items of a job where it isn't given.
+const ITEMS_MAX: usize = 8;
+
+/// Shortest series of crashes, and by how much others are longer.
+const CRASHES_MIN: u64 = 3;
+const CRASHES_RANGE: u64 = 4;
+/// Shortest time between two crashes of a series, and by how much others are longer.
+const CRASH_INTERVAL_MIN: Duration = Duration::from_millis(150);
+const CRASH_INTERVAL_RANGE_MS: u64 = 350;
+/// One endpoint in this number ends at each crash.
+const CRASH_ONE_IN: usize = 3;
+/// Time from the end of an endpoint until another one replaces it, at least.
+const CRASHED_MIN: Duration = Duration::from_millis(900);
+
 /// A configuration change and a draining engine, once the VMs count as free of faults.
 fn followers(step: &Step) -> Vec<Step> {
     if !step.fault.has_followers() {
@@ -173,6 +197,25 @@
     (0..together).map(pause).collect()
 }
 
+/// Ends of several endpoints at a time, each group after the one before, in place of one step; other steps
+/// are kept.
+fn crashes(step: Step, size: &Size) -> Vec<Step> {
+    if step.fault != Fault::EngineCrashes {
+        return vec![step];
+    }
+    let lasts_ms = step.lasts.as_millis() as u64;
+    let series = CRASHES_MIN + lasts_ms % CRASHES_RANGE;
+    let interval = CRASH_INTERVAL_MIN + Duration::from_millis(lasts_ms % CRASH_INTERVAL_RANGE_MS);
+    let together = size.endpoints.div_ceil(CRASH_ONE_IN);
+    let crash = |at: usize| Step {
+        at: step.at + interval * (at / together) as u32,
+        lasts: step.lasts.max(CRASHED_MIN),
+        target: (step.target + at) % size.endpoints,
+        ..step
+    };
+    (0..series as usize * together).map(crash).collect()
+}
+
 /// Draws the faults of a seed, in order of their start; they may overlap.
 pub fn draw(seed: u64, size: &Size) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -194,6 +237,7 @@
             }
         })
         .flat_map(|step| pauses(step, size))
+        .flat_map(|step| crashes(step, size))
         .collect();
     let followers: Vec<Step> = steps.iter().flat_map(followers).collect();
     steps.extend(followers);
