--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -103,6 +103,9 @@
     });
     // A held item is tried again each second.
     let is_known = held_by.is_some() && held_by == held_before.flatten();
+    if last_event(&node, &key) > start.last_event {
+        node.core.borrow_mut().items.progressed(now, &key);
+    }
     let what = match &end {
         RunEnd::Complete(_) => "completed",
         RunEnd::Rejected => "rejected",
@@ -152,7 +155,7 @@
             let back_in = quarantine::time_until(hold.until);
             let recheck_in = back_in.min(QUARANTINED_RECHECK_INTERVAL);
             let mut core = node.core.borrow_mut();
-            core.items.quarantined(now, &key, recheck_in);
+            core.items.quarantined(now, &key, back_in, recheck_in);
         }
         RunEnd::Failed(failure) => {
             let mut core = node.core.borrow_mut();
@@ -350,6 +353,7 @@
 }
 
 /// An item's state when its run began.
+#[derive(Debug, Clone, Copy)]
 struct RunStart {
     at: Duration,
     last_event: Option<u64>,
