--- a/review/standin/src/cancel_during_freeze.rs
+++ b/review/standin/src/cancel_during_freeze.rs
@@ -39,7 +39,7 @@
 /// The VM, in another failure domain, at which the caller cancels.
 const CANCELLED_AT: usize = 1;
 
-pub fn play(program: &str, with_trouble: bool, record: &mut Record) -> io::Result<Verdict> {
+pub fn play(program: &str, with_trouble: bool, record: &Record) -> io::Result<Verdict> {
     let settings = json!({
         "drain_ms": 3000, "stop_limit_ms": 8000, "results_kept_s": 120,
         "core_share": 0.25, "routing": "two-choices",
@@ -72,7 +72,7 @@
     round: usize,
     (owner, frozen): (usize, usize),
     with_trouble: bool,
-    record: &mut Record,
+    record: &Record,
 ) -> io::Result<usize> {
     let job = format!("{:016x}", 0x7c41_e09b_52d6_0000_u64 + round as u64);
     let submitted = caller::submit(fleet.vms[owner].callers, &job, ITEMS);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 //! 2 if the scenario could not be played. With `TROUBLE=0` the disruption is left out.
 
 mod cancel_during_freeze;
+mod item_of_two_services;
 mod record;
 
 use std::process::ExitCode;
@@ -25,12 +26,11 @@
         return ExitCode::from(COULD_NOT_RUN);
     };
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let played = Record::create(record.as_ref()).and_then(|mut record| {
+    let played = Record::create(record.as_ref()).and_then(|record| {
         record.line(&format!("scenario {scenario}, trouble {with_trouble}"));
         match scenario.as_str() {
-            "cancel-during-freeze" => {
-                cancel_during_freeze::play(program, with_trouble, &mut record)
-            }
+            "cancel-during-freeze" => cancel_during_freeze::play(program, with_trouble, &record),
+            "item-of-two-services" => item_of_two_services::play(program, with_trouble, &record),
             other => Err(std::io::Error::other(format!("no scenario {other}"))),
         }
     });
