--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,10 +3,10 @@
 //! `bramleyseam-review SCENARIO PROGRAM RECORD` exits with 0 if the rule held, 1 if it was broken and
 //! 2 if the scenario could not be played. With `TROUBLE=0` the disruption is left out.
 
-mod cancel_during_cut;
 mod cancel_during_freeze;
 mod item_of_two_services;
 mod record;
+mod rivals_at_full_service;
 
 use std::process::ExitCode;
 
@@ -31,8 +31,10 @@
         record.line(&format!("scenario {scenario}, trouble {with_trouble}"));
         match scenario.as_str() {
             "cancel-during-freeze" => cancel_during_freeze::play(program, with_trouble, &record),
-            "cancel-during-cut" => cancel_during_cut::play(program, with_trouble, &record),
             "item-of-two-services" => item_of_two_services::play(program, with_trouble, &record),
+            "rivals-at-full-service" => {
+                rivals_at_full_service::play(program, with_trouble, &record)
+            }
             other => Err(std::io::Error::other(format!("no scenario {other}"))),
         }
     });
