--- a/review/standin/src/cancel_during_freeze.rs
+++ b/review/standin/src/cancel_during_freeze.rs
@@ -10,8 +10,8 @@
 use bramleyseam_platform_standin::caller;
 use bramleyseam_platform_standin::fleet::Fleet;
 use rustix::process::Signal;
-use serde_json::json;
 
+use crate::deployment;
 use crate::record::Record;
 use crate::Verdict;
 
@@ -40,10 +40,7 @@
 const CANCELLED_AT: usize = 1;
 
 pub fn play(program: &str, with_trouble: bool, record: &Record) -> io::Result<Verdict> {
-    let settings = json!({
-        "drain_ms": 3000, "stop_limit_ms": 8000, "results_kept_s": 120,
-        "core_share": 0.25, "routing": "two-choices",
-    });
+    let settings = deployment::settings();
     let fleet = Fleet::start_with(program, VMS, ENDPOINTS, &settings)?;
     if !fleet.wait_heartbeats() {
         return Err(io::Error::other("the VMs don't hear each other"));
--- a/review/standin/src/item_of_two_services.rs
+++ b/review/standin/src/item_of_two_services.rs
@@ -13,6 +13,7 @@
 use bramleyseam_platform_standin::fleet::{config, entry, entry_key, Fleet};
 use serde_json::{json, Value};
 
+use crate::deployment;
 use crate::record::Record;
 use crate::Verdict;
 
@@ -37,10 +38,7 @@
 const RESULTS_WITHIN: Duration = Duration::from_secs(30);
 
 pub fn play(program: &str, with_trouble: bool, record: &Record) -> io::Result<Verdict> {
-    let settings = json!({
-        "drain_ms": 3000, "stop_limit_ms": 8000, "results_kept_s": 120,
-        "core_share": 0.25, "routing": "two-choices",
-    });
+    let settings = deployment::settings();
     let fleet = Fleet::start_with(program, VMS, ENDPOINTS * SERVICES.len(), &settings)?;
     for (at, endpoint) in fleet.endpoints.iter().enumerate() {
         let service = SERVICES[at / ENDPOINTS];
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 //! 2 if the scenario could not be played. With `TROUBLE=0` the disruption is left out.
 
 mod cancel_during_freeze;
+mod deployment;
 mod item_of_two_services;
 mod record;
 mod rivals_at_full_service;
--- a/review/standin/src/rivals_at_full_service.rs
+++ b/review/standin/src/rivals_at_full_service.rs
@@ -13,6 +13,7 @@
 use bramleyseam_platform_standin::fleet::{config, entry, entry_key, route, Fleet};
 use serde_json::{json, Value};
 
+use crate::deployment;
 use crate::record::Record;
 use crate::Verdict;
 
@@ -51,10 +52,7 @@
 }
 
 pub fn play(program: &str, with_trouble: bool, record: &Record) -> io::Result<Verdict> {
-    let settings = json!({
-        "drain_ms": 3000, "stop_limit_ms": 8000, "results_kept_s": 120,
-        "core_share": 0.25, "routing": "two-choices",
-    });
+    let settings = deployment::settings();
     let fleet = Fleet::start_with(program, VMS, 1 + IDLE_ENDPOINTS, &settings)?;
     for (at, endpoint) in fleet.endpoints.iter().enumerate() {
         endpoint.behave(|behaviour| {
