A VM with jobs asks the store itself when the VM that it follows confirms nothing

What callers saw: items of a cancelled job were sent to endpoints 3.28 s after the acknowledgement (bound 3 s), by a sound VM, while another VM of its failure domain stood still for 3.2 s.

Cause: in a small fleet one VM of a failure domain watches the job records and the others query it. Nothing bounded the age of what a query had brought: a pause of 1 s after changes, then up to 2.6 s for an answer of a VM that is frozen with its connections open. The owner's log of the case: accepted 00.99, cancelled 01.11, followed VM frozen 01.49, "the watching VM did not answer" 04.595, "job no longer run here" 04.698; the items were sent at 04.40. A followed VM that is cut off from the store answers meanwhile that nothing has changed. In a large fleet delegates stand in the same place.

Change: answers of the followed VM carry the age of the store's last confirmation, as before, and now end the wait when a new one arrives. A VM with jobs whose last confirmation is 2.3 s old asks the store itself, independently of pauses and of a query that waits. A query is also given up when another VM is followed.

Calls on the store are to be compared on the sites.

--- a/src/decide/freshness.rs
+++ b/src/decide/freshness.rs
@@ -9,7 +9,7 @@
 //! | subject | confirmed by | refreshed after |
 //! | --- | --- | --- |
 //! | rules, endpoints | the local watch and local calls; calls of the VMs that refresh for the others, reported in heartbeats and summaries | 0.6 s (in a large fleet 1.0 s) by the first VM in order, later by the next ones |
-//! | jobs, VMs | the same calls of the VM that watches for its failure domain, reported in its answers to the VMs that query it | 2 s |
+//! | jobs, VMs | the same calls of the VM that watches for its failure domain, reported in its answers to the VMs that follow it | 2 s; 2.3 s by a VM with jobs that follows another one |
 //!
 //! A confirmation of rules and endpoints is reported, with its age, only by a VM that has it from
 //! the store, never by one that has it from a peer: forwarded, it would seem younger with each hop.
@@ -67,6 +67,10 @@
 /// records to the other VMs; only the lapse of a dead VM's registration is reported by no VM, and
 /// its jobs can wait for seconds.
 const LIVE_REFRESH_AFTER: Duration = Duration::from_secs(2);
+/// The same for a VM that runs jobs and follows another VM. The items of a cancelled job must stop
+/// within 3 s, whatever has become of the followed VM and of the one that cancelled the job. While
+/// the followed VM works, its confirmations are reported before this age.
+const FOLLOWED_REFRESH_AFTER: Duration = Duration::from_millis(2300);
 
 /// Largest confirmation age at which "there is no such route" is answered: rules are in force
 /// within 2 s of their commit on the tightest deployments. With regular confirmations and no lost
@@ -186,6 +190,16 @@
         age.map_or(Duration::ZERO, |age| refresh_after.saturating_sub(age))
     }
 
+    /// When the last local call that confirmed a subject was sent.
+    pub fn confirmed_by_local_call_at(&self, subject: StoreSubject) -> Option<Duration> {
+        self.confirmed_at[subject as usize].by_local_call
+    }
+
+    /// Time until a VM that runs jobs and follows another VM has to ask the store itself.
+    pub fn followed_refresh_due_in(&self, now: Duration) -> Duration {
+        self.refresh_due_in(now, StoreSubject::Live, FOLLOWED_REFRESH_AFTER)
+    }
+
     /// Whether the rules are fresh enough that a route which they lack does not exist.
     ///
     /// With a silent watch, callers of a newly added route would otherwise be told that it doesn't
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -125,6 +125,7 @@
     spawn_local(watch::follow_endpoints(node.clone()));
     spawn_local(live_watch::run(node.clone()));
     spawn_local(live_watch::detect_silent_watch(node.clone()));
+    spawn_local(live_watch::refresh_followed(node.clone()));
     spawn_local(registration::register(node.clone()));
     spawn_local(runs::run(node.clone()));
     spawn_local(summary::run(node.clone()));
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -252,6 +252,8 @@
     pub confirmation_age: GaugeVec,
     /// Watches that missed a change which another call on the store reported.
     pub silent_watches: IntCounter,
+    /// Calls on the store for what a followed VM had not confirmed in time.
+    pub followed_refreshes: IntCounter,
     /// Services that became short of slots.
     pub shortages: IntCounter,
     /// Services that are short of slots.
@@ -363,6 +365,10 @@
                 "bramley_silent_watches_total",
                 "Watches that had missed what another call on the store told.",
             ),
+            followed_refreshes: metrics.counter(
+                "bramley_followed_refreshes_total",
+                "Calls on the store for what a followed VM had not confirmed in time.",
+            ),
             shortages: metrics.counter(
                 "bramley_shortages_total",
                 "Times that a service became short of slots, as seen by this VM.",
--- a/src/serve/live_watch.rs
+++ b/src/serve/live_watch.rs
@@ -4,6 +4,9 @@
 //! A job's record changes with every listing of results, and every VM needs all of them to answer
 //! readers. If each VM watched the store, its calls would grow with VMs times listings; this way
 //! they grow with failure domains.
+//!
+//! The followed VM may be frozen, slow or cut off from the store. A VM that runs jobs therefore asks
+//! the store itself when the last confirmation that reached it is too old.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -18,8 +21,9 @@
 use super::job_table::{decode, Job};
 use super::jobs::encode;
 use super::node::{Core, Node};
-use super::refreshing::ask_store;
+use super::refreshing::{ask_store, ask_store_once};
 use super::replies::{self, Reply};
+use super::runs;
 use super::watch::{self, follow, FollowedPrefix, StoreUpdate, WatchAnswer};
 use crate::clock;
 use crate::decide::freshness::StoreSubject;
@@ -38,11 +42,16 @@
 const FOLLOW_INTERVAL_WITH_READERS: Duration = Duration::from_millis(200);
 /// The same while no caller reads: claims and ends of jobs may take seconds.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(1000);
-/// Longest wait of one request to the watching VM. It bounds how long the former watching VM is
-/// still asked after another one has taken its place.
-const WAIT_MAX: Duration = Duration::from_secs(2);
+/// Longest wait of one request to the watching VM: longer than the time between two of its
+/// confirmations, each of which ends the wait.
+const WAIT_MAX: Duration = Duration::from_millis(2200);
 /// Time that the answer may take beyond the wait before the VM counts as gone.
 const ANSWER_MARGIN: Duration = Duration::from_millis(600);
+/// Time between two checks of a following VM: whether it still follows the same one, and whether it
+/// has to ask the store itself.
+const FOLLOWED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause after a call on the store that failed while another VM is followed.
+const REFRESH_RETRY_AFTER: Duration = Duration::from_millis(900);
 /// Time for which a VM that did not answer is not asked again; by then its heartbeats have shown
 /// whether it lives.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -107,9 +116,9 @@
         let core = node.core.borrow();
         match (followed, core.jobs.readers) {
             (None, _) => WATCHER_INTERVAL,
-            (Some(_), 0) => FOLLOW_INTERVAL,
+            (Some(_), 0) => follow_interval(&core),
             // In a large fleet readers are answered by the jobs' owners.
-            (Some(_), _) if core.peers.is_large() => FOLLOW_INTERVAL,
+            (Some(_), _) if core.peers.is_large() => follow_interval(&core),
             (Some(_), _) => FOLLOW_INTERVAL_WITH_READERS,
         }
     };
@@ -123,6 +132,58 @@
     follow(node, FOLLOWED, interval, ask, apply_update).await;
 }
 
+/// Pause of a following VM without readers. It ends in time to receive the watching VM's next
+/// confirmation before this VM has to ask the store itself.
+fn follow_interval(core: &Core) -> Duration {
+    let due_in = core.freshness.followed_refresh_due_in(clock::now());
+    let before_due = due_in.saturating_sub(FOLLOW_INTERVAL_WITH_READERS);
+    before_due.clamp(FOLLOW_INTERVAL_WITH_READERS, FOLLOW_INTERVAL)
+}
+
+/// Asks the store for changes when the followed VM has brought no confirmation for too long, until
+/// the process ends.
+///
+/// Without this, the items of a cancelled job run on here while the followed VM is frozen with its
+/// connections open, is slow, or is cut off from the store and answers that nothing has changed.
+pub async fn refresh_followed(node: Rc<Node>) {
+    loop {
+        sleep(FOLLOWED_CHECK_INTERVAL).await;
+        if !is_refresh_due(&node) {
+            continue;
+        }
+        let revision = node.core.borrow().jobs.watched_revision;
+        let age_ms = node.confirmation_age_ms(StoreSubject::Live);
+        log::info!(revision, age_ms; "the followed VM confirms nothing: asking the store");
+        node.counters.followed_refreshes.inc();
+        match ask_store_once(&node, FOLLOWED, revision).await {
+            Ok(answer) => {
+                let asked_at = answer.asked_at;
+                apply_update(&node, answer);
+                if let Some(asked_at) = asked_at {
+                    node.confirm(StoreSubject::Live, asked_at);
+                }
+            }
+            Err(error) => {
+                log::info!(error:% = error; "the store did not confirm the job records");
+                sleep(REFRESH_RETRY_AFTER).await;
+            }
+        }
+    }
+}
+
+/// Whether this VM runs jobs, follows another VM, and has had no confirmation for too long.
+fn is_refresh_due(node: &Node) -> bool {
+    if !runs::busy(node) || followed_vm(node).is_none() {
+        return false;
+    }
+    let core = node.core.borrow();
+    core.live.is_read()
+        && core
+            .freshness
+            .followed_refresh_due_in(clock::now())
+            .is_zero()
+}
+
 /// Sets the watches anew when other VMs have newer job records than these have delivered, until the
 /// process ends.
 ///
@@ -178,7 +239,15 @@
 ) -> Result<Option<WatchAnswer>, Error> {
     let wait = wait.min(WAIT_MAX);
     let path = format!("{PATH}{}/{}", at.unwrap_or(0), wait.as_millis());
-    match ask::<Changes>(node, watcher, &path, Vec::new(), wait + ANSWER_MARGIN).await {
+    let asked = ask::<Changes>(node, watcher, &path, Vec::new(), wait + ANSWER_MARGIN);
+    let answer = tokio::select! {
+        answer = asked => answer,
+        () = until_replaced(node, watcher) => {
+            log::info!(watcher:% = watcher; "another VM is followed");
+            return Ok(at.map(no_changes));
+        }
+    };
+    match answer {
         Ok(received) => {
             if let Some(age_ms) = received.proof_age_ms {
                 let age = Duration::from_millis(age_ms);
@@ -203,7 +272,24 @@
     }
 }
 
-/// Answers a VM that follows this one: at once when there are changes, else within the wait.
+/// Waits until this VM no longer follows `watcher`.
+async fn until_replaced(node: &Node, watcher: SocketAddr) {
+    while followed_vm(node) == Some(watcher) {
+        sleep(FOLLOWED_CHECK_INTERVAL).await;
+    }
+}
+
+/// An answer that confirms nothing, from which the next VM or the store continues.
+fn no_changes(at: Revision) -> WatchAnswer {
+    WatchAnswer {
+        update: StoreUpdate::Relayed(Vec::new()),
+        at,
+        asked_at: None,
+    }
+}
+
+/// Answers a VM that follows this one: at once when there are changes or the store has confirmed
+/// that there are none, else within the wait.
 pub async fn answer(node: &Node, path: &str) -> Reply {
     let asked = path
         .strip_prefix(PATH)
@@ -214,6 +300,12 @@
         return replies::empty(400);
     };
     let until = clock::now() + Duration::from_millis(wait_ms).min(WAIT_MAX);
+    let confirmed_at = || {
+        let core = node.core.borrow();
+        core.freshness
+            .confirmed_by_local_call_at(StoreSubject::Live)
+    };
+    let confirmed_before = confirmed_at();
     loop {
         let (changes, changed) = {
             let core = node.core.borrow();
@@ -224,7 +316,8 @@
             (changes_after(node, after), core.jobs.changed.clone())
         };
         let left = until.saturating_sub(clock::now());
-        if !changes.changes.is_empty() || left.is_zero() {
+        let is_confirmed = confirmed_at() > confirmed_before;
+        if !changes.changes.is_empty() || is_confirmed || left.is_zero() {
             return reply(node.key.seal(&changes));
         }
         // After a timeout the loop checks again as after a change.
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -294,7 +294,12 @@
 
     /// Records that the store answered a call on a subject; the call was sent at `sent_at`.
     pub fn confirm(&self, subject: StoreSubject, sent_at: Duration) {
-        self.core.borrow_mut().freshness.confirm(subject, sent_at);
+        let mut core = self.core.borrow_mut();
+        core.freshness.confirm(subject, sent_at);
+        if subject == StoreSubject::Live {
+            // The VMs that follow this one wait for its confirmations.
+            core.jobs.changed.notify_waiters();
+        }
     }
 
     /// Confirmation age of a subject in milliseconds, for the log; -1 if it was never confirmed.
--- a/src/serve/refreshing.rs
+++ b/src/serve/refreshing.rs
@@ -38,16 +38,9 @@
     let sent_at = clock::now();
     let Some(after) = at else {
         // A starting VM watches from what it reads here at once, so that it need not be current.
-        let stale = followed.subject == StoreSubject::Live && !node.core.borrow().live.is_read();
-        let (items, at) = match stale {
-            true => node.store.stale_range(followed.prefix).await?,
-            false => node.store.range(followed.prefix).await?,
-        };
-        return Ok(Some(WatchAnswer {
-            update: StoreUpdate::Snapshot(items),
-            at,
-            asked_at: (!stale).then_some(sent_at),
-        }));
+        let may_be_stale =
+            followed.subject == StoreSubject::Live && !node.core.borrow().live.is_read();
+        return read_all(node, followed, may_be_stale).await.map(Some);
     };
     let mut waiting = pin!(watch(node, followed, after, wait));
     loop {
@@ -78,6 +71,36 @@
     }
 }
 
+/// Asks the store for all changes after `after` by now; for all entries if it has dropped that
+/// history.
+pub async fn ask_store_once(
+    node: &Node,
+    followed: FollowedPrefix,
+    after: Revision,
+) -> Result<WatchAnswer, Error> {
+    match watch(node, followed, after, REFRESH_WAIT).await {
+        Err(Error::Compacted) => read_all(node, followed, false).await,
+        answer => answer,
+    }
+}
+
+async fn read_all(
+    node: &Node,
+    followed: FollowedPrefix,
+    may_be_stale: bool,
+) -> Result<WatchAnswer, Error> {
+    let sent_at = clock::now();
+    let (items, at) = match may_be_stale {
+        true => node.store.stale_range(followed.prefix).await?,
+        false => node.store.range(followed.prefix).await?,
+    };
+    Ok(WatchAnswer {
+        update: StoreUpdate::Snapshot(items),
+        at,
+        asked_at: (!may_be_stale).then_some(sent_at),
+    })
+}
+
 async fn watch(
     node: &Node,
     followed: FollowedPrefix,
