The VM at which a job is cancelled tells the owner in a small fleet too

Cause: the report to the owner was sent in large fleets only, where it had been added for frozen delegates. The owner's check of the report also ended when the reporting VM gave up waiting (0.4 s).

Change: the report is sent in every fleet, and its check is a task of its own. It costs one message and one read of the store for each cancelled job that another VM runs.

--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -297,10 +297,10 @@
 
 /// Reports to the process that runs a job that the job was cancelled here.
 ///
-/// Without this, the owner learns of it from the store by way of its delegate; while that delegate
-/// is frozen with its connection open, the cancelled job's items run on for 2.6 s more.
+/// Without this, the owner learns of it from the store or by way of the VM that it follows; while
+/// that one is frozen or cut off from the store, the cancelled job's items run on for seconds.
 async fn report_to_owner(node: &Node, record: &SmallJobRecord) {
-    let Some(owner) = peers::remote_owner(node, record.owner) else {
+    let Some(owner) = peers::other_process(node, record.owner) else {
         return;
     };
     let path = format!("{ENDED_PATH}{}", record.id);
@@ -316,11 +316,23 @@
     if !node.core.borrow().jobs.rows.contains_key(&job) {
         return replies::empty(404);
     }
-    let read = read_from_store(node, &job).await;
+    // A task of its own: the reporting VM closes the connection after its timeout, which must not
+    // stop a read that takes longer.
+    let checked = tokio::task::spawn_local(forget_if_cancelled(node.clone(), job));
+    match checked.await {
+        Ok(()) => reply(node.key.seal(&())),
+        Err(error) => {
+            log::error!(error:% = error; "the check of a cancelled job failed");
+            replies::empty(500)
+        }
+    }
+}
+
+async fn forget_if_cancelled(node: Rc<Node>, job: JobId) {
+    let read = read_from_store(&node, &job).await;
     if read.is_ok_and(|record| record.cancelled) {
-        runs::forget(node, &job);
+        runs::forget(&node, &job);
     }
-    reply(node.key.seal(&()))
 }
 
 /// Replaces a job's record if it still is at `revision`, and takes the record that stands
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -511,10 +511,14 @@
 /// Peer address of a job's owner when that is another living process in a large fleet: there only
 /// the owner follows all changes of a job.
 pub fn remote_owner(node: &Node, owner: OwnerId) -> Option<SocketAddr> {
-    let core = node.core.borrow();
-    let is_remote = core.peers.is_large() && owner != node.owner;
-    let address = core.peers.address(clock::now(), owner);
-    address.filter(|_| is_remote)
+    let is_large = node.core.borrow().peers.is_large();
+    other_process(node, owner).filter(|_| is_large)
+}
+
+/// Peer address of a process when that is living and not this one.
+pub fn other_process(node: &Node, owner: OwnerId) -> Option<SocketAddr> {
+    let address = node.core.borrow().peers.address(clock::now(), owner);
+    address.filter(|_| owner != node.owner)
 }
 
 /// Asks the living owner of a job for a part that it has in memory.
