Items leave the slots of other services alone, and take slots that nobody uses

What callers saw: a job of two items was accepted and no endpoint had had one of them 18 s later, with all 12 slots of its service free all the while, while 76 items of another service waited at the other VM of the failure domain.

Cause: a free slot is granted to VMs in proportion to the items that wait at each, and heartbeats carry one number of waiting items for all services. Items that wait for the full endpoints of one service were granted the free slots of another, where they can't run: the share of a VM with two items, beside one with 60 or more, was no slot at any endpoint. In the same way a slot stays empty whenever the VM to which it is granted can't use it.

Change: where batch jobs use several services, VMs also report their waiting items by service, in a datagram of its own that accompanies heartbeats and summaries, and compete for the slots of a service with the items that wait for it. It is not sent where all batch routes use one service. Processes of earlier releases reject it; a VM without a report competes with all its items. And a slot that has been free for 2 s beside a waiting item may be taken by a VM to which it isn't granted, after a delay of up to 1.5 s that differs between VMs.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,5 +35,7 @@
 pub mod software_history;
 pub mod stream_origins;
 pub mod subset;
+pub mod unclaimed_slots;
 pub mod usage;
+pub mod waiting_items;
 pub mod window;
--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -11,6 +11,7 @@
 use super::idle::{IdleCounter, IdleSnapshot};
 use super::slot_grants::{CompetingVm, EndpointPlace, SlotGrants, START_UNSEEN_TIME};
 use super::small_jobs::ItemIndex;
+use super::unclaimed_slots::{SlotUse, UnclaimedSlots};
 use super::usage::{own_excess, Usage};
 use crate::id::{DomainId, EndpointId, JobId, Name, ServiceId, VmId};
 
@@ -136,7 +137,12 @@
     states: HashMap<ItemKey, ItemState>,
     /// Moving average of the run time of a completed item.
     typical_run_time: Option<Duration>,
-    slot_grants: SlotGrants,
+    /// Slot grants by service.
+    slot_grants: HashMap<ServiceId, SlotGrants>,
+    unclaimed_slots: UnclaimedSlots,
+    /// Other VMs with items that wait for a service, where VMs report their items by service; the
+    /// other services have those of the [`ItemPlanner`].
+    pub competing_vms: HashMap<ServiceId, Vec<CompetingVm>>,
     /// When a software version of a service last had an endpoint in use, as of the last plan; not
     /// longer ago than [`OUT_OF_USE_MAX`].
     last_usable: HashMap<(ServiceId, Name), Duration>,
@@ -329,7 +335,9 @@
                 endpoint, since, ..
             } = state.stage
             {
-                self.slot_grants.withdraw_start(since, endpoint);
+                if let Some(grants) = self.slot_grants.get_mut(&state.service) {
+                    grants.withdraw_start(since, endpoint);
+                }
             }
             let not_before = now + recheck_in;
             state.stage = Stage::Waiting { not_before };
@@ -467,6 +475,7 @@
             self.preempt_excess(now, planner.vm, capacity, usage, &mut out);
         }
         self.update_competing(now, &capacities);
+        self.update_unclaimed_slots(now, &capacities);
         if planner.may_start {
             self.start(now, planner, &mut capacities, &mut out);
         }
@@ -475,6 +484,19 @@
         out
     }
 
+    /// Updates the free slots that nobody takes while items wait here.
+    fn update_unclaimed_slots(&mut self, now: Duration, capacities: &[EndpointCapacity]) {
+        let mut states = self.states.values();
+        let waits = states.any(|state| matches!(state.stage, Stage::Waiting { .. }));
+        let usable = capacities.iter().filter(|one| waits && one.usable);
+        let slot_use = |capacity: &EndpointCapacity| SlotUse {
+            endpoint: capacity.id,
+            free: capacity.free_slots().max(0) as u32,
+            batch_elsewhere: capacity.batch_elsewhere,
+        };
+        self.unclaimed_slots.update(now, usable.map(slot_use));
+    }
+
     /// Free slots, and the items waiting meanwhile.
     fn idle_snapshot(
         &self,
@@ -508,6 +530,17 @@
         self.states.values().filter(waits).count()
     }
 
+    /// The same by service.
+    pub fn waiting_by_service(&self) -> HashMap<ServiceId, u32> {
+        let mut by_service: HashMap<ServiceId, u32> = HashMap::new();
+        for state in self.states.values() {
+            if state.competes && matches!(state.stage, Stage::Waiting { .. }) {
+                *by_service.entry(state.service).or_default() += 1;
+            }
+        }
+        by_service
+    }
+
     /// Updates which items compete for slots.
     fn update_competing(&mut self, now: Duration, capacities: &[EndpointCapacity]) {
         for capacity in capacities.iter().filter(|capacity| capacity.usable) {
@@ -668,6 +701,7 @@
         let mut queue: Vec<_> = self.states.iter().filter_map(waiting).collect();
         queue.sort();
         let mut waiting_count = self.waiting_count() as u32;
+        let mut waiting_by_service = self.waiting_by_service();
         let typical = self.typical_run_time.unwrap_or_default();
         for ((.., key), urgent) in queue {
             let Some(state) = self.states.get_mut(&key) else {
@@ -675,22 +709,30 @@
             };
             let may_restart = state.may_restart(now, typical, capacities);
             let is_stalled = state.is_stalled(now, capacities);
+            let service = state.service;
+            let by_service = self.competing_vms.get(&service);
+            let waiting_items = match by_service {
+                Some(_) => waiting_by_service.get(&service).copied().unwrap_or(0),
+                None => waiting_count,
+            };
+            let competition = Competition {
+                grants: self.slot_grants.entry(service).or_default(),
+                unclaimed_slots: &self.unclaimed_slots,
+                local: CompetingVm {
+                    vm: planner.vm,
+                    domain: planner.domain,
+                    // An item that doesn't count yet may be admitted again.
+                    items: waiting_items.max(1),
+                },
+                others: by_service.map_or(planner.competing_vms, Vec::as_slice),
+            };
             let mut find = |software: Option<&Name>, avoid: &[EndpointId]| {
                 let needs = ItemNeeds {
-                    service: state.service,
+                    service,
                     software,
                     urgent,
                 };
-                best_endpoint(
-                    capacities,
-                    &self.slot_grants,
-                    now,
-                    planner,
-                    // An item that doesn't count yet may be admitted again.
-                    waiting_count.max(1),
-                    needs,
-                    avoid,
-                )
+                best_endpoint(capacities, &competition, now, needs, avoid)
             };
             let software = state.software.as_ref();
             let mut found = find(software, &state.avoid);
@@ -720,8 +762,14 @@
                 since: now,
                 stopping: false,
             };
-            waiting_count = waiting_count.saturating_sub(u32::from(state.competes));
-            self.slot_grants.record_start(now, endpoint);
+            if state.competes {
+                waiting_count = waiting_count.saturating_sub(1);
+                if let Some(items) = waiting_by_service.get_mut(&service) {
+                    *items = items.saturating_sub(1);
+                }
+            }
+            let grants = self.slot_grants.entry(service).or_default();
+            grants.record_start(now, endpoint);
             out.push(Action::Start {
                 key,
                 endpoint,
@@ -754,13 +802,40 @@
     urgent: bool,
 }
 
-/// Index of the endpoint with the most free slots, among those where this VM gets a slot grant.
+/// Who competes for the slots of a service.
+struct Competition<'a> {
+    grants: &'a SlotGrants,
+    unclaimed_slots: &'a UnclaimedSlots,
+    /// This VM with the items that wait here.
+    local: CompetingVm,
+    others: &'a [CompetingVm],
+}
+
+impl Competition<'_> {
+    /// Whether this VM may take a slot: one that is granted to it, or one that nobody takes.
+    fn may_start(&self, now: Duration, capacity: &EndpointCapacity, urgent: bool) -> bool {
+        let place = EndpointPlace {
+            id: capacity.id,
+            domain: capacity.domain,
+        };
+        let open = capacity.open_slots(urgent);
+        let grants = self.grants;
+        if grants.may_start(now, place, open, self.local, self.others) {
+            return true;
+        }
+        capacity.free_slots() > 0
+            && !grants.has_unseen_start(now, capacity.id)
+            && self
+                .unclaimed_slots
+                .may_take(now, capacity.id, self.local.vm)
+    }
+}
+
+/// Index of the endpoint with the most free slots, among those where this VM may take one.
 fn best_endpoint(
     capacities: &mut [EndpointCapacity],
-    slot_grants: &SlotGrants,
+    competition: &Competition<'_>,
     now: Duration,
-    planner: &ItemPlanner<'_>,
-    waiting_items: u32,
     needs: ItemNeeds<'_>,
     avoid: &[EndpointId],
 ) -> Option<usize> {
@@ -777,27 +852,12 @@
         let best = open.max_by_key(|(_, capacity)| {
             (
                 capacity.free_slots() - capacity.penalty_slots,
-                capacity.domain == planner.domain,
+                capacity.domain == competition.local.domain,
                 capacity.id,
             )
         });
         let (at, capacity) = best?;
-        let vm = CompetingVm {
-            vm: planner.vm,
-            domain: planner.domain,
-            items: waiting_items,
-        };
-        let place = EndpointPlace {
-            id: capacity.id,
-            domain: capacity.domain,
-        };
-        if slot_grants.may_start(
-            now,
-            place,
-            capacity.open_slots(needs.urgent),
-            vm,
-            planner.competing_vms,
-        ) {
+        if competition.may_start(now, capacity, needs.urgent) {
             return Some(at);
         }
         capacities[at].denied[denied] = true;
--- a/src/decide/slot_grants.rs
+++ b/src/decide/slot_grants.rs
@@ -65,6 +65,12 @@
         here < slot_share(endpoint, free + here, as_seen_by_others, others)
     }
 
+    /// Whether other VMs may not have received a start at an endpoint yet.
+    pub fn has_unseen_start(&self, now: Duration, endpoint: EndpointId) -> bool {
+        let starts = self.recent_starts.get(&endpoint);
+        starts.is_some_and(|starts| count_unseen(now, starts) > 0)
+    }
+
     /// Records a start.
     pub fn record_start(&mut self, now: Duration, endpoint: EndpointId) {
         self.recent_starts.retain(|_, starts| {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -39,6 +39,7 @@
 pub mod stop;
 mod streams;
 pub mod summary;
+mod waiting_items;
 pub mod waiting_page;
 pub mod watch;
 
--- a/src/serve/delegate.rs
+++ b/src/serve/delegate.rs
@@ -11,6 +11,7 @@
 use super::node::{Core, Node};
 use super::peers::{count_report, heartbeat, seal, Datagram, ALL_COUNTS_SEND_INTERVAL};
 use super::quotas;
+use super::waiting_items;
 use crate::clock;
 use crate::decide::endpoints::EndpointLoad;
 use crate::decide::items::urgent_slots_max;
@@ -55,10 +56,12 @@
         {
             send_to_domain(&node, &socket, &round, |_| true);
             load_reports::send_to_domain(&node, &socket, sequence);
+            waiting_items::send_to_domain(&node, &socket, sequence);
         }
         if node.core.borrow().peers.is_remote_round(rounds) || is_crowded(&node) {
             send_to_delegates(&node, &socket, &round);
             load_reports::send_to_delegates(&node, &socket, sequence);
+            waiting_items::send_to_delegates(&node, &socket, sequence);
         }
     }
 }
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -41,6 +41,7 @@
 use crate::decide::software_history::SoftwareHistory;
 use crate::decide::stream_origins::StreamOrigins;
 use crate::decide::usage::Usage;
+use crate::decide::waiting_items::WaitingReports;
 use crate::id::{
     self, ConfigVersion, DomainId, EndpointId, Name, OwnerId, RequestId, Revision, ServiceId, VmId,
     WorkspaceId,
@@ -75,6 +76,8 @@
     pub usage: Usage,
     /// Load and evidence of the other VMs.
     pub load_reports: LoadReports,
+    /// Batch items that wait at the other VMs, by service.
+    pub waiting_reports: WaitingReports,
     /// This VM's parts of services that are short of slots.
     pub admission: Admission,
     /// Batch jobs admitted below the limits of their routes.
@@ -205,6 +208,7 @@
             items: Items::default(),
             usage: Usage::default(),
             load_reports: LoadReports::default(),
+            waiting_reports: WaitingReports::default(),
             admission: Admission::default(),
             backlog: Backlog::default(),
             discovery: Discovery::default(),
@@ -514,6 +518,7 @@
         let core = &mut *guard;
         core.usage.tick(now);
         core.load_reports.tick(now);
+        core.waiting_reports.tick(now);
         core.streams.tick(now);
         let complete = core.discovery.holds_all();
         core.software.set_complete(now, complete);
@@ -522,6 +527,7 @@
             // reports and in the domain summaries.
             core.usage = Usage::default();
             core.load_reports.clear();
+            core.waiting_reports.clear();
             core.quotas.forget_reports();
         }
         let store = self.store_answers.get();
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -20,6 +20,7 @@
 use super::quarantine;
 use super::quotas;
 use super::replies::{self, Reply};
+use super::waiting_items;
 use crate::clock;
 use crate::decide::backlog::RouteKey;
 use crate::decide::endpoints::Endpoint;
@@ -32,6 +33,7 @@
 use crate::decide::routes::{Route, Rules};
 use crate::decide::stream_origins::StreamRecord;
 use crate::decide::usage::EndpointUse;
+use crate::decide::waiting_items::WaitingReport;
 use crate::id::{self, EndpointId, JobId, OwnerId, Revision};
 use crate::wire::DATAGRAM_BYTES_MAX;
 
@@ -95,6 +97,8 @@
     Load(LoadReport),
     /// Which software began a stream. Programs that don't know this message reject it.
     Stream(StreamRecord),
+    /// Waiting batch items by service. Programs that don't know this message reject it.
+    Waiting(WaitingReport),
 }
 
 /// Sends heartbeats until the process ends.
@@ -180,6 +184,7 @@
         .heartbeat_targets(node.domain, true);
     let sequence = heartbeat.sequence;
     send_to_targets(node, socket, heartbeat.clone(), &targets);
+    waiting_items::send_own(node, socket, sequence, &targets);
     load_reports::send_own(node, socket, sequence, targets);
 }
 
@@ -194,6 +199,7 @@
     };
     let sequence = heartbeat.sequence;
     send_to_targets(node, socket, heartbeat, &targets);
+    waiting_items::send_own(node, socket, sequence, &targets);
     load_reports::send_own(node, socket, sequence, targets);
 }
 
@@ -318,6 +324,9 @@
             Ok(Datagram::Load(report)) => {
                 load_reports::apply(&node, &socket, report, &buffer[..length]);
             }
+            Ok(Datagram::Waiting(report)) => {
+                waiting_items::apply(&node, &socket, report, &buffer[..length]);
+            }
             Ok(Datagram::Stream(record)) => {
                 let streams = &mut node.core.borrow_mut().streams;
                 streams.record(clock::now(), record);
--- a/src/serve/runs.rs
+++ b/src/serve/runs.rs
@@ -22,6 +22,7 @@
 pub use self::waiting::waiting;
 use super::job_admission;
 use super::node::{update_remote_uses, Node, Stage};
+use super::waiting_items;
 use crate::clock;
 use crate::decide::discovery::unknown_software;
 use crate::decide::items::{Action, ItemKey, ItemPlanner};
@@ -196,10 +197,12 @@
         let mut guard = node.core.borrow_mut();
         let core = &mut *guard;
         update_remote_uses(core);
+        let competing_vms = core.peers.competing_vms(now, node.domain, node.vm);
+        core.items.competing_vms = waiting_items::competing_vms(node, core, &competing_vms);
         let planner = ItemPlanner {
             vm: node.vm,
             domain: node.domain,
-            competing_vms: &core.peers.competing_vms(now, node.domain, node.vm),
+            competing_vms: &competing_vms,
             may_start: core.stage == Stage::Serving,
         };
         let endpoints = &core.online.endpoints;
