--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -144,11 +144,11 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
-    /// Resident memory at its peak, in kB.
-    pub fn peak_kb(&self) -> u64 {
+    /// Resident memory in kB.
+    pub fn memory_kb(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
         let number = line.and_then(|line| line.trim().split(' ').next()?.parse().ok());
         number.unwrap_or(0)
     }
@@ -214,7 +214,7 @@
             "routes": [
                 route("query", json!({ "resumable": true })),
                 route("renew", json!({ "resumable": false, "maxAttempts": 1 })),
-                route("plain", json!({ "routeKind": "idempotent" })),
+                route("plain", json!({ "routeKind": "idempotent", "timeoutMs": 60000 })),
                 route("once", json!({ "routeKind": "non_idempotent" })),
                 route("batch", json!({
                     "routeKind": "batch", "goalMs": 400, "timeoutMs": 15000, "maxAttempts": 3,
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,6 +7,8 @@
 mod process;
 mod record;
 mod runner;
+mod silent_runner;
+mod slow_readers;
 mod store;
 mod upgraded_runners;
 
@@ -45,6 +47,8 @@
     let outcome = match case.as_str() {
         "crashed_runner" => crashed_runner::run(&record, has_trouble),
         "large_results" => large_results::run(&record, has_trouble),
+        "silent_runner" => silent_runner::run(&record, has_trouble),
+        "slow_readers" => slow_readers::run(&record, has_trouble),
         "upgraded_runners" => upgraded_runners::run(&record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     };
