--- a/review/standin-2/src/silent_runner.rs
+++ b/review/standin-2/src/silent_runner.rs
@@ -23,7 +23,7 @@
 const SLOTS: u32 = 8;
 const EVENTS: u64 = 80;
 const INTERVAL: Duration = Duration::from_millis(25);
-const CALLERS: usize = 24;
+const CALLERS: usize = 36;
 /// "A second or so".
 const SILENCE: Duration = Duration::from_millis(1200);
 /// The rule's bound.
