--- a/review/standin-2/src/large_results.rs
+++ b/review/standin-2/src/large_results.rs
@@ -125,7 +125,9 @@
     let done: HashSet<&String> = finished.iter().map(|(id, _)| id).collect();
     let last_finished = finished.iter().map(|(_, at)| *at).max().unwrap_or_default();
     let text = text();
-    let whole = listed.iter().filter(|row| row["text"] == text.as_str() && row["state"] == "completed");
+    let whole = listed
+        .iter()
+        .filter(|row| row["text"] == text.as_str() && row["state"] == "completed");
     record.line(format!(
         "{} of {ITEMS} items finished at runners, {} listed, {} with the whole text; last run seen {:.1} s ago, last \
          item finished {:.1} s ago; transactions refused for their size: {}",
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,13 +2,13 @@
 //! if the rule was broken, 0 if it held, and 2 if it could not run.
 
 mod crashed_runner;
+mod endless_answers;
 mod fleet;
 mod large_results;
 mod process;
 mod record;
 mod runner;
 mod silent_runner;
-mod slow_readers;
 mod store;
 mod upgraded_runners;
 
@@ -46,9 +46,9 @@
     record.line(format!("case {case}, disruption {has_trouble}"));
     let outcome = match case.as_str() {
         "crashed_runner" => crashed_runner::run(&record, has_trouble),
+        "endless_answers" => endless_answers::run(&record, has_trouble),
         "large_results" => large_results::run(&record, has_trouble),
         "silent_runner" => silent_runner::run(&record, has_trouble),
-        "slow_readers" => slow_readers::run(&record, has_trouble),
         "upgraded_runners" => upgraded_runners::run(&record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     };
--- a/review/standin-2/src/process.rs
+++ b/review/standin-2/src/process.rs
@@ -125,7 +125,13 @@
     };
     let address = address.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
     let mut child = Command::new(std::env::current_exe()?)
-        .args(["runner", &setup.id, &address.to_string(), framing, &setup.version])
+        .args([
+            "runner",
+            &setup.id,
+            &address.to_string(),
+            framing,
+            &setup.version,
+        ])
         .args([setup.slots.to_string(), setup.events.to_string()])
         .arg(setup.interval.as_millis().to_string())
         .arg(log)
