--- a/review/standin-2/src/silent_runner.rs
+++ b/review/standin-2/src/silent_runner.rs
@@ -21,9 +21,9 @@
 
 const RUNNERS: usize = 6;
 const SLOTS: u32 = 8;
-const EVENTS: u64 = 80;
+const EVENTS: u64 = 120;
 const INTERVAL: Duration = Duration::from_millis(25);
-const CALLERS: usize = 36;
+const CALLERS: usize = 40;
 /// "A second or so".
 const SILENCE: Duration = Duration::from_millis(1200);
 /// The rule's bound.
