--- a/review/standin-2/src/endless_answers.rs
+++ b/review/standin-2/src/endless_answers.rs
@@ -196,7 +196,14 @@
     cut_elsewhere: usize,
 }
 
-fn call(caller: usize, to: SocketAddr, shared: &Shared, stop: &AtomicBool, counts: &Mutex<Counts>) {
+fn call(
+    record: &Record,
+    caller: usize,
+    to: SocketAddr,
+    shared: &Shared,
+    stop: &AtomicBool,
+    counts: &Mutex<Counts>,
+) {
     let mut channel: Option<TcpStream> = None;
     let mut number = 0;
     clock::sleep(Duration::from_millis(30 * caller as u64));
@@ -222,6 +229,10 @@
             End::Refused => counts.refused += 1,
             End::Cut => {
                 let is_sound = at.is_some_and(|runner| runner >= IN_TROUBLE);
+                let runner = at.map_or_else(|| "none".to_owned(), |at| format!("i-{at}"));
+                record.line(format!(
+                    "{id}: cut; on a kept channel: {is_kept}; last sent to {runner}"
+                ));
                 match is_kept && is_sound {
                     true => counts.lost += 1,
                     false => counts.cut_elsewhere += 1,
@@ -270,7 +281,7 @@
     thread::scope(|scope| -> io::Result<()> {
         for caller in 0..CALLERS {
             let (shared, stop, counts) = (&shared, &stop, &counts);
-            scope.spawn(move || call(caller, to, shared, stop, counts));
+            scope.spawn(move || call(record, caller, to, shared, stop, counts));
         }
         let trouble_at = clock::now() + Duration::from_secs(4);
         let until = trouble_at + TROUBLE;
--- a/review/standin-2/src/endless_events.rs
+++ b/review/standin-2/src/endless_events.rs
@@ -200,7 +200,14 @@
     unanswered_elsewhere: usize,
 }
 
-fn call(caller: usize, to: SocketAddr, shared: &Shared, stop: &AtomicBool, counts: &Mutex<Counts>) {
+fn call(
+    record: &Record,
+    caller: usize,
+    to: SocketAddr,
+    shared: &Shared,
+    stop: &AtomicBool,
+    counts: &Mutex<Counts>,
+) {
     let mut number = 0;
     clock::sleep(Duration::from_millis(30 * caller as u64));
     while !stop.load(Ordering::SeqCst) {
@@ -214,6 +221,12 @@
         counts.long += usize::from(took.is_none_or(|took| took > TIMEOUT));
         if took.is_none_or(|took| took > ANSWERED_WITHIN) {
             counts.unanswered += 1;
+            let runner = at.map_or_else(|| "none".to_owned(), |at| format!("i-{at}"));
+            let ended = took.map_or_else(
+                || "not within the time budget".to_owned(),
+                |took| format!("after {} ms", took.as_millis()),
+            );
+            record.line(format!("{id}: ended {ended}; last sent to {runner}"));
             let is_elsewhere = at.is_none_or(|runner| runner >= IN_TROUBLE);
             counts.unanswered_elsewhere += usize::from(is_elsewhere);
         }
@@ -251,7 +264,7 @@
     thread::scope(|scope| {
         for caller in 0..CALLERS {
             let (shared, stop, counts) = (&shared, &stop, &counts);
-            scope.spawn(move || call(caller, to, shared, stop, counts));
+            scope.spawn(move || call(record, caller, to, shared, stop, counts));
         }
         let stopped = &stop;
         scope.spawn(move || {
