--- a/src/decide/discovery.rs
+++ b/src/decide/discovery.rs
@@ -5,6 +5,7 @@
 //! restart under its name. Its processes are distinguished by their incarnations, and the store's
 //! revisions determine which of two updates is newer.
 
+mod confirmation;
 mod ended;
 mod entry;
 mod news;
@@ -14,6 +15,8 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use self::confirmation::Confirmations;
+pub use self::confirmation::{ConnectedProcess, EndpointProcess, SoftwareCheck};
 use self::ended::EndedEndpoints;
 pub use self::entry::{unknown_software, KnownEntry, Registration};
 use self::news::ChangeLog;
@@ -57,6 +60,7 @@
     kept: HashSet<EntryId>,
     ended: EndedEndpoints,
     outage: Outage,
+    confirmations: Confirmations,
     /// Revision of the newest change applied.
     pub revision: Revision,
     /// Revision of the newest complete snapshot: an entry that is neither in it nor newer is gone.
@@ -116,6 +120,7 @@
                 let known = known.clone();
                 self.record_past_process(now, id, &known);
                 self.record_ended_process(&known);
+                self.record_successor(now, &known, &entry);
                 Transition::Restarted
             }
             None => Transition::Appeared,
@@ -127,27 +132,107 @@
             kept_until: None,
             has_ended: false,
         };
-        self.insert_row(id, row);
+        self.insert_row(now, id, row);
         true
     }
 
     /// Records that a process has ended. Its entry says nothing of the software of the next one until
     /// it is written again. True if that was not known.
-    pub fn process_ended(&mut self, endpoint: EndpointId) -> bool {
+    pub fn process_ended(&mut self, now: Duration, endpoint: EndpointId) -> bool {
         let entry = self.processes.get(&endpoint);
-        let row = entry.and_then(|id| self.rows.get_mut(id));
-        row.is_some_and(|row| !std::mem::replace(&mut row.has_ended, true))
+        let Some(row) = entry.and_then(|id| self.rows.get_mut(id)) else {
+            return false;
+        };
+        if std::mem::replace(&mut row.has_ended, true) {
+            return false;
+        }
+        if row.kept_until.is_none() {
+            self.confirmations.end(now, endpoint);
+        }
+        true
+    }
+
+    /// Records that all changes before `asked_at` have been applied, by a call to the store that
+    /// was sent then.
+    pub fn confirm_view(&mut self, asked_at: Duration) {
+        if self.outage.is_settled(asked_at) {
+            self.confirmations.confirm_view(asked_at);
+        }
+    }
+
+    /// Up to when all changes are known to have been applied.
+    pub fn view_confirmed_at(&self) -> Option<Duration> {
+        self.confirmations.view_at()
+    }
+
+    /// Applies an endpoint's entry as it was read for this process alone. Returns whether another
+    /// process is registered now.
+    pub fn apply_process_entry(
+        &mut self,
+        now: Duration,
+        process: &EndpointProcess,
+        entry: &Registration,
+        asked_at: Duration,
+    ) -> bool {
+        let is_same = entry.incarnation == process.incarnation;
+        if !is_same {
+            let (ended, next) = (process.id(), entry.endpoint());
+            let software = entry.software.clone();
+            self.confirmations.replace(now, ended, next, software);
+        } else if self.outage.is_settled(asked_at) && !self.has_ended(process.id()) {
+            self.confirmations.confirm(now, process.id(), asked_at);
+        }
+        !is_same
     }
 
-    fn insert_row(&mut self, id: EntryId, row: EntryRow) {
-        self.remove_row(id);
+    /// Whether the software at the other end of a connection is the assumed one.
+    pub fn check_software(&self, connected: &ConnectedProcess) -> SoftwareCheck {
+        if connected.software.is_empty() {
+            return SoftwareCheck::NotConfirmed;
+        }
+        let entry = self.processes.get(&connected.process.id());
+        let row = entry.and_then(|id| self.rows.get(id));
+        let is_registered = row.is_some_and(|row| row.kept_until.is_none() && !row.has_ended);
+        if row.is_some_and(|row| is_registered && row.entry.software != connected.software) {
+            return SoftwareCheck::Replaced;
+        }
+        self.confirmations.check(connected, is_registered)
+    }
+
+    /// The process with this id, if its endpoint is in use.
+    pub fn process(&self, endpoint: EndpointId) -> Option<EndpointProcess> {
+        let row = self.rows.get(self.processes.get(&endpoint)?)?;
+        Some(EndpointProcess {
+            name: row.entry.name.clone(),
+            incarnation: row.entry.incarnation,
+        })
+    }
+
+    fn has_ended(&self, endpoint: EndpointId) -> bool {
+        let entry = self.processes.get(&endpoint);
+        let row = entry.and_then(|id| self.rows.get(id));
+        row.is_some_and(|row| row.has_ended)
+    }
+
+    fn record_successor(&mut self, now: Duration, known: &Registration, next: &Registration) {
+        let (ended, next_id) = (known.endpoint(), next.endpoint());
+        let software = next.software.clone();
+        self.confirmations.replace(now, ended, next_id, software);
+    }
+
+    fn insert_row(&mut self, now: Duration, id: EntryId, row: EntryRow) {
+        self.remove_row(now, id);
         self.processes.insert(row.entry.endpoint(), id);
         self.rows.insert(id, row);
     }
 
-    fn remove_row(&mut self, id: EntryId) -> Option<EntryRow> {
+    fn remove_row(&mut self, now: Duration, id: EntryId) -> Option<EntryRow> {
         let row = self.rows.remove(&id)?;
-        self.processes.remove(&row.entry.endpoint());
+        let endpoint = row.entry.endpoint();
+        self.processes.remove(&endpoint);
+        if row.kept_until.is_none() && !row.has_ended {
+            self.confirmations.end(now, endpoint);
+        }
         Some(row)
     }
 
@@ -215,8 +300,11 @@
             .filter(|_| !row.entry.draining);
         if let Some(returned_at) = returned_at {
             row.kept_until = Some(returned_at + RETURN_GRACE);
+            let (name, endpoint) = (row.entry.name.clone(), row.entry.endpoint());
+            if !row.has_ended {
+                self.confirmations.end(now, endpoint);
+            }
             self.kept.insert(id);
-            let name = row.entry.name.clone();
             self.record_transition(name, Transition::Kept, revision);
             return false;
         }
@@ -267,7 +355,7 @@
     ) -> bool {
         self.revision = self.revision.max(revision);
         self.ended.record_end(now, id, revision);
-        let Some(row) = self.remove_row(id) else {
+        let Some(row) = self.remove_row(now, id) else {
             return false;
         };
         if row.entry.draining {
@@ -423,7 +511,7 @@
         let mut changed = false;
         for id in unlisted {
             changed |= match outside.contains(&id) {
-                true => self.forget(id, &is_used),
+                true => self.forget(now, id, &is_used),
                 false => self.drop_row(now, id, news.at, Transition::Removed),
             };
         }
@@ -442,18 +530,19 @@
         changed
     }
 
-    fn forget(&mut self, id: EntryId, is_used: impl Fn(EndpointId) -> bool) -> bool {
+    fn forget(&mut self, now: Duration, id: EntryId, is_used: impl Fn(EndpointId) -> bool) -> bool {
         let used = self
             .rows
             .get(&id)
             .is_some_and(|row| is_used(row.entry.endpoint()));
-        !used && self.remove_row(id).is_some()
+        !used && self.remove_row(now, id).is_some()
     }
 
     /// Forgets all endpoints outside of this VM's subset, which from now on is told of its changes;
     /// true if there were any.
     pub fn shrink_to_subset(
         &mut self,
+        now: Duration,
         owner: SubsetOwner,
         is_used: impl Fn(EndpointId) -> bool,
     ) -> bool {
@@ -463,7 +552,7 @@
         let chosen = self.subset(owner, &HashSet::new());
         let others = self.rows.keys().copied().filter(|id| !chosen.contains(id));
         for id in others.collect::<Vec<EntryId>>() {
-            self.forget(id, &is_used);
+            self.forget(now, id, &is_used);
         }
         self.holds_all = false;
         self.snapshot_revision = 0;
@@ -523,6 +612,9 @@
         }
         let until = now + remaining.min(RETURN_GRACE);
         let first = row.kept_until.is_none();
+        if first && !row.has_ended {
+            self.confirmations.end(now, row.entry.endpoint());
+        }
         row.kept_until = Some(row.kept_until.map_or(until, |current| current.min(until)));
         self.kept.insert(known.id);
         row.revision = known.revision;
@@ -549,6 +641,7 @@
         if now >= self.expired_at + EXPIRY_INTERVAL {
             self.expired_at = now;
             self.ended.tick(now);
+            self.confirmations.tick(now);
         }
         !lapsed.is_empty()
     }
--- /dev/null
+++ b/src/decide/discovery/confirmation.rs
@@ -0,0 +1,167 @@
+//! Which process accepted a connection to an endpoint.
+//!
+//! An endpoint may restart under its name and at its address with other software, and its answers
+//! don't tell which of its processes made them. Its entry does: a process that accepted a
+//! connection is the registered one if that one is still registered afterwards.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{self, EndpointId, Incarnation, Name};
+
+/// How long processes are remembered after they were last registered: longer than a caller returns
+/// for a stream.
+const PAST_RETENTION: Duration = Duration::from_secs(600);
+
+/// One process of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct EndpointProcess {
+    /// Name of the endpoint's entry.
+    pub name: Name,
+    /// Start of the process, if endpoints of this kind report it.
+    pub incarnation: Option<Incarnation>,
+}
+
+impl EndpointProcess {
+    /// A process of which only the endpoint is known.
+    pub fn unknown(name: &Name) -> EndpointProcess {
+        EndpointProcess {
+            name: name.clone(),
+            incarnation: None,
+        }
+    }
+
+    /// The id of the process in all other tables.
+    pub fn id(&self) -> EndpointId {
+        id::of_process(&self.name, self.incarnation)
+    }
+}
+
+/// A connection, and the process that is assumed to have accepted it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConnectedProcess {
+    pub process: EndpointProcess,
+    /// Software version of that process; empty if it is not known.
+    pub software: Name,
+    pub connected_at: Duration,
+}
+
+/// Whether the software at the other end of a connection is the assumed one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum SoftwareCheck {
+    Confirmed,
+    /// Another process with other software may have accepted the connection.
+    Replaced,
+    /// The process was not seen registered after the connection was opened.
+    NotConfirmed,
+}
+
+/// What is remembered of a process.
+#[derive(Debug, Clone)]
+struct ProcessRow {
+    /// The latest time at which it is known to have been registered.
+    registered_at: Option<Duration>,
+    /// The process that was registered in its place, and that one's software.
+    successor: Option<(EndpointId, Name)>,
+    updated_at: Duration,
+}
+
+/// Until when processes are known to have been registered.
+#[derive(Debug, Default)]
+pub(super) struct Confirmations {
+    /// All changes of entries up to this time have been applied.
+    view_at: Option<Duration>,
+    /// Processes whose entries were read one by one, and those that are no longer registered.
+    rows: HashMap<EndpointId, ProcessRow>,
+}
+
+impl Confirmations {
+    /// Records that all changes before `at` have been applied.
+    pub(super) fn confirm_view(&mut self, at: Duration) {
+        self.view_at = self.view_at.max(Some(at));
+    }
+
+    pub(super) fn view_at(&self) -> Option<Duration> {
+        self.view_at
+    }
+
+    /// Records that a process was registered at a time.
+    pub(super) fn confirm(&mut self, now: Duration, process: EndpointId, at: Duration) {
+        let row = self.row(now, process);
+        row.registered_at = row.registered_at.max(Some(at));
+    }
+
+    /// Records that a process which was registered in the local view no longer counts as such.
+    pub(super) fn end(&mut self, now: Duration, process: EndpointId) {
+        if let Some(at) = self.view_at {
+            self.confirm(now, process, at);
+        }
+    }
+
+    /// Records which process is registered in place of another one.
+    pub(super) fn replace(
+        &mut self,
+        now: Duration,
+        process: EndpointId,
+        successor: EndpointId,
+        software: Name,
+    ) {
+        self.row(now, process).successor = Some((successor, software));
+    }
+
+    /// When a process was last known to be registered; `is_registered` if it is now.
+    fn registered_at(&self, process: EndpointId, is_registered: bool) -> Option<Duration> {
+        let row = self.rows.get(&process);
+        let at = row.and_then(|row| row.registered_at);
+        at.max(self.view_at.filter(|_| is_registered))
+    }
+
+    /// Checks the software of a connection's process; `is_registered` if that process is registered
+    /// now.
+    pub(super) fn check(&self, connected: &ConnectedProcess, is_registered: bool) -> SoftwareCheck {
+        let process = connected.process.id();
+        if self.registered_at(process, is_registered) >= Some(connected.connected_at) {
+            return SoftwareCheck::Confirmed;
+        }
+        // It was this process or a later one. If all have the same software, that one is known.
+        let mut successors = 0;
+        let mut at = process;
+        while let Some((next, software)) = self.successor(at) {
+            successors += 1;
+            if *software != connected.software {
+                return SoftwareCheck::Replaced;
+            }
+            if successors > self.rows.len() {
+                break;
+            }
+            at = *next;
+        }
+        match successors {
+            0 => SoftwareCheck::NotConfirmed,
+            _ => SoftwareCheck::Confirmed,
+        }
+    }
+
+    fn successor(&self, process: EndpointId) -> Option<&(EndpointId, Name)> {
+        self.rows.get(&process)?.successor.as_ref()
+    }
+
+    fn row(&mut self, now: Duration, process: EndpointId) -> &mut ProcessRow {
+        let row = self.rows.entry(process).or_insert(ProcessRow {
+            registered_at: None,
+            successor: None,
+            updated_at: now,
+        });
+        row.updated_at = now;
+        row
+    }
+
+    /// Forgets processes that were registered long ago.
+    pub(super) fn tick(&mut self, now: Duration) {
+        self.rows
+            .retain(|_, row| now < row.updated_at + PAST_RETENTION);
+    }
+}
--- a/src/decide/discovery/outage.rs
+++ b/src/decide/discovery/outage.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::RETURN_GRACE;
+
 /// No entry lapses in an outage shorter than this: endpoints write their entries every 1.2 s, and
 /// an entry lapses after three such intervals without a write. It is longer than the 0.15 to 0.45 s
 /// that it takes to restore a broken watch.
@@ -69,6 +71,15 @@
         Some(self.returned_at.unwrap_or(now))
     }
 
+    /// Whether endpoints that started in an outage had registered by `at`.
+    pub fn is_settled(&self, at: Duration) -> bool {
+        let returned_at = match self.confirmed_at {
+            Some(_) => self.returned_at,
+            None => return true,
+        };
+        returned_at.is_some_and(|returned| at >= returned + RETURN_GRACE)
+    }
+
     /// How long ago a call last failed.
     pub fn time_since_failure(&self, now: Duration) -> Option<Duration> {
         self.failed_at.map(|at| now.saturating_sub(at))
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -40,6 +40,8 @@
     SoftwareGone,
     #[strum(message = "it is not known which software began this stream")]
     OriginUnknown,
+    #[strum(message = "it is not known which software an endpoint runs now")]
+    SoftwareUnconfirmed,
     #[strum(message = "the endpoint failed")]
     EndpointFailed,
     #[strum(message = "the outcome of an earlier try is unknown")]
@@ -71,6 +73,7 @@
             | RefusalKind::NoEndpoint
             | RefusalKind::SoftwareGone
             | RefusalKind::OriginUnknown
+            | RefusalKind::SoftwareUnconfirmed
             | RefusalKind::Quarantined
             | RefusalKind::PlatformAway
             | RefusalKind::NotReady => 503,
--- a/src/decide/stream_origins.rs
+++ b/src/decide/stream_origins.rs
@@ -5,15 +5,17 @@
 //! often because the VM that served it has died. So the VM that passes on the first event tells a
 //! few others which version made it, just before, and a VM that resumes the stream asks them.
 //!
-//! The origin of a stream never changes, so a record may be lost or late, never wrong. A stream
-//! whose origin is not known is refused, unless [`super::software_history`] shows that its service
-//! has had one version for longer than any stream lasts.
+//! The origin of a stream never changes, so a record may be lost or late, never wrong. Until it is
+//! confirmed that the stream's connection led to the process that was meant, a record names that
+//! process. A stream whose origin is not known is refused, unless its service has had one version
+//! for longer than any stream lasts.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::discovery::{ConnectedProcess, EndpointProcess};
 use crate::id::{Name, ServiceId, StreamId};
 
 /// Records of one VM. At 100 bytes each they take a few megabytes.
@@ -52,10 +54,42 @@
     }
 }
 
+/// The start of a stream as VMs report it to each other.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StreamStart {
+    pub record: StreamRecord,
+    /// The process that is assumed to have begun the stream; `None` once that is confirmed.
+    pub process: Option<EndpointProcess>,
+}
+
+impl StreamStart {
+    /// The start of a stream whose process is confirmed.
+    pub fn confirmed(record: StreamRecord) -> StreamStart {
+        let process = None;
+        StreamStart { record, process }
+    }
+
+    /// The connection on which the stream began, if its process is not confirmed. The connection
+    /// was opened before `at`.
+    pub fn unconfirmed(&self, at: Duration) -> Option<ConnectedProcess> {
+        Some(ConnectedProcess {
+            process: self.process.clone()?,
+            software: self.record.origin.software.clone(),
+            connected_at: at,
+        })
+    }
+}
+
 #[derive(Debug)]
 struct Row {
     /// `None` after two different origins were reported, neither of which can be trusted.
     origin: Option<StreamOrigin>,
+    /// The process that is assumed to have begun it; `None` once that is confirmed.
+    process: Option<EndpointProcess>,
+    /// When the record was made or received: its stream had begun by then.
+    known_at: Duration,
+    /// The stream began at this VM.
+    is_local: bool,
     until: Duration,
 }
 
@@ -68,31 +102,94 @@
 }
 
 impl StreamOrigins {
-    /// Applies a record of this VM or of another one.
+    /// Applies a record of this VM or of another one, whose process is confirmed.
     pub fn record(&mut self, now: Duration, record: StreamRecord) {
+        self.apply(now, StreamStart::confirmed(record), false);
+    }
+
+    /// Applies the start of a stream that another VM reports.
+    pub fn record_start(&mut self, now: Duration, start: StreamStart) {
+        self.apply(now, start, false);
+    }
+
+    /// Applies the start of a stream at this VM.
+    pub fn record_local_start(&mut self, now: Duration, start: StreamStart) {
+        self.apply(now, start, true);
+    }
+
+    fn apply(&mut self, now: Duration, start: StreamStart, is_local: bool) {
+        let StreamStart { record, process } = start;
         let needed = Duration::from_millis(record.needed_ms.into()).min(KEPT_MAX);
-        let mut until = now + needed;
-        let mut origin = Some(record.origin);
+        let mut row = Row {
+            origin: Some(record.origin),
+            process,
+            known_at: now,
+            is_local,
+            until: now + needed,
+        };
         if let Some(known) = self.rows.remove(&record.stream) {
             self.by_expiry.remove(&(known.until, record.stream));
-            until = until.max(known.until);
-            origin = origin.filter(|origin| known.origin.as_ref() == Some(origin));
+            row.until = row.until.max(known.until);
+            row.origin = row.origin.filter(|one| known.origin.as_ref() == Some(one));
+            row.process = row.process.and(known.process);
+            row.known_at = known.known_at;
+            row.is_local |= known.is_local;
         }
-        self.by_expiry.insert((until, record.stream));
-        self.rows.insert(record.stream, Row { origin, until });
+        self.by_expiry.insert((row.until, record.stream));
+        self.rows.insert(record.stream, row);
         while self.rows.len() > RECORDS_MAX {
             self.remove_first();
         }
     }
 
-    /// The record of a stream, if its origin is known.
+    /// The record of a stream, if its origin is known and confirmed.
     pub fn get(&self, now: Duration, stream: StreamId) -> Option<StreamRecord> {
+        let (start, _) = self.start(now, stream)?;
+        start.process.is_none().then_some(start.record)
+    }
+
+    /// The start of a stream, if its origin is known, and by when it had begun.
+    pub fn start(&self, now: Duration, stream: StreamId) -> Option<(StreamStart, Duration)> {
         let row = self.rows.get(&stream).filter(|row| now < row.until)?;
-        Some(StreamRecord {
+        let record = StreamRecord {
             stream,
             origin: row.origin.clone()?,
             needed_ms: row.until.saturating_sub(now).as_millis() as u32,
-        })
+        };
+        let process = row.process.clone();
+        Some((StreamStart { record, process }, row.known_at))
+    }
+
+    /// Confirms the processes of streams for which `is_confirmed` holds. Returns the streams that
+    /// began at this VM among them.
+    pub fn confirm(
+        &mut self,
+        now: Duration,
+        is_confirmed: impl Fn(&ConnectedProcess) -> bool,
+    ) -> Vec<StreamRecord> {
+        let mut confirmed = Vec::new();
+        for (stream, row) in &mut self.rows {
+            let (Some(process), Some(origin)) = (&row.process, &row.origin) else {
+                continue;
+            };
+            let connected = ConnectedProcess {
+                process: process.clone(),
+                software: origin.software.clone(),
+                connected_at: row.known_at,
+            };
+            if !is_confirmed(&connected) {
+                continue;
+            }
+            row.process = None;
+            if row.is_local && now < row.until {
+                confirmed.push(StreamRecord {
+                    stream: *stream,
+                    origin: origin.clone(),
+                    needed_ms: (row.until - now).as_millis() as u32,
+                });
+            }
+        }
+        confirmed
     }
 
     /// Number of streams on record.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -27,6 +27,7 @@
 pub mod part_cache;
 pub mod peers;
 pub mod pool;
+mod processes;
 mod quarantine;
 mod quotas;
 mod refreshing;
@@ -122,6 +123,7 @@
     spawn_local(quarantine::keep_records(node.clone()));
     spawn_local(quotas::records::keep_records(node.clone()));
     spawn_local(streams::records::keep_records(node.clone()));
+    spawn_local(processes::confirm_starts(node.clone()));
     spawn_local(peers::fetch_newer_versions(node.clone()));
     spawn_local(watch::follow_operator_keys(node.clone()));
     spawn_local(watch::follow_endpoints(node.clone()));
--- a/src/serve/endpoint_news.rs
+++ b/src/serve/endpoint_news.rs
@@ -105,7 +105,7 @@
         let used = endpoints_in_use(core);
         if core
             .discovery
-            .shrink_to_subset(owner, |id| used.contains(&id))
+            .shrink_to_subset(clock::now(), owner, |id| used.contains(&id))
         {
             log::info!("only a subset of the endpoints is kept from now on");
         }
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at an endpoint, up to the head of the answer.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,8 @@
 use super::dialect::{AnswerHead, Attempt, PromptSegment};
 use super::node::Node;
 use super::pool::{self, Connection, HostCheck};
+use super::processes;
+use crate::decide::discovery::{ConnectedProcess, EndpointProcess, SoftwareCheck};
 use crate::decide::quarantine::{Fingerprint, RequestIdentity, RunIdentity};
 use crate::decide::retry::AttemptStage;
 use crate::id::{EndpointId, Name};
@@ -97,6 +100,20 @@
     pub endpoint: EndpointId,
     pub address: String,
     pub instance: String,
+    pub process: EndpointProcess,
+    /// Software version of the process; empty if it is not known.
+    pub software: Name,
+}
+
+impl Target {
+    /// The process that is assumed to have accepted a connection.
+    pub fn connected(&self, connection: &Connection) -> ConnectedProcess {
+        ConnectedProcess {
+            process: self.process.clone(),
+            software: self.software.clone(),
+            connected_at: connection.opened_at,
+        }
+    }
 }
 
 /// The head of an answer, and what is needed to read its body.
@@ -117,6 +134,8 @@
     pub connection_lost: bool,
     /// The endpoint's host refused the connection, so the endpoint has ended.
     pub endpoint_ended: bool,
+    /// Not sent, since it could not be confirmed which process serves at the endpoint's address.
+    pub software_unconfirmed: bool,
     pub detail: String,
 }
 
@@ -128,6 +147,7 @@
             endpoint_at_fault: true,
             connection_lost: false,
             endpoint_ended: false,
+            software_unconfirmed: false,
             detail: detail.into(),
         }
     }
@@ -169,48 +189,90 @@
     kept
 }
 
+/// How a request is sent.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SendOptions {
+    /// What is left of the caller's time.
+    pub time_left: Option<Duration>,
+    pub last_event: Option<u64>,
+    /// The run continues what another one has made, so that it may be sent only to a process that is
+    /// known to have the endpoint's software version.
+    pub continues: bool,
+}
+
 /// Sends a request and checks that the returned head belongs to it.
 ///
 /// A request that may not be repeated uses a new connection: the endpoint may be closing an idle
 /// one at that moment, and a lost request could not be distinguished from one that ran.
 pub async fn send(
-    node: &Node,
+    node: &Rc<Node>,
     target: &Target,
     out: &Outgoing,
-    time_left: Option<Duration>,
-    last_event: Option<u64>,
+    options: SendOptions,
 ) -> Result<Answer, Failure> {
-    let idle = match out.repeatable {
-        true => node.pool.take(target.endpoint),
+    let mut idle = match out.repeatable {
+        true => take_idle(node, target, options.continues),
         false => None,
     };
-    let was_idle = idle.is_some();
-    let mut connection = match idle {
-        Some(connection) => connection,
-        None => open(node, target).await?,
-    };
-    let unused = connection.unused;
-    let request = build_request(node, target, out, time_left, last_event)?;
-    let response = match connection.send(request).await {
-        Ok(response) => response,
-        // The endpoint had closed the idle connection: nothing was sent, so a new connection may
-        // work.
-        Err(pool::Error::NotSent { .. }) if was_idle => {
-            connection = open(node, target).await?;
-            let request = self::build_request(node, target, out, time_left, last_event)?;
-            connection.send(request).await.map_err(failure_of)?
+    loop {
+        let was_idle = idle.is_some();
+        let mut connection = match idle.take() {
+            Some(connection) => connection,
+            None => open(node, target).await?,
+        };
+        if options.continues {
+            check_software(node, target, &connection).await?;
         }
-        Err(error) => return Err(failure_of(error)),
+        let unused = connection.unused;
+        let request = build_request(node, target, out, options)?;
+        let response = match connection.send(request).await {
+            Ok(response) => response,
+            // The endpoint had closed the idle connection: nothing was sent, so a new connection may
+            // work.
+            Err(pool::Error::NotSent { .. }) if was_idle => continue,
+            Err(error) => return Err(failure_of(error)),
+        };
+        node.note_endpoint_data(target.endpoint);
+        let (head, body) = response.into_parts();
+        let decoded = (node.dialect.answer_head)(head.status, &head.headers);
+        check_answer(&out.id, unused, &decoded)?;
+        return Ok(Answer {
+            head,
+            decoded,
+            body,
+            connection,
+        });
+    }
+}
+
+/// Takes an idle connection, preferably one to a confirmed process if `continues`.
+fn take_idle(node: &Node, target: &Target, continues: bool) -> Option<Connection> {
+    let confirmed = continues.then(|| {
+        let core = node.core.borrow();
+        node.pool.take_if(target.endpoint, |connection| {
+            let check = core.discovery.check_software(&target.connected(connection));
+            check == SoftwareCheck::Confirmed
+        })
+    });
+    let confirmed = confirmed.flatten();
+    confirmed.or_else(|| node.pool.take(target.endpoint))
+}
+
+/// Checks that a connection leads to the software version that its endpoint is registered with.
+async fn check_software(
+    node: &Rc<Node>,
+    target: &Target,
+    connection: &Connection,
+) -> Result<(), Failure> {
+    let check = processes::confirm(node, &target.connected(connection)).await;
+    let detail = match check {
+        SoftwareCheck::Confirmed => return Ok(()),
+        SoftwareCheck::Replaced => "another process serves at the endpoint's address",
+        SoftwareCheck::NotConfirmed => "it is not known which process serves at the address",
     };
-    node.note_endpoint_data(target.endpoint);
-    let (head, body) = response.into_parts();
-    let decoded = (node.dialect.answer_head)(head.status, &head.headers);
-    check_answer(&out.id, unused, &decoded)?;
-    Ok(Answer {
-        head,
-        decoded,
-        body,
-        connection,
+    Err(Failure {
+        software_unconfirmed: check == SoftwareCheck::NotConfirmed,
+        ..Failure::not_of_endpoint(AttemptStage::NotSent, detail)
     })
 }
 
@@ -235,8 +297,7 @@
     node: &Node,
     target: &Target,
     out: &Outgoing,
-    time_left: Option<Duration>,
-    last_event: Option<u64>,
+    options: SendOptions,
 ) -> Result<Request<Full<Bytes>>, Failure> {
     let unsendable = |detail: String| Failure::not_of_endpoint(AttemptStage::NotSent, detail);
     let uri: Uri = out
@@ -249,8 +310,8 @@
     *request.headers_mut() = out.headers.clone();
     let attempt = Attempt {
         instance: &target.instance,
-        time_left,
-        last_event,
+        time_left: options.time_left,
+        last_event: options.last_event,
         workspace: out.workspace.as_deref(),
     };
     (node.dialect.attempt_headers)(request.headers_mut(), &attempt);
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -239,7 +239,10 @@
             let path = path.to_owned();
             endpoint_news::answer(node, &path, request.into_body()).await
         }
-        streams::PATH => streams::answer(node, request.into_body()).await,
+        path @ (streams::PATH | streams::STARTS_PATH) => {
+            let path = path.to_owned();
+            streams::answer(node, &path, request.into_body()).await
+        }
         path if path.starts_with(live_watch::PATH) => live_watch::answer(node, path).await,
         path if path.starts_with(results::PATH) => results::answer(node, path).await,
         path if path.starts_with(jobs::ENDED_PATH) => jobs::receive_ended(node, path).await,
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -21,6 +21,7 @@
 use super::job_table::Jobs;
 use super::live_watch::Live;
 use super::pool::Pool;
+use super::processes::ProcessReads;
 use super::quarantine;
 use super::relay::with_relay;
 use super::runs::Runs;
@@ -29,7 +30,7 @@
 use crate::decide::access::Workspace;
 use crate::decide::admission::Admission;
 use crate::decide::backlog::Backlog;
-use crate::decide::discovery::{unknown_software, Discovery, CUT_OFF_AFTER};
+use crate::decide::discovery::{unknown_software, Discovery, EndpointProcess, CUT_OFF_AFTER};
 use crate::decide::freshness::{ConfirmationAges, Freshness, StoreSubject, VersionsMatch};
 use crate::decide::items::Items;
 use crate::decide::load_reports::LoadReports;
@@ -183,6 +184,8 @@
     pub software_records: SoftwareRecords,
     /// Held while a software version is recorded, so that streams which begin together write once.
     pub software_recording: Mutex<()>,
+    /// Reads of endpoints' entries that confirm which process accepted a connection.
+    pub process_reads: ProcessReads,
     /// Requests of callers and of other VMs that are open.
     pub open_requests: Rc<OpenRequests>,
     /// Whether new connections are accepted.
@@ -267,6 +270,7 @@
                 answer_memory: AnswerMemory::default(),
                 software_records: SoftwareRecords::default(),
                 software_recording: Mutex::default(),
+                process_reads: ProcessReads::default(),
                 open_requests: Rc::default(),
                 excess_reported: Notify::new(),
                 heartbeat_due: Notify::new(),
@@ -311,6 +315,9 @@
     pub fn confirm(&self, subject: StoreSubject, sent_at: Duration) {
         let mut core = self.core.borrow_mut();
         core.freshness.confirm(subject, sent_at);
+        if subject == StoreSubject::Endpoints {
+            core.discovery.confirm_view(sent_at);
+        }
         if subject == StoreSubject::Live {
             // The VMs that follow this one wait for its confirmations.
             core.jobs.changed.notify_waiters();
@@ -455,7 +462,7 @@
     /// Notes that an endpoint's process has ended, so that the software at its address is not known.
     pub fn process_ended(&self, endpoint: EndpointId) {
         let core = &mut *self.core.borrow_mut();
-        let is_new = core.discovery.process_ended(endpoint);
+        let is_new = core.discovery.process_ended(clock::now(), endpoint);
         let row = core.online.endpoints.get_mut(endpoint);
         if let Some(row) = row.filter(|_| is_new) {
             log::info!(endpoint = *row.config.name, software = *row.config.software; "endpoint has ended");
@@ -522,6 +529,11 @@
             endpoint,
             address: row.config.address.to_string(),
             instance: row.config.name.to_string(),
+            process: core
+                .discovery
+                .process(endpoint)
+                .unwrap_or_else(|| EndpointProcess::unknown(&row.config.name)),
+            software: row.config.software.clone(),
         })
     }
 
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -18,8 +18,9 @@
 use super::body::{BodyAborted, Chunk, ReplyBody};
 use super::dialect::{PromptSegment, RequestParams};
 use super::events::{check_next, Event as StreamEvent, EventStream, StreamError};
-use super::exchange::{self, Answer, AnswerEvidence, Failure, Outgoing, Target};
+use super::exchange::{self, Answer, AnswerEvidence, Failure, Outgoing, SendOptions, Target};
 use super::node::{Node, ANONYMOUS_WORKSPACE};
+use super::processes;
 use super::quarantine;
 use super::quotas::{self, CountedRequest};
 use super::replies::{self, Reply};
@@ -27,7 +28,7 @@
 use super::streams::{self, records::ensure_recorded};
 use crate::clock;
 use crate::decide::access::{self, Credential};
-use crate::decide::discovery::unknown_software;
+use crate::decide::discovery::{unknown_software, ConnectedProcess, SoftwareCheck};
 use crate::decide::online::{Action, Arrival, AttemptOutcome, Event, SuccessorState};
 use crate::decide::quarantine::RunKind;
 use crate::decide::refusal::RefusalKind;
@@ -114,6 +115,8 @@
         sent_at: None,
         sent_to: String::new(),
         software: unknown_software(),
+        connected: None,
+        began_on: None,
         first_at: None,
     };
     let arrival = Arrival {
@@ -216,6 +219,12 @@
     DeadlinePassed,
 }
 
+/// Why a request ends before an attempt is sent.
+enum UnsentEnd {
+    CallerLeft,
+    Refused(RefusalKind),
+}
+
 /// The first of several awaited events.
 enum WaitResult<T> {
     Value(T),
@@ -267,6 +276,10 @@
     sent_to: String,
     /// Its software version.
     software: Name,
+    /// The connection of the last attempt that was answered.
+    connected: Option<ConnectedProcess>,
+    /// The connection that brought the first event, if the stream began here.
+    began_on: Option<ConnectedProcess>,
     /// When the first event, or the complete answer, was available.
     first_at: Option<Duration>,
 }
@@ -332,6 +345,9 @@
             self.refuse_quarantined(back_in).await;
             return true;
         }
+        if let Some(kind) = self.check_origin().await {
+            return self.end_unsent(kind).await;
+        }
         self.attempts += 1;
         self.attempt_start_event = self.last_event;
         self.sent_at = Some(clock::now());
@@ -370,6 +386,17 @@
                 self.refuse(RefusalKind::DeadlinePassed, false, None).await;
                 true
             }
+            AttemptResult::Failed(failure) if failure.software_unconfirmed => {
+                log::info!(
+                    request = self.out.id,
+                    endpoint = self.sent_to,
+                    software = *self.software,
+                    detail = failure.detail;
+                    "stream can't go on"
+                );
+                self.end_unsent(UnsentEnd::Refused(RefusalKind::SoftwareUnconfirmed))
+                    .await
+            }
             AttemptResult::Failed(failure) => {
                 self.failed(endpoint, failure).await;
                 false
@@ -377,6 +404,35 @@
         }
     }
 
+    /// Checks before another attempt that it is known which software began the stream, if it began
+    /// here; else returns how the request ends.
+    async fn check_origin(&mut self) -> Option<UnsentEnd> {
+        let began_on = self.began_on.clone()?;
+        let node = self.node.clone();
+        match self.wait(processes::confirm(&node, &began_on)).await {
+            WaitResult::Value(SoftwareCheck::Confirmed) => None,
+            WaitResult::CallerLeft => Some(UnsentEnd::CallerLeft),
+            WaitResult::DeadlinePassed => Some(UnsentEnd::Refused(RefusalKind::DeadlinePassed)),
+            WaitResult::Value(_) | WaitResult::GivenUp => {
+                Some(UnsentEnd::Refused(RefusalKind::OriginUnknown))
+            }
+        }
+    }
+
+    /// Ends the request before an attempt is sent; always true.
+    async fn end_unsent(&mut self, end: UnsentEnd) -> bool {
+        self.report_end(AttemptOutcome::Abandoned);
+        match end {
+            UnsentEnd::CallerLeft => self.log("caller_left", "waiting"),
+            UnsentEnd::Refused(kind) => {
+                let not_run = !self.may_have_run;
+                let retry_after = Some(streams::retry_after());
+                self.refuse(kind, not_run, retry_after).await;
+            }
+        }
+        true
+    }
+
     async fn refuse_quarantined(&mut self, back_in: Duration) {
         self.report_end(AttemptOutcome::Abandoned);
         let not_run = !self.may_have_run;
@@ -477,8 +533,12 @@
     async fn attempt(&mut self, target: &Target) -> AttemptResult {
         let node = self.node.clone();
         let out = self.out.clone();
-        let (time_left, last_event) = (self.time_left(), self.last_event);
-        let sent = exchange::send(&node, target, &out, Some(time_left), last_event);
+        let options = SendOptions {
+            time_left: Some(self.time_left()),
+            last_event: self.last_event,
+            continues: self.resumable && self.last_event > Some(0),
+        };
+        let sent = exchange::send(&node, target, &out, options);
         let answer = match self.wait(sent).await {
             WaitResult::Value(Ok(answer)) => answer,
             WaitResult::Value(Err(failure)) => return AttemptResult::Failed(failure),
@@ -489,6 +549,7 @@
             }
         };
         node.note_answer_data(self.request);
+        self.connected = Some(target.connected(&answer.connection));
         let streams = is_events(&answer.head.headers) && answer.head.status == StatusCode::OK;
         match streams {
             true => self.relay_events(target, answer).await,
@@ -737,9 +798,10 @@
         if !self.resumable || self.out.id.is_empty() || self.origin_recorded {
             return None;
         }
+        let connected = self.connected.clone()?;
         let origin = StreamOrigin {
             service: self.service,
-            software: self.software.clone(),
+            software: connected.software.clone(),
         };
         let node = self.node.clone();
         match self.wait(ensure_recorded(&node, &origin)).await {
@@ -754,7 +816,8 @@
         }
         self.origin_recorded = true;
         let stream = streams::stream_id(&self.out.id);
-        streams::record(&self.node, stream, origin, self.kept_for);
+        streams::record(&self.node, stream, origin, &connected, self.kept_for);
+        self.began_on = Some(connected);
         None
     }
 
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -31,7 +31,7 @@
 use crate::decide::quarantine::QuarantineReport;
 use crate::decide::quota::{CountReport, CountSource, WorkspaceCount, WorkspaceKey};
 use crate::decide::routes::{Route, Rules};
-use crate::decide::stream_origins::StreamRecord;
+use crate::decide::stream_origins::{StreamRecord, StreamStart};
 use crate::decide::usage::EndpointUse;
 use crate::decide::waiting_items::WaitingReport;
 use crate::id::{self, EndpointId, JobId, OwnerId, Revision};
@@ -99,6 +99,9 @@
     Stream(StreamRecord),
     /// Waiting batch items by service. Programs that don't know this message reject it.
     Waiting(WaitingReport),
+    /// Which process is assumed to have begun a stream. Programs that don't know this message reject
+    /// it.
+    StreamStart(StreamStart),
 }
 
 /// Sends heartbeats until the process ends.
@@ -333,6 +336,11 @@
                 core.recorded.found(now, record.origin.clone());
                 core.streams.record(now, record);
             }
+            Ok(Datagram::StreamStart(start)) => {
+                let (now, mut core) = (clock::now(), node.core.borrow_mut());
+                core.recorded.found(now, start.record.origin.clone());
+                core.streams.record_start(now, start);
+            }
             Err(error) => log::warn!(from:% = from, error:% = error; "datagram rejected"),
         }
     }
--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -53,6 +53,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// When the connection was established, or shortly after.
+    pub opened_at: Duration,
     /// No request was sent on it before, so no stray answer can arrive.
     pub unused: bool,
 }
@@ -89,6 +91,7 @@
         Ok(Connection {
             sender,
             task: task.abort_handle(),
+            opened_at: clock::now(),
             unused: true,
         })
     }
@@ -176,6 +179,22 @@
         None
     }
 
+    /// Takes the most recently used idle connection to an endpoint for which a condition holds.
+    pub fn take_if(
+        &self,
+        endpoint: EndpointId,
+        condition: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&endpoint)?;
+        let now = clock::now();
+        let is_fit = |entry: &Idle| {
+            now < entry.until && entry.connection.usable() && condition(&entry.connection)
+        };
+        let at = connections.iter().rposition(is_fit)?;
+        Some(connections.remove(at).connection)
+    }
+
     /// Keeps a connection whose answer was read to its end. `keep_alive` is the endpoint's idle
     /// timeout.
     pub fn put(&self, endpoint: EndpointId, connection: Connection, keep_alive: Option<Duration>) {
--- a/src/serve/runs.rs
+++ b/src/serve/runs.rs
@@ -24,7 +24,7 @@
 use super::node::{update_remote_uses, Node, Stage};
 use super::waiting_items;
 use crate::clock;
-use crate::decide::discovery::unknown_software;
+use crate::decide::discovery::{unknown_software, ConnectedProcess};
 use crate::decide::items::{Action, ItemKey, ItemPlanner};
 use crate::decide::quarantine::Hold;
 use crate::decide::routes::Route;
@@ -51,6 +51,8 @@
     last_event: Option<u64>,
     /// Software version of the endpoints that made the text.
     software: Option<Name>,
+    /// The connection that brought the first event, while its process is not confirmed.
+    began_on: Option<ConnectedProcess>,
     failures: u32,
     /// Endpoints that answered 500 to it on this VM.
     failed_at: Vec<EndpointId>,
@@ -240,6 +242,7 @@
         progress.texts.clear();
         progress.text_bytes = 0;
         progress.last_event = None;
+        progress.began_on = None;
         progress.software.take()
     });
     node.counters.items_restarted.inc();
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -8,19 +8,24 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, HOST};
 use hyper::{Method, StatusCode};
 use tokio::sync::Notify;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
 use super::{drop_text, finish, ItemRun};
 use crate::clock;
+use crate::decide::discovery::{ConnectedProcess, SoftwareCheck};
 use crate::decide::items::{self, ItemKey};
 use crate::decide::quarantine::{Hold, RunKind, PROGRESS_TIME_MIN};
 use crate::decide::retry::{AttemptStage, ATTEMPTS_MAX_DEFAULT};
 use crate::decide::small_jobs::{Item, ItemOutcome, TEXT_BYTES_MAX};
-use crate::id::{EndpointId, Name};
+use crate::id::EndpointId;
 use crate::serve::cancellation::unless_stopped;
 use crate::serve::events::{check_next, EventStream};
-use crate::serve::exchange::{self, AnswerEvidence, Failure, Outgoing, Target};
+use crate::serve::exchange::{
+    self, Answer, AnswerEvidence, Failure, Outgoing, SendOptions, Target,
+};
 use crate::serve::node::Node;
+use crate::serve::processes;
 use crate::serve::quarantine;
 use crate::util::json_bytes;
 
@@ -154,8 +159,7 @@
         RunEnd::Rejected => finish(&node, &key, ItemOutcome::Errored),
         RunEnd::ItemFailed => item_failed(&node, &key, endpoint, now),
         RunEnd::TooLarge => {
-            drop_text(&node, &key);
-            node.core.borrow_mut().items.text_dropped(&key);
+            restart(&node, &key);
             item_failed(&node, &key, endpoint, now);
         }
         RunEnd::Yielded => node.core.borrow_mut().items.paused(now, &key, false),
@@ -231,7 +235,6 @@
     out: &Outgoing,
 ) -> RunEnd {
     let failed = |reach, detail: &str| RunEnd::Failed(Failure::of_endpoint(reach, detail));
-    let software = node.software(endpoint);
     let Some(target) = node.target(endpoint) else {
         let gone = Failure::not_of_endpoint(AttemptStage::NotSent, "the endpoint is gone");
         return RunEnd::Failed(gone);
@@ -239,17 +242,23 @@
     if let Err(hold) = quarantine::admit_item(node, out) {
         return RunEnd::Quarantined(hold);
     }
-    let after_event = last_event(node, key);
+    confirm_text(node, key).await;
+    let mut after_event = last_event(node, key);
     log::info!(
         job = *key.job,
         item = out.id,
         endpoint = target.instance,
-        software = *software,
+        software = *target.software,
         after_event = after_event.unwrap_or(0);
         "item starts"
     );
-    let sent = exchange::send(node, &target, out, None, after_event);
-    let answer = match timeout(EVENT_TIMEOUT, sent).await {
+    let mut sent = send(node, &target, out, after_event).await;
+    if matches!(&sent, Ok(Err(failure)) if failure.software_unconfirmed) {
+        restart(node, key);
+        after_event = None;
+        sent = send(node, &target, out, after_event).await;
+    }
+    let answer = match sent {
         Ok(Ok(answer)) => answer,
         Ok(Err(failure)) => {
             if failure.stage == AttemptStage::NotSent {
@@ -267,7 +276,8 @@
     }
     let keep_alive = exchange::keep_alive(&answer.head);
     let evidence = AnswerEvidence::of(&answer.head);
-    match read_events(node, key, out, endpoint, &software, answer.body).await {
+    let connected = target.connected(&answer.connection);
+    match read_events(node, key, out, &connected, answer.body).await {
         Ok(()) if evidence == AnswerEvidence::UntilClose && last_event(node, key).is_none() => {
             let detail = "the stream ended without an event";
             RunEnd::Failed(Failure::of_connection(AttemptStage::Answering, detail))
@@ -286,12 +296,48 @@
     }
 }
 
+async fn send(
+    node: &Rc<Node>,
+    target: &Target,
+    out: &Outgoing,
+    last_event: Option<u64>,
+) -> Result<Result<Answer, Failure>, Elapsed> {
+    let options = SendOptions {
+        time_left: None,
+        last_event,
+        continues: last_event.is_some(),
+    };
+    timeout(EVENT_TIMEOUT, exchange::send(node, target, out, options)).await
+}
+
+/// Drops the text of an item unless it is known which software made it.
+async fn confirm_text(node: &Rc<Node>, key: &ItemKey) {
+    let began_on = node
+        .runs
+        .with_progress(key, |progress| progress.began_on.clone());
+    let Some(began_on) = began_on.flatten() else {
+        return;
+    };
+    match processes::confirm(node, &began_on).await {
+        SoftwareCheck::Confirmed => {
+            node.runs
+                .with_progress(key, |progress| progress.began_on = None);
+        }
+        SoftwareCheck::Replaced | SoftwareCheck::NotConfirmed => restart(node, key),
+    }
+}
+
+/// Drops the text of an item, so that any software may run it.
+fn restart(node: &Node, key: &ItemKey) {
+    drop_text(node, key);
+    node.core.borrow_mut().items.text_dropped(key);
+}
+
 async fn read_events(
     node: &Rc<Node>,
     key: &ItemKey,
     out: &Outgoing,
-    endpoint: EndpointId,
-    software: &Name,
+    connected: &ConnectedProcess,
     body: Incoming,
 ) -> Result<(), RunEnd> {
     let failed = |failure| Err(RunEnd::Failed(failure));
@@ -312,9 +358,9 @@
             Err(error) => return failed(Failure::of_endpoint(stage, error.to_string())),
         };
         // Only a whole event is progress: a failing endpoint may send other bytes without end.
-        node.note_endpoint_data(endpoint);
+        node.note_endpoint_data(connected.process.id());
         for event in new_events {
-            record_event(node, key, software, event.id, event.data())?;
+            record_event(node, key, connected, event.id, event.data())?;
         }
         if progress_due_at.is_some_and(|due_at| clock::now() >= due_at) {
             progress_due_at = None;
@@ -326,7 +372,7 @@
 fn record_event(
     node: &Node,
     key: &ItemKey,
-    software: &Name,
+    connected: &ConnectedProcess,
     event: Option<u64>,
     text: String,
 ) -> Result<(), RunEnd> {
@@ -343,14 +389,18 @@
             return Err(RunEnd::TooLarge);
         }
         is_first = progress.software.is_none();
-        progress.software.get_or_insert_with(|| software.clone());
+        if is_first {
+            progress.software = Some(connected.software.clone());
+            progress.began_on = Some(connected.clone());
+        }
         progress.last_event = event;
         progress.texts.push(text);
         Ok(())
     });
     if is_first {
         let items = &mut node.core.borrow_mut().items;
-        items.began(key, software.clone());
+        items.began(key, connected.software.clone());
+        node.process_reads.want();
     }
     // The item was given up or its job has moved, which is no fault of the endpoint.
     let detail = "the item no longer runs here";
--- a/src/serve/runs/progress.rs
+++ b/src/serve/runs/progress.rs
@@ -15,11 +15,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::{ItemProgress, OwnedJob};
-use crate::decide::items::{ItemKey, Items};
+use crate::decide::discovery::{ConnectedProcess, SoftwareCheck};
+use crate::decide::items::ItemKey;
 use crate::decide::small_jobs::{fitting, progress_key, record_key, ItemIndex, SmallJobRecord};
 use crate::id::{JobId, Name, Revision};
 use crate::serve::jobs::{encode, write};
-use crate::serve::node::Node;
+use crate::serve::node::{Core, Node};
 use crate::store::{Txn, Write};
 use crate::util::json_bytes;
 
@@ -59,7 +60,7 @@
             return;
         }
         owned.saved_at = now;
-        job_progress(now, job, owned, &node.core.borrow().items)
+        job_progress(now, job, owned, &node.core.borrow())
     };
     let items = saved.len();
     let Some(write) = progress_write(&record.id, saved) else {
@@ -85,7 +86,7 @@
         let job = &record.id;
         owned
             .get(job)
-            .map(|owned| job_progress(now, job, owned, &core.items))
+            .map(|owned| job_progress(now, job, owned, &core))
     };
     let Some(write) = progress_write(&record.id, saved.unwrap_or_default()) else {
         return;
@@ -105,9 +106,15 @@
     }
 }
 
-/// The progress of a job's items.
-fn job_progress(now: Duration, job: &JobId, owned: &OwnedJob, items: &Items) -> Vec<SavedProgress> {
+/// The progress of a job's items, without texts of which it is not known which software made them.
+fn job_progress(now: Duration, job: &JobId, owned: &OwnedJob, core: &Core) -> Vec<SavedProgress> {
+    let is_confirmed = |connected: &ConnectedProcess| {
+        core.discovery.check_software(connected) == SoftwareCheck::Confirmed
+    };
     let to_saved = |(item, progress): (&ItemIndex, &ItemProgress)| {
+        if !progress.began_on.as_ref().is_none_or(is_confirmed) {
+            return None;
+        }
         let key = ItemKey {
             job: job.clone(),
             item: *item,
@@ -116,7 +123,7 @@
             item: *item,
             last_event: progress.last_event?,
             text: progress.texts.join("\n"),
-            ran_ms: items.run_time(now, &key).as_millis() as u64,
+            ran_ms: core.items.run_time(now, &key).as_millis() as u64,
             software: Some(progress.software.clone()?),
         })
     };
@@ -170,6 +177,7 @@
             texts: vec![self.text],
             last_event: Some(self.last_event),
             software: self.software,
+            began_on: None,
             failures,
             failed_at: Vec::new(),
             run: None,
--- a/src/serve/streams.rs
+++ b/src/serve/streams.rs
@@ -14,19 +14,23 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::ask::{ask, reply};
+use super::ask::{ask, reply, AskError};
 use super::node::Node;
 use super::peers::{seal, Datagram};
+use super::processes;
 use super::replies::{self, Reply};
 use crate::clock;
+use crate::decide::discovery::{ConnectedProcess, SoftwareCheck};
 use crate::decide::freshness::StoreSubject;
 use crate::decide::routes::Route;
-use crate::decide::stream_origins::{StreamOrigin, StreamRecord};
+use crate::decide::stream_origins::{StreamOrigin, StreamRecord, StreamStart};
 use crate::id::{self, Name, ServiceId, StreamId};
 use crate::util;
 
 /// Path under which another VM is asked for a stream.
 pub const PATH: &str = "/streams";
+/// The same for an answer with the stream's process. Programs that don't know this path answer 404.
+pub const STARTS_PATH: &str = "/streams/starts";
 /// Largest query.
 const QUERY_BYTES_MAX: usize = 1024;
 /// Time for all answers of other VMs: many times a round trip between failure domains, and short
@@ -54,6 +58,8 @@
     SoleVersion,
     /// The same by the records in the metadata store.
     StoredVersion,
+    /// There is a record, but another process may have begun the stream.
+    Unconfirmed,
     NotKnown,
 }
 
@@ -76,15 +82,41 @@
 ///
 /// This has to happen before the caller receives the first event: if this VM dies right after, the
 /// caller resumes the stream at another VM.
-pub fn record(node: &Node, stream: StreamId, origin: StreamOrigin, time_left: Duration) {
+pub fn record(
+    node: &Node,
+    stream: StreamId,
+    origin: StreamOrigin,
+    connected: &ConnectedProcess,
+    time_left: Duration,
+) {
     let now = clock::now();
-    let record = StreamRecord::new(stream, origin, time_left);
+    let check = node.core.borrow().discovery.check_software(connected);
+    let is_unconfirmed = check == SoftwareCheck::NotConfirmed && !origin.software.is_empty();
+    let start = StreamStart {
+        record: StreamRecord::new(stream, origin, time_left),
+        process: is_unconfirmed.then(|| connected.process.clone()),
+    };
+    node.core
+        .borrow_mut()
+        .streams
+        .record_local_start(now, start.clone());
+    let datagram = match is_unconfirmed {
+        true => Datagram::StreamStart(start),
+        false => Datagram::Stream(start.record),
+    };
+    report(node, &datagram, stream);
+    if is_unconfirmed {
+        node.process_reads.want();
+    }
+}
+
+/// Tells the holders of a stream's record about it.
+pub fn report(node: &Node, datagram: &Datagram, stream: StreamId) {
     let holders = {
-        let mut core = node.core.borrow_mut();
-        core.streams.record(now, record.clone());
-        core.peers.record_holders(now, node.domain, stream)
+        let core = node.core.borrow();
+        core.peers.record_holders(clock::now(), node.domain, stream)
     };
-    let Some(sealed) = seal(node, &Datagram::Stream(record)) else {
+    let Some(sealed) = seal(node, datagram) else {
         return;
     };
     let socket = node.gossip_socket.borrow();
@@ -107,11 +139,11 @@
     lifetime: Duration,
 }
 
-/// What a VM knows of a stream.
+/// What a VM knows of a stream, for programs that don't know its process.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct StreamAnswer {
     record: Option<StreamRecord>,
-    /// The one version that the service has had for a stream's lifetime.
+    /// Not used any more: a VM's view of the versions may be older than the stream.
     sole: Option<StreamOrigin>,
 }
 
@@ -128,125 +160,148 @@
         }
     }
 
-    fn record(&self, node: &Node) -> Option<StreamRecord> {
+    /// The start of the stream as this VM knows it, and by when it had begun.
+    fn start(&self, node: &Node) -> Option<(StreamStart, Duration)> {
         let core = node.core.borrow();
-        core.streams.get(clock::now(), self.stream?)
-    }
-
-    /// The origin that all recent streams of the service have in common, if it has had a single
-    /// version. A VM that the store doesn't confirm may not have heard of another one.
-    fn sole_origin(&self, node: &Node) -> Option<StreamOrigin> {
-        let now = clock::now();
-        let service = self.service.filter(|_| are_endpoints_fresh(node))?;
-        let core = node.core.borrow();
-        let software = core.software.sole_version(now, service, self.lifetime)?;
-        Some(StreamOrigin { service, software })
+        let (mut start, known_at) = core.streams.start(clock::now(), self.stream?)?;
+        let connected = start.unconfirmed(known_at);
+        let check = connected.map(|connected| core.discovery.check_software(&connected));
+        if check == Some(SoftwareCheck::Confirmed) {
+            start.process = None;
+        }
+        Some((start, known_at))
     }
 }
 
-fn are_endpoints_fresh(node: &Node) -> bool {
-    let core = node.core.borrow();
-    let age = core.freshness.age(clock::now(), StoreSubject::Endpoints);
-    age.is_some_and(|age| age <= ENDPOINTS_FRESH_AGE_MAX)
-}
-
 /// Finds out which software began the stream that a caller resumes on a route.
 pub async fn find_origin(
     node: &Rc<Node>,
     route: &Route,
     resumes: &str,
 ) -> (OriginSource, Option<StreamOrigin>) {
+    let arrived_at = clock::now();
     let query = StreamQuery::new(route, resumes);
-    if let Some(record) = query.record(node) {
-        return (OriginSource::OwnRecord, Some(record.origin));
-    }
-    if query.stream.is_none() {
-        if let Some(origin) = query.sole_origin(node) {
-            return (OriginSource::SoleVersion, Some(origin));
+    let known = match query.start(node) {
+        Some((start, known_at)) => Some((OriginSource::OwnRecord, start, known_at)),
+        None => {
+            let told = ask_peers(node, &query).await;
+            told.map(|start| (OriginSource::PeerRecord, start, arrived_at))
         }
+    };
+    if let Some((source, start, known_at)) = known {
+        return match confirm_start(node, start, known_at).await {
+            Some(origin) => (source, Some(origin)),
+            None => (OriginSource::Unconfirmed, None),
+        };
     }
-    let answer = ask_peers(node, &query).await;
-    if let Some(record) = answer.record {
-        let origin = record.origin.clone();
-        node.core.borrow_mut().streams.record(clock::now(), record);
-        return (OriginSource::PeerRecord, Some(origin));
-    }
-    let agrees = |origin: &StreamOrigin| node.core.borrow().software.agrees(origin);
-    if let Some(origin) = query.sole_origin(node).or(answer.sole.filter(agrees)) {
-        return (OriginSource::SoleVersion, Some(origin));
-    }
-    match stored_origin(node, &query).await.filter(agrees) {
-        Some(origin) => (OriginSource::StoredVersion, Some(origin)),
+    match stored_origin(node, &query).await {
+        Some((source, origin)) => (source, Some(origin)),
         None => (OriginSource::NotKnown, None),
     }
 }
 
-/// The one version that the store has on record for the service.
-async fn stored_origin(node: &Node, query: &StreamQuery) -> Option<StreamOrigin> {
+/// The origin of a stream that had begun by `known_at`, once its process is confirmed.
+async fn confirm_start(
+    node: &Rc<Node>,
+    mut start: StreamStart,
+    known_at: Duration,
+) -> Option<StreamOrigin> {
+    if let Some(connected) = start.unconfirmed(known_at) {
+        if processes::confirm(node, &connected).await != SoftwareCheck::Confirmed {
+            return None;
+        }
+        start.process = None;
+    }
+    let origin = start.record.origin.clone();
+    let streams = &mut node.core.borrow_mut().streams;
+    streams.record_start(clock::now(), start);
+    Some(origin)
+}
+
+/// The one version that the service has had for a stream's lifetime, by this VM's view of the
+/// endpoints or by the store's records.
+async fn stored_origin(
+    node: &Rc<Node>,
+    query: &StreamQuery,
+) -> Option<(OriginSource, StreamOrigin)> {
     let service = query.service?;
     if query.lifetime > records::COVERED_TIME || !are_endpoints_fresh(node) {
         return None;
     }
+    let sole = {
+        let core = node.core.borrow();
+        core.software
+            .sole_version(clock::now(), service, query.lifetime)
+    };
+    if let Some(software) = sole {
+        let origin = StreamOrigin { service, software };
+        return Some((OriginSource::SoleVersion, origin));
+    }
     let mut versions = records::read(node, service).await?.into_iter();
     match (versions.next(), versions.next()) {
-        (Some(software), None) if !software.is_empty() => Some(StreamOrigin { service, software }),
+        (Some(software), None) if !software.is_empty() => {
+            let origin = StreamOrigin { service, software };
+            let agrees = node.core.borrow().software.agrees(&origin);
+            agrees.then_some((OriginSource::StoredVersion, origin))
+        }
         _ => None,
     }
 }
 
-/// Asks the other VMs that may know a stream, all at once. The first record decides; a sole version
-/// counts only when no VM has a record, and when all VMs that know one name the same.
-async fn ask_peers(node: &Rc<Node>, query: &StreamQuery) -> StreamAnswer {
+fn are_endpoints_fresh(node: &Node) -> bool {
+    let core = node.core.borrow();
+    let age = core.freshness.age(clock::now(), StoreSubject::Endpoints);
+    age.is_some_and(|age| age <= ENDPOINTS_FRESH_AGE_MAX)
+}
+
+/// Asks the other VMs that may know a stream, all at once. The first one that knows it decides.
+async fn ask_peers(node: &Rc<Node>, query: &StreamQuery) -> Option<StreamStart> {
+    let stream = query.stream?;
     let sources = {
-        let (now, own) = (clock::now(), node.local_vm());
+        let now = clock::now();
         let core = node.core.borrow();
-        let key = query.stream.unwrap_or(node.vm);
-        let mut sources = core.peers.record_sources(now, node.domain, key);
+        let mut sources = core.peers.record_sources(now, node.domain, stream);
         if sources.is_empty() {
             // This VM has just started and has heard of no other yet.
             let own = node.settings.peer_address;
             let seeds = node.settings.peers.iter().copied();
             sources.extend(seeds.filter(|seed| *seed != own));
         }
-        // In a large fleet most VMs don't know all versions, and delegates do.
-        sources.extend(core.peers.endpoint_source(now, own));
         sources
     };
     let mut asked = JoinSet::new();
     for from in sources {
         asked.spawn_local(ask_peer(node.clone(), from, query.clone()));
     }
-    let mut found: Vec<StreamOrigin> = Vec::new();
     let answers = async {
         while let Some(answered) = asked.join_next().await {
-            let answer = answered.unwrap_or_default();
-            if answer.record.is_some() {
-                return answer.record;
-            }
-            found.extend(answer.sole);
-            if query.stream.is_none() && !found.is_empty() {
-                break;
+            if let Ok(Some(start)) = answered {
+                return Some(start);
             }
         }
         None
     };
-    let record = timeout(ASK_TIMEOUT, answers).await.ok().flatten();
-    let is_same = found.iter().all(|origin| *origin == found[0]);
-    let sole = found.first().filter(|_| is_same).cloned();
-    StreamAnswer { record, sole }
+    timeout(ASK_TIMEOUT, answers).await.ok().flatten()
 }
 
-async fn ask_peer(node: Rc<Node>, from: SocketAddr, query: StreamQuery) -> StreamAnswer {
+async fn ask_peer(node: Rc<Node>, from: SocketAddr, query: StreamQuery) -> Option<StreamStart> {
     let body = node.key.seal(&query).unwrap_or_default();
-    let asked = ask::<StreamAnswer>(&node, from, PATH, body, ASK_TIMEOUT).await;
+    let asked = ask(&node, from, STARTS_PATH, body.clone(), ASK_TIMEOUT).await;
+    let asked = match asked {
+        Err(AskError::Refused { .. }) => {
+            let answer = ask::<StreamAnswer>(&node, from, PATH, body, ASK_TIMEOUT).await;
+            answer.map(|answer| answer.record.map(StreamStart::confirmed))
+        }
+        asked => asked,
+    };
     asked.unwrap_or_else(|error| {
-        log::debug!(from:% = from, path = PATH, error:% = error; "request to another VM failed");
-        StreamAnswer::default()
+        log::debug!(from:% = from, path = STARTS_PATH, error:% = error; "request to another VM failed");
+        None
     })
 }
 
 /// Answers another VM's question for a stream.
-pub async fn answer(node: &Node, body: Incoming) -> Reply {
+pub async fn answer(node: &Node, path: &str, body: Incoming) -> Reply {
     let Ok(body) = Limited::new(body, QUERY_BYTES_MAX).collect().await else {
         return replies::empty(400);
     };
@@ -257,11 +312,15 @@
             return replies::empty(400);
         }
     };
-    let answer = StreamAnswer {
-        record: query.record(node),
-        sole: query.sole_origin(node),
-    };
-    reply(node.key.seal(&answer))
+    let start = query.start(node).map(|(start, _)| start);
+    if path == STARTS_PATH {
+        return reply(node.key.seal(&start));
+    }
+    let confirmed = start.filter(|start| start.process.is_none());
+    reply(node.key.seal(&StreamAnswer {
+        record: confirmed.map(|start| start.record),
+        sole: None,
+    }))
 }
 
 /// Streams on record of one service and version, for operators.
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use super::node::{Core, Node};
-use super::refreshing::{ask_store, refresh_due_in};
+use super::refreshing::{ask_store, ask_store_once, refresh_due_in};
 use super::retire::retire;
 use crate::clock;
 use crate::decide::discovery::KnownEntry;
@@ -308,26 +308,44 @@
     }
 }
 
-/// Follows the endpoints.
-pub async fn follow_endpoints(node: Rc<Node>) {
-    let followed = FollowedPrefix {
+/// The endpoints' entries.
+fn followed_endpoints(node: &Node) -> FollowedPrefix {
+    FollowedPrefix {
         subject: StoreSubject::Endpoints,
         prefix: node.dialect.keys.endpoints,
+    }
+}
+
+/// Follows the endpoints.
+pub async fn follow_endpoints(node: Rc<Node>) {
+    let followed = followed_endpoints(&node);
+    follow_store(node, followed, apply_endpoints).await;
+}
+
+/// Asks the store once for changes of endpoints, and applies them.
+pub async fn refresh_endpoints(node: &Node) -> Result<(), Error> {
+    let after = node.core.borrow().discovery.revision;
+    let answer = ask_store_once(node, followed_endpoints(node), after).await?;
+    let asked_at = answer.asked_at;
+    apply_endpoints(node, answer);
+    if let Some(asked_at) = asked_at {
+        node.confirm(StoreSubject::Endpoints, asked_at);
+    }
+    Ok(())
+}
+
+fn apply_endpoints(node: &Node, answer: WatchAnswer) {
+    let now = clock::now();
+    let changed = match answer.update {
+        StoreUpdate::Snapshot(items) => apply_endpoint_snapshot(node, now, &items, answer.at),
+        StoreUpdate::Changes(changes) | StoreUpdate::Relayed(changes) => {
+            let changed = changes
+                .iter()
+                .filter(|change| apply_endpoint_change(node, now, change));
+            changed.count() > 0
+        }
     };
-    let apply = |node: &Node, answer: WatchAnswer| {
-        let now = clock::now();
-        let changed = match answer.update {
-            StoreUpdate::Snapshot(items) => apply_endpoint_snapshot(node, now, &items, answer.at),
-            StoreUpdate::Changes(changes) | StoreUpdate::Relayed(changes) => {
-                let changed = changes
-                    .iter()
-                    .filter(|change| apply_endpoint_change(node, now, change));
-                changed.count() > 0
-            }
-        };
-        node.endpoints_reported("store", changed);
-    };
-    follow_store(node, followed, apply).await;
+    node.endpoints_reported("store", changed);
 }
 
 /// Applies a whole reading of the endpoints' entries; true when anything changed. An entry that
