Streams: what is known of a service's versions is as new as the take-up

Cause: a VM without a record of a stream took the only version that it knew for the stream's: by its view of the endpoints, confirmed up to 1.8 s ago, by the views of other VMs, or by records in the store that it had read up to a second ago. A version that appeared since was not among them.

Change: the records are read by a call that is sent after the caller's request has arrived, shared by all requests that wait for it and made at most four times a second. Where several versions are on record, the endpoints decide as before, after they have been read again.

Conclusion: a VM that reaches neither the store nor a VM with a record refuses take-ups at once.

--- a/src/serve/streams.rs
+++ b/src/serve/streams.rs
@@ -21,7 +21,6 @@
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::discovery::{ConnectedProcess, SoftwareCheck};
-use crate::decide::freshness::StoreSubject;
 use crate::decide::routes::Route;
 use crate::decide::stream_origins::{StreamOrigin, StreamRecord, StreamStart};
 use crate::id::{self, Name, ServiceId, StreamId};
@@ -42,10 +41,6 @@
 /// Time beyond twice the timeout of a route, one for each of two attempts, for which its callers may
 /// return.
 const RETURN_MARGIN: Duration = Duration::from_secs(5);
-/// Largest confirmation age of the endpoints at which their versions are known to be all: the age
-/// that regular confirmations stay below.
-const ENDPOINTS_FRESH_AGE_MAX: Duration = Duration::from_millis(1800);
-
 /// How the origin of a caller's stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -174,6 +169,9 @@
 }
 
 /// Finds out which software began the stream that a caller resumes on a route.
+///
+/// Whatever is known about all versions of a service must be as new as the caller's request: the
+/// stream may have begun just before at a version that has just appeared.
 pub async fn find_origin(
     node: &Rc<Node>,
     route: &Route,
@@ -194,7 +192,7 @@
             None => (OriginSource::Unconfirmed, None),
         };
     }
-    match stored_origin(node, &query).await {
+    match stored_origin(node, &query, arrived_at).await {
         Some((source, origin)) => (source, Some(origin)),
         None => (OriginSource::NotKnown, None),
     }
@@ -218,40 +216,40 @@
     Some(origin)
 }
 
-/// The one version that the service has had for a stream's lifetime, by this VM's view of the
-/// endpoints or by the store's records.
+/// The one version that began all recent streams of the service, by the store's records as of
+/// `since` or later, or, if other versions have left, by the endpoints as of then.
 async fn stored_origin(
     node: &Rc<Node>,
     query: &StreamQuery,
+    since: Duration,
 ) -> Option<(OriginSource, StreamOrigin)> {
     let service = query.service?;
-    if query.lifetime > records::COVERED_TIME || !are_endpoints_fresh(node) {
+    if query.lifetime > records::COVERED_TIME {
         return None;
     }
-    let sole = {
+    let recorded = records::read(node, service, since).await?;
+    if let [software] = recorded.as_slice() {
+        let software = software.clone();
+        let origin = StreamOrigin { service, software };
+        let is_known = !origin.software.is_empty() && node.core.borrow().software.agrees(&origin);
+        return is_known.then_some((OriginSource::StoredVersion, origin));
+    }
+    let is_sole = |software: &Name| recorded.contains(software);
+    let sole = || {
         let core = node.core.borrow();
         core.software
             .sole_version(clock::now(), service, query.lifetime)
     };
-    if let Some(software) = sole {
-        let origin = StreamOrigin { service, software };
-        return Some((OriginSource::SoleVersion, origin));
-    }
-    let mut versions = records::read(node, service).await?.into_iter();
-    match (versions.next(), versions.next()) {
-        (Some(software), None) if !software.is_empty() => {
-            let origin = StreamOrigin { service, software };
-            let agrees = node.core.borrow().software.agrees(&origin);
-            agrees.then_some((OriginSource::StoredVersion, origin))
-        }
-        _ => None,
+    sole().filter(is_sole)?;
+    processes::refresh(node, since).await;
+    if node.core.borrow().discovery.view_confirmed_at() < Some(since) {
+        return None;
     }
-}
-
-fn are_endpoints_fresh(node: &Node) -> bool {
-    let core = node.core.borrow();
-    let age = core.freshness.age(clock::now(), StoreSubject::Endpoints);
-    age.is_some_and(|age| age <= ENDPOINTS_FRESH_AGE_MAX)
+    let software = sole().filter(is_sole)?;
+    Some((
+        OriginSource::SoleVersion,
+        StreamOrigin { service, software },
+    ))
 }
 
 /// Asks the other VMs that may know a stream, all at once. The first one that knows it decides.
--- a/src/serve/streams/records.rs
+++ b/src/serve/streams/records.rs
@@ -32,8 +32,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two look-ups, and after a failed write.
 const CALL_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for which the records are not read again: callers of many streams come at once.
-const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two reads: callers of many streams come at once.
+const READ_INTERVAL: Duration = Duration::from_millis(250);
 /// Time to record a version, for which the first event of a stream waits.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout of a read: a caller abandons its stream after a gap of two seconds.
@@ -46,8 +46,15 @@
     software: Name,
 }
 
-/// The records as last read, and when.
-pub type SoftwareRecords = Mutex<Option<(Duration, Vec<StreamOrigin>)>>;
+/// The last read of the records.
+pub type SoftwareRecords = Mutex<Option<RecordsRead>>;
+
+/// A read of the records.
+pub struct RecordsRead {
+    asked_at: Duration,
+    /// `None` if it has failed.
+    origins: Option<Vec<StreamOrigin>>,
+}
 
 /// A lease of a record, and when it is renewed next.
 struct Held {
@@ -218,28 +225,36 @@
     })
 }
 
-/// The versions of a service on record; `None` if they can't be read.
-pub async fn read(node: &Node, service: ServiceId) -> Option<Vec<Name>> {
-    let mut records = node.software_records.lock().await;
-    let now = clock::now();
-    if !matches!(&*records, Some((read_at, _)) if now < *read_at + READ_INTERVAL) {
-        let items = match timeout(READ_TIMEOUT, node.store.range(RECORD_PREFIX)).await {
-            Ok(Ok((items, _))) => items,
-            Ok(Err(error)) => {
-                log::info!(error:% = error; "software versions can't be read");
-                return None;
-            }
-            Err(_) => {
-                log::info!("software versions can't be read in time");
-                return None;
-            }
-        };
-        let parsed = items.iter().map(|item| parse(&item.value));
-        // An unreadable record may be that of another version.
-        let origins: Vec<StreamOrigin> = parsed.collect::<Result<_, _>>().ok()?;
-        *records = Some((now, origins));
+/// The versions of a service on record as of `since` or later; `None` if they can't be read.
+pub async fn read(node: &Node, service: ServiceId, since: Duration) -> Option<Vec<Name>> {
+    let mut last = node.software_records.lock().await;
+    let is_old = |read: &RecordsRead| read.asked_at < since;
+    if last.as_ref().is_none_or(is_old) {
+        let next_read_at = last.as_ref().map(|read| read.asked_at + READ_INTERVAL);
+        let pause = next_read_at.map(|at| at.saturating_sub(clock::now()));
+        sleep(pause.unwrap_or_default()).await;
+        let asked_at = clock::now();
+        let origins = read_all(node).await;
+        *last = Some(RecordsRead { asked_at, origins });
     }
-    let (_, known) = records.as_ref()?;
+    let known = last.as_ref()?.origins.as_ref()?;
     let of_service = known.iter().filter(|origin| origin.service == service);
     Some(of_service.map(|origin| origin.software.clone()).collect())
 }
+
+async fn read_all(node: &Node) -> Option<Vec<StreamOrigin>> {
+    let items = match timeout(READ_TIMEOUT, node.store.range(RECORD_PREFIX)).await {
+        Ok(Ok((items, _))) => items,
+        Ok(Err(error)) => {
+            log::info!(error:% = error; "software versions can't be read");
+            return None;
+        }
+        Err(_) => {
+            log::info!("software versions can't be read in time");
+            return None;
+        }
+    };
+    let parsed = items.iter().map(|item| parse(&item.value));
+    // An unreadable record may be that of another version.
+    parsed.collect::<Result<_, _>>().ok()
+}
