Discovery: a process whose connections all broke may have a successor

Cause: a new process serves before its entry is written, and until then the store names the one before. That its connections had all broken was known here, and not used.

Change: once no connection is left that certainly led to the process, one that is opened in the next 5 s is confirmed only by a view that is 1.5 s younger: a process registers with its first heartbeat at the latest. Without such a loss a view has to be 30 ms younger. Connections that are reset while others to the same process stay open are no such loss.

Conclusion: a VM that had no connection to the process, and asks the store between the start and the registration of the next one, still can't know.

--- a/src/decide/discovery.rs
+++ b/src/decide/discovery.rs
@@ -16,7 +16,9 @@
 use std::time::Duration;
 
 use self::confirmation::Confirmations;
-pub use self::confirmation::{ConnectedProcess, EndpointProcess, SoftwareCheck};
+pub use self::confirmation::{
+    ConnectedProcess, EndpointProcess, SoftwareCheck, REGISTRATION_TIME, RESTART_REGISTRATION_TIME,
+};
 use self::ended::EndedEndpoints;
 pub use self::entry::{unknown_software, KnownEntry, Registration};
 use self::news::ChangeLog;
@@ -48,6 +50,8 @@
     /// The process has ended, and the entry has not been written since: what serves at its address now
     /// may have other software.
     has_ended: bool,
+    /// When all connections of this VM to the process broke.
+    lost_at: Option<Duration>,
 }
 
 /// The registered endpoints.
@@ -131,6 +135,7 @@
             revision,
             kept_until: None,
             has_ended: false,
+            lost_at: None,
         };
         self.insert_row(now, id, row);
         true
@@ -152,6 +157,21 @@
         true
     }
 
+    /// Connections to a registered process that were opened until then certainly led to it.
+    pub fn connections_confirmed_until(&self, endpoint: EndpointId) -> Option<Duration> {
+        let is_registered = self.is_registered(endpoint);
+        let registered_at = self.confirmations.registered_at(endpoint, is_registered)?;
+        registered_at.checked_sub(REGISTRATION_TIME)
+    }
+
+    /// Records that all connections of this VM to an endpoint's process have broken.
+    pub fn connections_lost(&mut self, endpoint: EndpointId, lost_at: Duration) {
+        let entry = self.processes.get(&endpoint);
+        if let Some(row) = entry.and_then(|id| self.rows.get_mut(id)) {
+            row.lost_at = Some(lost_at);
+        }
+    }
+
     /// Records that all changes before `asked_at` have been applied, by a call to the store that
     /// was sent then.
     pub fn confirm_view(&mut self, asked_at: Duration) {
@@ -190,13 +210,21 @@
         if connected.software.is_empty() {
             return SoftwareCheck::NotConfirmed;
         }
-        let entry = self.processes.get(&connected.process.id());
+        let endpoint = connected.process.id();
+        let is_registered = self.is_registered(endpoint);
+        let entry = self.processes.get(&endpoint);
         let row = entry.and_then(|id| self.rows.get(id));
-        let is_registered = row.is_some_and(|row| row.kept_until.is_none() && !row.has_ended);
+        let lost_at = row.and_then(|row| row.lost_at);
         if row.is_some_and(|row| is_registered && row.entry.software != connected.software) {
             return SoftwareCheck::Replaced;
         }
-        self.confirmations.check(connected, is_registered)
+        self.confirmations.check(connected, is_registered, lost_at)
+    }
+
+    fn is_registered(&self, endpoint: EndpointId) -> bool {
+        let entry = self.processes.get(&endpoint);
+        let row = entry.and_then(|id| self.rows.get(id));
+        row.is_some_and(|row| row.kept_until.is_none() && !row.has_ended)
     }
 
     /// The process with this id, if its endpoint is in use.
--- a/src/decide/discovery/confirmation.rs
+++ b/src/decide/discovery/confirmation.rs
@@ -15,6 +15,17 @@
 /// for a stream.
 const PAST_RETENTION: Duration = Duration::from_secs(600);
 
+/// A process registers within this time after it has accepted its first connection.
+pub const REGISTRATION_TIME: Duration = Duration::from_millis(30);
+/// The same for a process that may have started after another one ended: it registers with its first
+/// heartbeat at the latest.
+pub const RESTART_REGISTRATION_TIME: Duration = Duration::from_millis(1500);
+/// Time after the loss of all connections to a process in which a new connection may lead to its
+/// successor.
+const RESTART_TIME: Duration = Duration::from_secs(5);
+/// A loss of connections is noticed within this time.
+const LOSS_NOTICED_WITHIN: Duration = Duration::from_millis(100);
+
 /// One process of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EndpointProcess {
@@ -53,7 +64,7 @@
 #[strum(serialize_all = "snake_case")]
 pub enum SoftwareCheck {
     Confirmed,
-    /// Another process with other software may have accepted the connection.
+    /// Another process may have accepted the connection, with other software.
     Replaced,
     /// The process was not seen registered after the connection was opened.
     NotConfirmed,
@@ -113,19 +124,40 @@
     }
 
     /// When a process was last known to be registered; `is_registered` if it is now.
-    fn registered_at(&self, process: EndpointId, is_registered: bool) -> Option<Duration> {
+    pub(super) fn registered_at(
+        &self,
+        process: EndpointId,
+        is_registered: bool,
+    ) -> Option<Duration> {
         let row = self.rows.get(&process);
         let at = row.and_then(|row| row.registered_at);
         at.max(self.view_at.filter(|_| is_registered))
     }
 
     /// Checks the software of a connection's process; `is_registered` if that process is registered
-    /// now.
-    pub(super) fn check(&self, connected: &ConnectedProcess, is_registered: bool) -> SoftwareCheck {
+    /// now, and `lost_at` is when all connections to it broke.
+    pub(super) fn check(
+        &self,
+        connected: &ConnectedProcess,
+        is_registered: bool,
+        lost_at: Option<Duration>,
+    ) -> SoftwareCheck {
         let process = connected.process.id();
-        if self.registered_at(process, is_registered) >= Some(connected.connected_at) {
+        let ConnectedProcess { connected_at, .. } = *connected;
+        let may_have_restarted = lost_at.is_some_and(|lost_at| {
+            lost_at < connected_at + LOSS_NOTICED_WITHIN && connected_at < lost_at + RESTART_TIME
+        });
+        let registers_within = match may_have_restarted {
+            true => RESTART_REGISTRATION_TIME,
+            false => REGISTRATION_TIME,
+        };
+        let registered_at = self.registered_at(process, is_registered);
+        if registered_at >= Some(connected_at + registers_within) {
             return SoftwareCheck::Confirmed;
         }
+        if may_have_restarted && is_registered {
+            return SoftwareCheck::Replaced;
+        }
         // It was this process or a later one. If all have the same software, that one is known.
         let mut successors = 0;
         let mut at = process;
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -278,7 +278,8 @@
 
 async fn open(node: &Node, target: &Target) -> Result<Connection, Failure> {
     node.counters.connections.inc();
-    Connection::open(&target.address).await.map_err(failure_of)
+    let opened = node.pool.open(target.endpoint, &target.address).await;
+    opened.map_err(failure_of)
 }
 
 fn failure_of(error: pool::Error) -> Failure {
--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -66,8 +67,17 @@
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a connection that is not counted among those of an endpoint.
     pub async fn open(address: &str) -> Result<Connection, Error> {
+        Connection::open_counted(address, |_| None).await
+    }
+
+    /// Opens a connection; `count` is called with the time at which it was established, and what it
+    /// returns is dropped when the connection ends.
+    async fn open_counted(
+        address: &str,
+        count: impl FnOnce(Duration) -> Option<CountedConnection>,
+    ) -> Result<Connection, Error> {
         let not_sent = |detail: String| Error::NotSent { detail };
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = match connect {
@@ -84,14 +94,17 @@
         reset.map_err(|error| not_sent(error.to_string()))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        let opened_at = clock::now();
+        let counted = count(opened_at);
         let task = tokio::task::spawn_local(async move {
+            let _counted = counted;
             // The error is also returned to the task that waits for the answer.
             let _ = connection.await;
         });
         Ok(Connection {
             sender,
             task: task.abort_handle(),
-            opened_at: clock::now(),
+            opened_at,
             unused: true,
         })
     }
@@ -117,6 +130,43 @@
     }
 }
 
+/// Open connections by endpoint: when each of them was opened.
+type OpenConnections = Rc<RefCell<HashMap<EndpointId, Vec<Duration>>>>;
+
+/// Counts one connection as open until it is dropped.
+struct CountedConnection {
+    open: OpenConnections,
+    endpoint: EndpointId,
+    opened_at: Duration,
+}
+
+impl CountedConnection {
+    fn new(open: &OpenConnections, endpoint: EndpointId, opened_at: Duration) -> CountedConnection {
+        let mut rows = open.borrow_mut();
+        rows.entry(endpoint).or_default().push(opened_at);
+        CountedConnection {
+            open: open.clone(),
+            endpoint,
+            opened_at,
+        }
+    }
+}
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        let mut rows = self.open.borrow_mut();
+        let Some(row) = rows.get_mut(&self.endpoint) else {
+            return;
+        };
+        if let Some(at) = row.iter().position(|at| *at == self.opened_at) {
+            row.swap_remove(at);
+        }
+        if row.is_empty() {
+            rows.remove(&self.endpoint);
+        }
+    }
+}
+
 struct Idle {
     connection: Connection,
     until: Duration,
@@ -163,9 +213,25 @@
 #[derive(Default)]
 pub struct Pool {
     idle: RefCell<HashMap<EndpointId, Vec<Idle>>>,
+    open: OpenConnections,
 }
 
 impl Pool {
+    /// Opens a connection to an endpoint.
+    pub async fn open(&self, endpoint: EndpointId, address: &str) -> Result<Connection, Error> {
+        Connection::open_counted(address, |opened_at| {
+            Some(CountedConnection::new(&self.open, endpoint, opened_at))
+        })
+        .await
+    }
+
+    /// Whether a connection to an endpoint that was opened until `opened_until` is still open.
+    pub fn has_open(&self, endpoint: EndpointId, opened_until: Duration) -> bool {
+        let rows = self.open.borrow();
+        let row = rows.get(&endpoint);
+        row.is_some_and(|row| row.iter().any(|opened_at| *opened_at <= opened_until))
+    }
+
     /// Takes the most recently used idle connection to an endpoint.
     pub fn take(&self, endpoint: EndpointId) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
--- a/src/serve/processes.rs
+++ b/src/serve/processes.rs
@@ -13,7 +13,9 @@
 use super::watch::refresh_endpoints;
 use super::{peers, streams};
 use crate::clock;
-use crate::decide::discovery::{ConnectedProcess, EndpointProcess, SoftwareCheck};
+use crate::decide::discovery::{
+    ConnectedProcess, EndpointProcess, SoftwareCheck, REGISTRATION_TIME,
+};
 use crate::id::EndpointId;
 
 /// Timeout of a read. A caller abandons its stream after a gap of two seconds, and the read delays
@@ -59,6 +61,8 @@
     if known != SoftwareCheck::NotConfirmed || connected.software.is_empty() {
         return known;
     }
+    let due_at = connected.connected_at + REGISTRATION_TIME;
+    sleep(due_at.saturating_sub(clock::now())).await;
     let wanted_at = clock::now();
     if !node.core.borrow().peers.is_large() {
         refresh(node, wanted_at).await;
@@ -152,6 +156,7 @@
 pub async fn confirm_starts(node: Rc<Node>) {
     loop {
         node.process_reads.wanted.notified().await;
+        sleep(REGISTRATION_TIME).await;
         if !node.core.borrow().peers.is_large() && node.store_answers.get() {
             refresh(&node, clock::now()).await;
         }
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -211,7 +211,11 @@
         }
         core.quarantine.run_lost(quarantine_now(), lost);
     }
+    let lost_at = clock::now();
+    note_lost_connections(node, endpoint, lost_at);
     let host = pool::check_host(&run.target.address).await;
+    // The ends of the other connections may arrive a little later.
+    note_lost_connections(node, endpoint, lost_at);
     let ended = host != HostCheck::NotClosed;
     log::info!(endpoint = run.target.instance, ended, stays; "a run lost its connection");
     if ended {
@@ -225,6 +229,16 @@
     ended
 }
 
+/// Notes that all connections to an endpoint's process have broken, if none is left that certainly
+/// led to it: another process may serve at its address from then on.
+fn note_lost_connections(node: &Node, endpoint: EndpointId, lost_at: Duration) {
+    let discovery = &mut node.core.borrow_mut().discovery;
+    let confirmed_until = discovery.connections_confirmed_until(endpoint);
+    if !confirmed_until.is_some_and(|until| node.pool.has_open(endpoint, until)) {
+        discovery.connections_lost(endpoint, lost_at);
+    }
+}
+
 /// Records that an endpoint ended without having announced that it drains.
 pub fn endpoint_ended(node: &Node, endpoint: EndpointId) {
     {
--- a/src/serve/silence.rs
+++ b/src/serve/silence.rs
@@ -91,7 +91,7 @@
     };
     let target = node.target(endpoint).ok_or(SuccessorState::Unreachable)?;
     node.counters.connections.inc();
-    match Connection::open(&target.address).await {
+    match node.pool.open(endpoint, &target.address).await {
         Ok(connection) => {
             node.pool.put(endpoint, connection, None);
             // The successor may have gone out of use meanwhile, or the request been quarantined.
--- a/tests/confirmed_processes.rs
+++ b/tests/confirmed_processes.rs
@@ -4,7 +4,7 @@
 
 use bramleyseam::decide::discovery::{
     ConnectedProcess, Discovery, EndpointProcess, Registration, SoftwareCheck, OUTAGE_MIN,
-    RETURN_GRACE,
+    REGISTRATION_TIME, RESTART_REGISTRATION_TIME, RETURN_GRACE,
 };
 use bramleyseam::decide::stream_origins::{StreamOrigin, StreamOrigins, StreamRecord, StreamStart};
 use bramleyseam::id::{self, Incarnation, Revision};
@@ -179,6 +179,34 @@
     );
 }
 
+// All connections to a process break, and its successor has not registered yet: its entry is still
+// that of the process before.
+#[test]
+fn lost_connections() {
+    let mut discovery = discovery();
+    discovery.connections_lost(process(0).id(), ms(600));
+    discovery.confirm_view(ms(700));
+    assert_eq!(
+        discovery.check_software(&connected(ms(400))),
+        SoftwareCheck::Confirmed
+    );
+    let new = connected(ms(610));
+    assert_eq!(discovery.check_software(&new), SoftwareCheck::Replaced);
+    discovery.confirm_view(ms(610) + RESTART_REGISTRATION_TIME);
+    assert_eq!(discovery.check_software(&new), SoftwareCheck::Confirmed);
+}
+
+// A new process serves for a moment before its entry is written.
+#[test]
+fn late_entry() {
+    let mut discovery = discovery();
+    discovery.confirm_view(ms(599) + REGISTRATION_TIME);
+    assert_eq!(
+        discovery.check_software(&connected(ms(600))),
+        SoftwareCheck::NotConfirmed
+    );
+}
+
 /// Replays writes of processes and confirmations, and checks each connection against the process
 /// that was registered at its time.
 fn is_never_wrong(steps: Vec<(u8, u8)>) -> bool {
