Endpoints: no answer from a head with a second head inside

Callers saw: a success where the endpoint had answered with a failure; 503 for a request that may not be repeated and had run; an item given up for a 422 that was never completed.

Cause: an endpoint that fails within a head and then sends another answer on the same connection. A cut within the reason phrase or the value of a field makes the second status line part of it, and the library takes the rest for one head: the status of the first, the id and signature of the second.

Change: a head with a status line in its reason phrase or in a value is no answer (serve/heads.rs, called in Connection::send, so that it holds for other VMs and the store too). The attempt counts as one that may have run.

A second answer that begins in the body of the first can't be told from that body.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -16,6 +16,7 @@
 pub mod events;
 mod evidence;
 pub mod exchange;
+mod heads;
 pub mod internal_pages;
 pub mod job_admission;
 pub mod job_table;
--- /dev/null
+++ b/src/serve/heads.rs
@@ -0,0 +1,38 @@
+//! Checks of heads that the HTTP library takes for those of answers.
+
+use hyper::ext::ReasonPhrase;
+use hyper::header::HeaderValue;
+use hyper::Response;
+use snafu::{ensure, Snafu};
+
+/// What every status line begins with, up to the minor version.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+/// Length of a status line without its reason phrase.
+const STATUS_LINE_BYTES: usize = 12;
+
+/// Why a head is not that of an answer.
+#[derive(Debug, Snafu, Clone, Copy, PartialEq, Eq)]
+pub enum HeadError {
+    /// A server that fails within a head may begin another one there, whose status line then reads as
+    /// the rest of a reason phrase or field.
+    #[snafu(display("a second head begins within the head"))]
+    Joined,
+}
+
+/// Checks the head of a response.
+pub fn check<B>(response: &Response<B>) -> Result<(), HeadError> {
+    let reason = response.extensions().get::<ReasonPhrase>();
+    let mut values = response.headers().values().map(HeaderValue::as_bytes);
+    let is_joined = reason.is_some_and(|reason| has_status_line(reason.as_bytes()))
+        || values.any(has_status_line);
+    ensure!(!is_joined, JoinedSnafu);
+    Ok(())
+}
+
+fn has_status_line(text: &[u8]) -> bool {
+    text.windows(STATUS_LINE_BYTES).any(|line| {
+        let rest = line.strip_prefix(STATUS_LINE_START);
+        matches!(rest, Some([minor, b' ', code @ ..])
+            if minor.is_ascii_digit() && code.iter().all(u8::is_ascii_digit))
+    })
+}
--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -17,6 +17,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::heads;
 use crate::clock;
 use crate::id::EndpointId;
 
@@ -100,13 +101,17 @@
     ) -> Result<Response<Incoming>, Error> {
         let sent = self.sender.try_send_request(request).await;
         self.unused = false;
-        sent.map_err(|mut error| {
+        let response = sent.map_err(|mut error| {
             let detail = error.error().to_string();
             match error.take_message() {
                 Some(_) => Error::NotSent { detail },
                 None => Error::NoAnswer { detail },
             }
-        })
+        })?;
+        heads::check(&response).map_err(|error| Error::NoAnswer {
+            detail: error.to_string(),
+        })?;
+        Ok(response)
     }
 
     fn usable(&self) -> bool {
