Endpoints: no answer from a 101

Callers saw: status 101 with an empty body, and nothing after it, as the answer to their request, though the endpoint's answer was still to come or had been cut.

Cause: the library skips all interim heads but 101, which it returns as the final one. No request asks for another protocol.

Change: a head with an interim status is no answer.

Measured: platform/tests/cut_heads.rs, interim_heads on the code before: 4 of 24 repeatable requests got 101, those whose first answer had a whole 101.

Conclusion: other interim heads held before.

--- a/src/serve/heads.rs
+++ b/src/serve/heads.rs
@@ -17,6 +17,9 @@
     /// the rest of a reason phrase or field.
     #[snafu(display("a second head begins within the head"))]
     Joined,
+    /// The endpoint left HTTP, which no request asks for.
+    #[snafu(display("the connection has another protocol"))]
+    SwitchesProtocols,
 }
 
 /// Checks the head of a response.
@@ -26,6 +29,11 @@
     let is_joined = reason.is_some_and(|reason| has_status_line(reason.as_bytes()))
         || values.any(has_status_line);
     ensure!(!is_joined, JoinedSnafu);
+    // The library passes on no other interim head.
+    ensure!(
+        !response.status().is_informational(),
+        SwitchesProtocolsSnafu
+    );
     Ok(())
 }
 
