Endpoints: no answer with an unknown transfer coding

Callers saw: a 200 framed as whole whose body was not the endpoint's: the sizes and ends of its chunks stood within it.

Cause: with a Transfer-Encoding that is empty, cut or not `chunked`, the library reads until the connection ends and decodes nothing; the field itself isn't passed on. With `gzip, chunked` it removes only the chunks. The end of such an answer also counted as one of known length, so that the endpoint's host was not asked whether it had died.

Change: a head with any other coding than `chunked` alone is no answer.

Conclusion: an endpoint that sends `identity` gets no answer through.

--- a/src/serve/heads.rs
+++ b/src/serve/heads.rs
@@ -1,7 +1,7 @@
 //! Checks of heads that the HTTP library takes for those of answers.
 
 use hyper::ext::ReasonPhrase;
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderValue, TRANSFER_ENCODING};
 use hyper::Response;
 use snafu::{ensure, Snafu};
 
@@ -20,6 +20,10 @@
     /// The endpoint left HTTP, which no request asks for.
     #[snafu(display("the connection has another protocol"))]
     SwitchesProtocols,
+    /// The library removes no other coding than chunks, and leaves chunks in place after a name that it
+    /// doesn't know.
+    #[snafu(display("the transfer coding can't be decoded"))]
+    UnknownCoding,
 }
 
 /// Checks the head of a response.
@@ -34,6 +38,12 @@
         !response.status().is_informational(),
         SwitchesProtocolsSnafu
     );
+    let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
+    let is_known = match (codings.next(), codings.next()) {
+        (Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        (coding, _) => coding.is_none(),
+    };
+    ensure!(is_known, UnknownCodingSnafu);
     Ok(())
 }
 
