Answers: an unframed one that ends after its head is cut

Callers saw: an empty 200, framed as whole; streams that ended as complete after part of their events; items listed as completed with part of their text.

Cause: an answer without a length that ended right after its head was taken for whole if its endpoint still accepted connections. For streams and items that was so only where they went on after an event; without one it already counted as broken off.

Change: a success without a length that brings no byte counts as broken off, and so does one without an event that goes on after an earlier event. A stream may have no events left, if its connection broke after the last one: a second answer in a row without an event ends it, and an item runs again from its start. Answers that have no body by their status count as ones of known length.

Conclusion: an unframed answer that a living endpoint closes between two events, or within a plain body, still can't be told from a whole one. A stream that two endpoints in a row cut right after their heads ends as complete.

--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response;
 use hyper::{Method, Request, Uri};
@@ -297,9 +297,11 @@
 }
 
 impl AnswerEvidence {
-    pub fn of(head: &response::Parts) -> AnswerEvidence {
+    pub fn of(head: &response::Parts, body: &impl Body) -> AnswerEvidence {
         let has = |name| head.headers.contains_key(name);
-        let has_length = has(header::CONTENT_LENGTH) || has(header::TRANSFER_ENCODING);
+        // Some answers, such as a 204, have no body whatever their head says.
+        let has_length =
+            has(header::CONTENT_LENGTH) || has(header::TRANSFER_ENCODING) || body.is_end_stream();
         match (head.status.is_success(), has_length) {
             (true, true) => AnswerEvidence::Complete,
             (true, false) => AnswerEvidence::UntilClose,
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -98,6 +98,7 @@
             .max(streams::lifetime(route)),
         last_event: params.last_event,
         attempt_start_event: params.last_event,
+        empty_after: None,
         resumes: params.resumes.unwrap_or_default(),
         resumed_after: params.last_event,
         may_have_run: false,
@@ -240,6 +241,8 @@
     last_event: Option<u64>,
     /// The value of `last_event` when the last attempt was sent.
     attempt_start_event: Option<u64>,
+    /// The event after which an answer without a length ended without a further one.
+    empty_after: Option<u64>,
     /// The caller's earlier attempt that brought the first event, if the caller resumes a stream.
     resumes: String,
     /// The last event of that stream.
@@ -551,6 +554,7 @@
         let has_length = head.headers.contains_key(CONTENT_LENGTH);
         let is_bounded = !head.status.is_server_error() || has_length;
         let memory = (!has_length).then(|| node.answer_memory.clone());
+        let evidence = AnswerEvidence::of(&head, &body);
         let collected = collect(body, CollectedAnswer::new(memory), || {
             if is_bounded {
                 node.note_endpoint_data(endpoint);
@@ -572,6 +576,10 @@
                 return AttemptResult::Failed(silent_failure(AttemptStage::MaybeSent))
             }
         };
+        if evidence == AnswerEvidence::UntilClose && bytes.is_empty() {
+            let detail = "the answer ended without a body";
+            return AttemptResult::Failed(Failure::of_connection(self.stage(), detail));
+        }
         self.node.note_endpoint_data(target.endpoint);
         if let Some(keep_alive) = exchange::keep_alive(&head) {
             self.node.pool.put(target.endpoint, connection, keep_alive);
@@ -593,7 +601,6 @@
         self.node.handle_event(Event::FirstToken {
             request: self.request,
         });
-        let evidence = AnswerEvidence::of(&head);
         if let Some(ended) = self.check_whole(target, evidence).await {
             return ended;
         }
@@ -617,7 +624,7 @@
             ));
         }
         let keep_alive = exchange::keep_alive(&head);
-        let evidence = AnswerEvidence::of(&head);
+        let evidence = AnswerEvidence::of(&head, &body);
         let mut head = Some(head);
         let mut events = EventStream::new(body);
         loop {
@@ -634,7 +641,7 @@
                         return ended;
                     }
                 }
-                Ok(None) if evidence == AnswerEvidence::UntilClose && self.last_event.is_none() => {
+                Ok(None) if evidence == AnswerEvidence::UntilClose && self.lacks_events() => {
                     let detail = "the stream ended without an event";
                     return AttemptResult::Failed(Failure::of_connection(self.stage(), detail));
                 }
@@ -657,6 +664,18 @@
         AttemptResult::Done(evidence)
     }
 
+    /// Whether the answer that ended has brought no event. A second one in a row that goes on after
+    /// the same event shows that the stream has no more.
+    fn lacks_events(&mut self) -> bool {
+        let last_event = self.last_event;
+        let is_empty = last_event == self.attempt_start_event;
+        let is_repeated = last_event.is_some() && self.empty_after == last_event;
+        if is_empty {
+            self.empty_after = last_event;
+        }
+        is_empty && !is_repeated
+    }
+
     /// Checks that an answer which has ended is whole; else returns how the attempt ended.
     async fn check_whole(
         &mut self,
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -266,9 +266,16 @@
         status => return failed(AttemptStage::MaybeSent, &format!("answered {status}")),
     }
     let keep_alive = exchange::keep_alive(&answer.head);
-    let evidence = AnswerEvidence::of(&answer.head);
+    let evidence = AnswerEvidence::of(&answer.head, &answer.body);
     match read_events(node, key, out, endpoint, &software, answer.body).await {
-        Ok(()) if evidence == AnswerEvidence::UntilClose && last_event(node, key).is_none() => {
+        Ok(())
+            if evidence == AnswerEvidence::UntilClose && last_event(node, key) == after_event =>
+        {
+            // The text may be whole, which a run from the start shows.
+            if after_event.is_some() {
+                drop_text(node, key);
+                node.core.borrow_mut().items.text_dropped(key);
+            }
             let detail = "the stream ended without an event";
             RunEnd::Failed(Failure::of_connection(AttemptStage::Answering, detail))
         }
