Streams: a software record counts by its key, whatever its value

Callers saw: after a restart of all VMs no stream went on, of any service, while one record under the prefix could not be read.

Cause: one unreadable value made the read of all records fail, since it might be that of another version.

Change: the key names service and version, so the value is not read at all. A key of another form is no record.

Conclusion: an unreadable record of the same service counts as a version, as a readable one does.

--- a/src/serve/streams/records.rs
+++ b/src/serve/streams/records.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::sync::Mutex;
 use tokio::time::{sleep, timeout};
 
@@ -39,8 +39,8 @@
 /// Timeout of a read: a caller abandons its stream after a gap of two seconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// One version of one service.
-#[derive(Serialize, Deserialize)]
+/// One version of one service, which its key names too.
+#[derive(Serialize)]
 struct SoftwareRecord {
     service: ServiceId,
     software: Name,
@@ -112,7 +112,7 @@
     match node.store.stale_range(RECORD_PREFIX).await {
         Ok((items, _)) => {
             let recorded = &mut node.core.borrow_mut().recorded;
-            let origins = items.iter().filter_map(|item| parse(&item.value).ok());
+            let origins = items.iter().filter_map(|item| parse_key(&item.key));
             origins.for_each(|origin| recorded.found(now, origin));
         }
         Err(error) => log::info!(error:% = error; "software versions can't be looked up"),
@@ -210,11 +210,14 @@
     }
 }
 
-fn parse(value: &[u8]) -> Result<StreamOrigin, serde_json::Error> {
-    let record: SoftwareRecord = serde_json::from_slice(value)?;
-    Ok(StreamOrigin {
-        service: record.service,
-        software: record.software,
+/// The version that a record's key names. The key alone counts: a value that can't be read says
+/// nothing, and must not hide the other records.
+fn parse_key(key: &str) -> Option<StreamOrigin> {
+    let (service, software) = key.strip_prefix(RECORD_PREFIX)?.split_once('/')?;
+    let service = ServiceId::from_str_radix(service, 16).ok()?;
+    (!software.is_empty()).then(|| StreamOrigin {
+        service,
+        software: software.into(),
     })
 }
 
@@ -234,9 +237,8 @@
                 return None;
             }
         };
-        let parsed = items.iter().map(|item| parse(&item.value));
-        // An unreadable record may be that of another version.
-        let origins: Vec<StreamOrigin> = parsed.collect::<Result<_, _>>().ok()?;
+        let origins = items.iter().filter_map(|item| parse_key(&item.key));
+        let origins: Vec<StreamOrigin> = origins.collect();
         *records = Some((now, origins));
     }
     let (_, known) = records.as_ref()?;
