Logs: a field has at most 2 KiB

Operators saw: log lines of 60 KB, and again with each read: errors quote the value that could not be read. With entries by the hundred the queue of 4,096 lines may hold more than a VM's memory.

Change: what is longer is cut off.

Measured: 160 entries with values of 60,000 bytes: the longest line had 60,255 bytes before.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -19,11 +19,21 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        self.0.insert(key.to_string(), value.to_string().into());
+        let text = value.to_string();
+        let end = text.char_indices().map(|(at, _)| at);
+        let end = end.take_while(|at| *at <= FIELD_BYTES_MAX).last();
+        let shown = match text.len() > FIELD_BYTES_MAX {
+            true => &text[..end.unwrap_or(0)],
+            false => &text,
+        };
+        self.0.insert(key.to_string(), shown.into());
         Ok(())
     }
 }
 
+/// Longest value of a field; the rest is cut off. Errors quote what could not be read, which may be a
+/// value of any length.
+const FIELD_BYTES_MAX: usize = 2048;
 /// Lines that may be queued for the writer thread: a burst of some seconds at the highest rate
 /// seen.
 const QUEUED_LINES_MAX: usize = 4096;
