Streams: only versions of routed services are recorded

The store saw: two writes for each version of each service that entries name, and a renewal each minute, whether callers can reach it or not.

Cause: all present versions were recorded.

Change: those of services to which a route leads. Streams of others can't begin, and a stream records its version itself if it comes first.

Conclusion: hundreds of versions of one routed service still cost two writes each.

--- a/src/serve/streams/records.rs
+++ b/src/serve/streams/records.rs
@@ -16,7 +16,7 @@
 use crate::decide::stream_origins::StreamOrigin;
 use crate::id::{Name, Revision, ServiceId};
 use crate::serve::jobs::{encode, write};
-use crate::serve::node::Node;
+use crate::serve::node::{Core, Node};
 use crate::store::{Call, Error, LeaseId, Reply, Txn};
 
 /// Prefix of the records' keys.
@@ -70,7 +70,8 @@
             let own = node.local_vm();
             let core = node.core.borrow();
             let is_writer = core.peers.refresh_rank(now, own) == Some(0);
-            let present = core.software.present();
+            let mut present = core.software.present();
+            present.retain(|origin| is_routed(&core, origin.service));
             let is_check_due = core.recorded.is_check_due(now, &present);
             (present, is_writer, is_check_due)
         };
@@ -106,6 +107,14 @@
     }
 }
 
+/// Whether streams of a service can begin. Entries may name any service, and each version on record
+/// costs calls.
+fn is_routed(core: &Core, service: ServiceId) -> bool {
+    let routes = core.routes.iter().flat_map(|table| &table.rules.routes);
+    let mut shares = routes.flat_map(|route| &route.shares);
+    shares.any(|share| share.service == service)
+}
+
 /// Notes which versions are on record; the answer may be seconds old, which is little compared with
 /// the life of a record.
 async fn look_up(node: &Node, now: Duration) {
