Jobs: a pause before a job's items are read again

The store saw: reads of a job whose items can't be read each 100 ms, for as long as its record is there, from each such job.

Cause: the next check tried again at once.

Change: a pause of 1 s, and the progress is read only if the items were.

Conclusion: after an outage of the store a claimed job may start up to 1 s later.

--- a/src/serve/runs/claims.rs
+++ b/src/serve/runs/claims.rs
@@ -28,6 +28,8 @@
 /// Time without any sign of life after which an owner counts as gone: its lease may have been lost
 /// while it lives, and it registers again within a second.
 const OWNER_GONE_AFTER: Duration = Duration::from_millis(1500);
+/// Pause after a job's items could not be read: they may never be there.
+const LOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time in which the first VM by rank removes an old job.
 const REMOVAL_WINDOW: Duration = Duration::from_secs(60);
 /// Keys in one transaction; the store takes 32 entries.
@@ -51,14 +53,17 @@
     }
     let (node, job) = (node.clone(), job.clone());
     tokio::task::spawn_local(async move {
-        let loaded = load_items(&node, &record).await;
-        let saved = progress::read(&node, &record).await;
-        node.runs.loading.borrow_mut().remove(&job);
-        match loaded {
-            Ok(items) => add_job(&node, &record, items, saved),
-            // The next check tries again.
-            Err(error) => log::warn!(job = *job, error:% = error; "a job's items can't be read"),
+        match load_items(&node, &record).await {
+            Ok(items) => {
+                let saved = progress::read(&node, &record).await;
+                add_job(&node, &record, items, saved);
+            }
+            Err(error) => {
+                log::warn!(job = *job, error:% = error; "a job's items can't be read");
+                sleep(LOAD_RETRY_AFTER).await;
+            }
         }
+        node.runs.loading.borrow_mut().remove(&job);
     });
 }
 
