Jobs: a record with impossible counts, or under another key, is none

Callers saw (builds with overflow checks): no more batch items run on any VM that claims a record with the last epoch: the task that checks jobs panicked, and with it all jobs ended there. A record with 2^32 - 1 text parts would have its keys listed in memory when it expires, in any build.

Cause: counts of a record are added to without a check; and a record was taken under the id that it holds, whatever its key.

Change: such records are logged and left alone.

--- a/src/decide/small_jobs.rs
+++ b/src/decide/small_jobs.rs
@@ -30,6 +30,9 @@
 /// entries.
 pub const PARTS_PER_WRITE: usize = 8;
 
+/// More failed runs than an item can have in its time.
+const FAILURES_MAX: u32 = u32::MAX / 2;
+
 /// Position of an item in its job.
 pub type ItemIndex = u32;
 
@@ -119,6 +122,17 @@
 }
 
 impl SmallJobRecord {
+    /// Whether its counts are ones that transitions lead to, so that they can be counted on from
+    /// there. A record under the right key may still come from another writer.
+    pub fn is_consistent(&self) -> bool {
+        let is_counted = |(_, count): &(ItemIndex, u32)| *count < FAILURES_MAX;
+        self.items.len() <= ITEMS_MAX
+            && self.body_parts.len() <= BODY_PARTS_MAX
+            && self.text_parts as usize <= ITEMS_MAX
+            && self.epoch < Epoch::MAX
+            && self.failures.iter().all(is_counted)
+    }
+
     /// Whether every item is listed.
     pub fn complete(&self) -> bool {
         self.listed.len() == self.items.len()
--- a/src/serve/job_table.rs
+++ b/src/serve/job_table.rs
@@ -8,7 +8,7 @@
 
 use super::part_cache::PartCache;
 use crate::decide::backlog::{self, RouteKey};
-use crate::decide::small_jobs::SmallJobRecord;
+use crate::decide::small_jobs::{record_key, SmallJobRecord};
 use crate::id::{JobId, Name, OwnerId, Revision};
 
 /// One job as last received.
@@ -172,11 +172,16 @@
 
 /// Decodes a record; `None` when it is invalid, which is logged.
 pub fn decode(key: &str, value: &[u8]) -> Option<SmallJobRecord> {
-    match serde_json::from_slice(value) {
-        Ok(record) => Some(record),
+    let record: SmallJobRecord = match serde_json::from_slice(value) {
+        Ok(record) => record,
         Err(error) => {
             log::error!(key, error:% = error; "a job's record can't be read");
-            None
+            return None;
         }
+    };
+    if record_key(&record.id) != key || !record.is_consistent() {
+        log::error!(key, job = *record.id; "a job's record is of no job");
+        return None;
     }
+    Some(record)
 }
--- a/tests/small_jobs.rs
+++ b/tests/small_jobs.rs
@@ -39,6 +39,38 @@
     }
 }
 
+// A record of another writer whose counts can't be counted on would end the task that runs jobs.
+#[test]
+fn counts_at_limits() {
+    let good = SmallJobRecord {
+        epoch: 7,
+        text_parts: 5,
+        failures: vec![(0, 2)],
+        ..record(5)
+    };
+    assert!(good.is_consistent());
+    let odd = [
+        SmallJobRecord {
+            epoch: u64::MAX,
+            ..good.clone()
+        },
+        SmallJobRecord {
+            text_parts: u32::MAX,
+            ..good.clone()
+        },
+        SmallJobRecord {
+            failures: vec![(0, u32::MAX)],
+            ..good.clone()
+        },
+        SmallJobRecord {
+            body_parts: vec![0; 100_000],
+            ..good.clone()
+        },
+        record(201),
+    ];
+    assert!(odd.iter().all(|record| !record.is_consistent()));
+}
+
 #[test]
 fn texts_found() {
     let mut record = record(5);
