Retire: a status that the store rejects is not written again

The store saw: hundreds of calls at once for a request to empty a VM whose name is too long for a status key.

Cause: after a failed write the next attempt followed without a pause, 200 times on each VM.

Change: a pause after each failure, and none after a rejection.

--- a/src/serve/retire.rs
+++ b/src/serve/retire.rs
@@ -8,7 +8,7 @@
 use super::node::Node;
 use crate::clock;
 use crate::id;
-use crate::store::Txn;
+use crate::store::{Error, Txn};
 
 /// Attempts to record that a VM is empty; they cover over a minute of an outage of the store.
 const RETIRE_ATTEMPTS_MAX: usize = 200;
@@ -51,7 +51,13 @@
                 // Another VM wrote first; the next iteration finds its value.
                 Ok(None) => {}
                 Ok(Some(_)) => log::info!(vm, rank; "VM recorded as empty"),
-                Err(error) => log::warn!(vm, error:% = error; "the VM's status can't be written"),
+                Err(error) => {
+                    log::warn!(vm, error:% = error; "the VM's status can't be written");
+                    if matches!(error, Error::Rejected { .. }) {
+                        return;
+                    }
+                    sleep(RETIRE_DELAY).await;
+                }
             }
         }
     });
