Items: a product of attempts can't overflow

Cause: a route may allow up to 2^32 - 1 attempts, and the limit with uncharged failures was a plain product: a panic with overflow checks, a small limit without.

Change: it saturates.

--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -232,7 +232,7 @@
 /// that fail other requests too.
 pub fn is_given_up(failures: u32, uncharged: u32, attempts_max: u32) -> bool {
     let charged = failures.saturating_sub(uncharged);
-    charged >= attempts_max || failures >= attempts_max * UNCHARGED_FACTOR
+    charged >= attempts_max || failures >= attempts_max.saturating_mul(UNCHARGED_FACTOR)
 }
 
 impl Items {
--- a/tests/endpoint_evidence.rs
+++ b/tests/endpoint_evidence.rs
@@ -932,6 +932,8 @@
     assert!(items::is_given_up(3, 0, 3));
     assert!(!items::is_given_up(5, 3, 3));
     assert!(items::is_given_up(6, 6, 3));
+    // More attempts than the sum of both kinds can count.
+    assert!(!items::is_given_up(6, 6, u32::MAX));
 }
 
 /// Without the setting, failures are counted by each VM alone and nothing is told.
