--- a/src/serve/streams/records.rs
+++ b/src/serve/streams/records.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::sync::Mutex;
 use tokio::time::{sleep, timeout};
 
@@ -16,7 +16,7 @@
 use crate::decide::stream_origins::StreamOrigin;
 use crate::id::{Name, Revision, ServiceId};
 use crate::serve::jobs::{encode, write};
-use crate::serve::node::Node;
+use crate::serve::node::{Core, Node};
 use crate::store::{Call, Error, LeaseId, Reply, Txn};
 
 /// Prefix of the records' keys.
@@ -39,8 +39,8 @@
 /// Timeout of a read: a caller abandons its stream after a gap of two seconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// One version of one service.
-#[derive(Serialize, Deserialize)]
+/// One version of one service, which its key names too.
+#[derive(Serialize)]
 struct SoftwareRecord {
     service: ServiceId,
     software: Name,
@@ -77,7 +77,8 @@
             let own = node.local_vm();
             let core = node.core.borrow();
             let is_writer = core.peers.refresh_rank(now, own) == Some(0);
-            let present = core.software.present();
+            let mut present = core.software.present();
+            present.retain(|origin| is_routed(&core, origin.service));
             let is_check_due = core.recorded.is_check_due(now, &present);
             (present, is_writer, is_check_due)
         };
@@ -113,13 +114,21 @@
     }
 }
 
+/// Whether streams of a service can begin. Entries may name any service, and each version on record
+/// costs calls.
+fn is_routed(core: &Core, service: ServiceId) -> bool {
+    let routes = core.routes.iter().flat_map(|table| &table.rules.routes);
+    let mut shares = routes.flat_map(|route| &route.shares);
+    shares.any(|share| share.service == service)
+}
+
 /// Notes which versions are on record; the answer may be seconds old, which is little compared with
 /// the life of a record.
 async fn look_up(node: &Node, now: Duration) {
     match node.store.stale_range(RECORD_PREFIX).await {
         Ok((items, _)) => {
             let recorded = &mut node.core.borrow_mut().recorded;
-            let origins = items.iter().filter_map(|item| parse(&item.value).ok());
+            let origins = items.iter().filter_map(|item| parse_key(&item.key));
             origins.for_each(|origin| recorded.found(now, origin));
         }
         Err(error) => log::info!(error:% = error; "software versions can't be looked up"),
@@ -217,11 +226,15 @@
     }
 }
 
-fn parse(value: &[u8]) -> Result<StreamOrigin, serde_json::Error> {
-    let record: SoftwareRecord = serde_json::from_slice(value)?;
-    Ok(StreamOrigin {
-        service: record.service,
-        software: record.software,
+/// The version that a record's key names. The key alone counts: a value that can't be read says
+/// nothing, and must not hide the other records.
+fn parse_key(key: &str) -> Option<StreamOrigin> {
+    let (service, software) = key.strip_prefix(RECORD_PREFIX)?.split_once('/')?;
+    let service = ServiceId::from_str_radix(service, 16).ok()?;
+    // Streams may have begun at an endpoint whose version was not known: its record names none.
+    Some(StreamOrigin {
+        service,
+        software: software.into(),
     })
 }
 
@@ -254,7 +267,6 @@
             return None;
         }
     };
-    let parsed = items.iter().map(|item| parse(&item.value));
-    // An unreadable record may be that of another version.
-    parsed.collect::<Result<_, _>>().ok()
+    let origins = items.iter().filter_map(|item| parse_key(&item.key));
+    Some(origins.collect())
 }
