Streams: a start is told as confirmed only if its own process is

Callers saw: streams that began at a replaced endpoint, through a VM that took it for the one before, went on at the old version elsewhere.

Cause: two processes of one software in a row counted as proof of it, though a third one may have accepted the connection; and a start whose process was known to be replaced was told to its holders as confirmed (found by review).

Change: a later process of the same software counts if it was registered afterwards. A start at a replaced process has an unknown version. The same review: an attempt compares its endpoint's version with the stream's again; the check of a process takes at most 0.35 s, before an endpoint counts as silent; reads are shared also where they confirm nothing; a single broken answer is no sign of an end, only runs that were under way at the same time and break together are; an endpoint's end doesn't keep the streams that began before it from being confirmed by its entry.

--- a/src/decide/discovery.rs
+++ b/src/decide/discovery.rs
@@ -37,6 +37,8 @@
 /// endpoints.
 const TRANSITIONS_MAX: usize = 4096;
 
+/// A process that ends breaks all of its connections; their losses are noticed within this time.
+const LOSS_WINDOW: Duration = Duration::from_millis(200);
 /// Time between two checks for expired ends, which may be thousands.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -50,7 +52,13 @@
     /// The process has ended, and the entry has not been written since: what serves at its address now
     /// may have other software.
     has_ended: bool,
-    /// When all connections of this VM to the process broke.
+    /// When that was noticed.
+    ended_at: Duration,
+    /// Runs that lost their connections to the process within [`LOSS_WINDOW`] of the last one.
+    losses: Vec<Duration>,
+    /// When runs that were under way at the same time last lost their connections.
+    lost_together_at: Option<Duration>,
+    /// When all connections of this VM to the process broke together.
     lost_at: Option<Duration>,
 }
 
@@ -135,6 +143,9 @@
             revision,
             kept_until: None,
             has_ended: false,
+            ended_at: Duration::ZERO,
+            losses: Vec::new(),
+            lost_together_at: None,
             lost_at: None,
         };
         self.insert_row(now, id, row);
@@ -144,13 +155,13 @@
     /// Records that a process has ended. Its entry says nothing of the software of the next one until
     /// it is written again. True if that was not known.
     pub fn process_ended(&mut self, now: Duration, endpoint: EndpointId) -> bool {
-        let entry = self.processes.get(&endpoint);
-        let Some(row) = entry.and_then(|id| self.rows.get_mut(id)) else {
+        let Some(row) = self.process_row(endpoint) else {
             return false;
         };
         if std::mem::replace(&mut row.has_ended, true) {
             return false;
         }
+        row.ended_at = now;
         if row.kept_until.is_none() {
             self.confirmations.end(now, endpoint);
         }
@@ -164,14 +175,32 @@
         registered_at.checked_sub(REGISTRATION_TIME)
     }
 
-    /// Records that all connections of this VM to an endpoint's process have broken.
-    pub fn connections_lost(&mut self, endpoint: EndpointId, lost_at: Duration) {
-        let entry = self.processes.get(&endpoint);
-        if let Some(row) = entry.and_then(|id| self.rows.get_mut(id)) {
-            row.lost_at = Some(lost_at);
+    /// Records that a run which began at `began_at` lost its connection to a process.
+    pub fn connection_lost(&mut self, endpoint: EndpointId, began_at: Duration, lost_at: Duration) {
+        if let Some(row) = self.process_row(endpoint) {
+            row.losses.retain(|at| lost_at < *at + LOSS_WINDOW);
+            if row.losses.iter().any(|at| began_at < *at) {
+                row.lost_together_at = Some(lost_at);
+            }
+            row.losses.push(lost_at);
         }
     }
 
+    /// Records that no connection is left that certainly led to a process, after a run lost its own. If
+    /// others were lost with it, the process may have ended; a single one proves nothing.
+    pub fn no_connection_left(&mut self, endpoint: EndpointId, lost_at: Duration) {
+        if let Some(row) = self.process_row(endpoint) {
+            let together_at = row.lost_together_at;
+            if together_at.is_some_and(|at| lost_at < at + LOSS_WINDOW) {
+                row.lost_at = row.lost_at.max(Some(lost_at));
+            }
+        }
+    }
+
+    fn process_row(&mut self, endpoint: EndpointId) -> Option<&mut EntryRow> {
+        self.rows.get_mut(self.processes.get(&endpoint)?)
+    }
+
     /// Records that all changes before `asked_at` have been applied, by a call to the store that
     /// was sent then.
     pub fn confirm_view(&mut self, asked_at: Duration) {
@@ -194,15 +223,15 @@
         entry: &Registration,
         asked_at: Duration,
     ) -> bool {
-        let is_same = entry.incarnation == process.incarnation;
-        if !is_same {
-            let (ended, next) = (process.id(), entry.endpoint());
+        let (ended, registered) = (process.id(), entry.endpoint());
+        if registered != ended {
             let software = entry.software.clone();
-            self.confirmations.replace(now, ended, next, software);
-        } else if self.outage.is_settled(asked_at) && !self.has_ended(process.id()) {
-            self.confirmations.confirm(now, process.id(), asked_at);
+            self.confirmations.replace(now, ended, registered, software);
+        }
+        if self.outage.is_settled(asked_at) {
+            self.confirmations.confirm(now, registered, asked_at);
         }
-        !is_same
+        registered != ended
     }
 
     /// Whether the software at the other end of a connection is the assumed one.
@@ -214,11 +243,15 @@
         let is_registered = self.is_registered(endpoint);
         let entry = self.processes.get(&endpoint);
         let row = entry.and_then(|id| self.rows.get(id));
+        if row.is_some_and(|row| row.has_ended && connected.connected_at >= row.ended_at) {
+            return SoftwareCheck::NotConfirmed;
+        }
         let lost_at = row.and_then(|row| row.lost_at);
         if row.is_some_and(|row| is_registered && row.entry.software != connected.software) {
             return SoftwareCheck::Replaced;
         }
-        self.confirmations.check(connected, is_registered, lost_at)
+        self.confirmations
+            .check(connected, |process| self.is_registered(process), lost_at)
     }
 
     fn is_registered(&self, endpoint: EndpointId) -> bool {
@@ -227,6 +260,14 @@
         row.is_some_and(|row| row.kept_until.is_none() && !row.has_ended)
     }
 
+    /// Time after a connection was opened by which the process that accepted it has registered.
+    pub fn registration_time(&self, connected: &ConnectedProcess) -> Duration {
+        let entry = self.processes.get(&connected.process.id());
+        let row = entry.and_then(|id| self.rows.get(id));
+        let lost_at = row.and_then(|row| row.lost_at);
+        confirmation::registration_time(connected.connected_at, lost_at)
+    }
+
     /// The process with this id, if its endpoint is in use.
     pub fn process(&self, endpoint: EndpointId) -> Option<EndpointProcess> {
         let row = self.rows.get(self.processes.get(&endpoint)?)?;
@@ -236,12 +277,6 @@
         })
     }
 
-    fn has_ended(&self, endpoint: EndpointId) -> bool {
-        let entry = self.processes.get(&endpoint);
-        let row = entry.and_then(|id| self.rows.get(id));
-        row.is_some_and(|row| row.has_ended)
-    }
-
     fn record_successor(&mut self, now: Duration, known: &Registration, next: &Registration) {
         let (ended, next_id) = (known.endpoint(), next.endpoint());
         let software = next.software.clone();
--- a/src/decide/discovery/confirmation.rs
+++ b/src/decide/discovery/confirmation.rs
@@ -2,7 +2,9 @@
 //!
 //! An endpoint may restart under its name and at its address with other software, and its answers
 //! don't tell which of its processes made them. Its entry does: a process that accepted a
-//! connection is the registered one if that one is still registered afterwards.
+//! connection is the registered one if that one is still registered afterwards: shortly after in
+//! general, with its first heartbeat where the one before has just ended, and some time after the
+//! return of the store where it was away.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -64,12 +66,31 @@
 #[strum(serialize_all = "snake_case")]
 pub enum SoftwareCheck {
     Confirmed,
-    /// Another process may have accepted the connection, with other software.
+    /// Another process with other software was registered before the connection's process was
+    /// confirmed.
     Replaced,
+    /// All connections to the process broke together just before, so that its successor may not have
+    /// registered yet.
+    MayBeReplaced,
     /// The process was not seen registered after the connection was opened.
     NotConfirmed,
 }
 
+/// Whether a connection was opened when all others to its process had just broken together.
+fn may_have_restarted(connected_at: Duration, lost_at: Option<Duration>) -> bool {
+    lost_at.is_some_and(|lost_at| {
+        lost_at < connected_at + LOSS_NOTICED_WITHIN && connected_at < lost_at + RESTART_TIME
+    })
+}
+
+/// Time after a connection was opened by which the process that accepted it has registered.
+pub(super) fn registration_time(connected_at: Duration, lost_at: Option<Duration>) -> Duration {
+    match may_have_restarted(connected_at, lost_at) {
+        true => RESTART_REGISTRATION_TIME,
+        false => REGISTRATION_TIME,
+    }
+}
+
 /// What is remembered of a process.
 #[derive(Debug, Clone)]
 struct ProcessRow {
@@ -134,46 +155,34 @@
         at.max(self.view_at.filter(|_| is_registered))
     }
 
-    /// Checks the software of a connection's process; `is_registered` if that process is registered
-    /// now, and `lost_at` is when all connections to it broke.
+    /// Checks the software of a connection's process. `is_registered` tells whether a process is
+    /// registered now, and `lost_at` is when all connections to this one broke.
     pub(super) fn check(
         &self,
         connected: &ConnectedProcess,
-        is_registered: bool,
+        is_registered: impl Fn(EndpointId) -> bool,
         lost_at: Option<Duration>,
     ) -> SoftwareCheck {
-        let process = connected.process.id();
         let ConnectedProcess { connected_at, .. } = *connected;
-        let may_have_restarted = lost_at.is_some_and(|lost_at| {
-            lost_at < connected_at + LOSS_NOTICED_WITHIN && connected_at < lost_at + RESTART_TIME
-        });
-        let registers_within = match may_have_restarted {
-            true => RESTART_REGISTRATION_TIME,
-            false => REGISTRATION_TIME,
-        };
-        let registered_at = self.registered_at(process, is_registered);
-        if registered_at >= Some(connected_at + registers_within) {
-            return SoftwareCheck::Confirmed;
-        }
-        if may_have_restarted && is_registered {
-            return SoftwareCheck::Replaced;
-        }
-        // It was this process or a later one. If all have the same software, that one is known.
-        let mut successors = 0;
-        let mut at = process;
-        while let Some((next, software)) = self.successor(at) {
-            successors += 1;
-            if *software != connected.software {
-                return SoftwareCheck::Replaced;
+        let due = connected_at + registration_time(connected_at, lost_at);
+        let mut process = connected.process.id();
+        // If it was a later process, that one's software is known if all up to one that was registered
+        // afterwards have the same.
+        for _ in 0..=self.rows.len() {
+            if self.registered_at(process, is_registered(process)) >= Some(due) {
+                return SoftwareCheck::Confirmed;
             }
-            if successors > self.rows.len() {
-                break;
+            match self.successor(process) {
+                Some((_, software)) if *software != connected.software => {
+                    return SoftwareCheck::Replaced;
+                }
+                Some((next, _)) => process = *next,
+                None => break,
             }
-            at = *next;
         }
-        match successors {
-            0 => SoftwareCheck::NotConfirmed,
-            _ => SoftwareCheck::Confirmed,
+        match may_have_restarted(connected_at, lost_at) {
+            true => SoftwareCheck::MayBeReplaced,
+            false => SoftwareCheck::NotConfirmed,
         }
     }
 
--- a/src/decide/stream_origins.rs
+++ b/src/decide/stream_origins.rs
@@ -15,7 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::discovery::{ConnectedProcess, EndpointProcess};
+use super::discovery::{ConnectedProcess, EndpointProcess, RESTART_REGISTRATION_TIME};
 use crate::id::{Name, ServiceId, StreamId};
 
 /// Records of one VM. At 100 bytes each they take a few megabytes.
@@ -29,7 +29,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StreamOrigin {
     pub service: ServiceId,
-    /// Version of the endpoint's software; never empty.
+    /// Version of the endpoint's software; empty if it was not known.
     pub software: Name,
 }
 
@@ -69,9 +69,9 @@
         StreamStart { record, process }
     }
 
-    /// The connection on which the stream began, if its process is not confirmed. The connection
-    /// was opened before `at`.
-    pub fn unconfirmed(&self, at: Duration) -> Option<ConnectedProcess> {
+    /// The connection on which the stream began, if its process is not confirmed; it was opened
+    /// before `at`.
+    pub fn connection_to_confirm(&self, at: Duration) -> Option<ConnectedProcess> {
         Some(ConnectedProcess {
             process: self.process.clone()?,
             software: self.record.origin.software.clone(),
@@ -86,7 +86,8 @@
     origin: Option<StreamOrigin>,
     /// The process that is assumed to have begun it; `None` once that is confirmed.
     process: Option<EndpointProcess>,
-    /// When the record was made or received: its stream had begun by then.
+    /// The stream's connection had been opened by then. For one that began at another VM it is later
+    /// by the longest time to a registration, since only that VM knows of lost connections.
     known_at: Duration,
     /// The stream began at this VM.
     is_local: bool,
@@ -123,7 +124,10 @@
         let mut row = Row {
             origin: Some(record.origin),
             process,
-            known_at: now,
+            known_at: match is_local {
+                true => now,
+                false => now + RESTART_REGISTRATION_TIME,
+            },
             is_local,
             until: now + needed,
         };
@@ -160,6 +164,12 @@
         Some((StreamStart { record, process }, row.known_at))
     }
 
+    /// Whether a stream that began at this VM is not confirmed.
+    pub fn has_unconfirmed(&self) -> bool {
+        let mut rows = self.rows.values();
+        rows.any(|row| row.is_local && row.process.is_some())
+    }
+
     /// Confirms the processes of streams for which `is_confirmed` holds. Returns the streams that
     /// began at this VM among them.
     pub fn confirm(
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -221,7 +221,11 @@
             None => open(node, target).await?,
         };
         if options.continues {
-            check_software(node, target, &connection).await?;
+            if let Err(failure) = check_software(node, target, &connection).await {
+                // It may be confirmed later on.
+                node.pool.put(target.endpoint, connection, None);
+                return Err(failure);
+            }
         }
         let unused = connection.unused;
         let request = build_request(node, target, out, options)?;
@@ -268,6 +272,7 @@
     let detail = match check {
         SoftwareCheck::Confirmed => return Ok(()),
         SoftwareCheck::Replaced => "another process serves at the endpoint's address",
+        SoftwareCheck::MayBeReplaced => "another process may serve at the endpoint's address",
         SoftwareCheck::NotConfirmed => "it is not known which process serves at the address",
     };
     Err(Failure {
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -118,6 +118,7 @@
         software: unknown_software(),
         connected: None,
         began_on: None,
+        stream_software: origin.as_ref().map(|origin| origin.software.clone()),
         first_at: None,
     };
     let arrival = Arrival {
@@ -283,6 +284,8 @@
     connected: Option<ConnectedProcess>,
     /// The connection that brought the first event, if the stream began here.
     began_on: Option<ConnectedProcess>,
+    /// The software version that began the stream, once it has begun.
+    stream_software: Option<Name>,
     /// When the first event, or the complete answer, was available.
     first_at: Option<Duration>,
 }
@@ -541,6 +544,13 @@
             last_event: self.last_event,
             continues: self.resumable && self.last_event > Some(0),
         };
+        let software = self.stream_software.as_ref();
+        if options.continues && software.is_some_and(|software| *software != target.software) {
+            // The entry has changed since the endpoint was chosen.
+            let detail = "the endpoint has other software";
+            let failure = Failure::not_of_endpoint(AttemptStage::NotSent, detail);
+            return AttemptResult::Failed(failure);
+        }
         let sent = exchange::send(&node, target, &out, options);
         let answer = match self.wait(sent).await {
             WaitResult::Value(Ok(answer)) => answer,
@@ -836,6 +846,7 @@
         self.origin_recorded = true;
         let stream = streams::stream_id(&self.out.id);
         streams::record(&self.node, stream, origin, &connected, self.kept_for);
+        self.stream_software = Some(connected.software.clone());
         self.began_on = Some(connected);
         None
     }
--- a/src/serve/processes.rs
+++ b/src/serve/processes.rs
@@ -18,9 +18,10 @@
 };
 use crate::id::EndpointId;
 
-/// Timeout of a read. A caller abandons its stream after a gap of two seconds, and the read delays
-/// only an attempt that continues a stream.
-const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of a read.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time to confirm a process. An endpoint counts as silent 0.4 s after a request was sent to it.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time after a failed read in which no other one is made: many streams break at once.
 const FAILED_FOR: Duration = Duration::from_millis(300);
 /// Shortest time between two refreshes on behalf of streams that have begun.
@@ -28,15 +29,28 @@
 /// The same after a failure.
 const FAILED_REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
-/// When the last read failed that was made for one process; held while it is read.
-type ProcessRead = Rc<Mutex<Option<Duration>>>;
+/// The last read of an entry, or of all.
+#[derive(Debug, Clone, Copy)]
+struct LastRead {
+    asked_at: Duration,
+    has_failed: bool,
+}
+
+impl LastRead {
+    /// Whether it has told all that another read would, for someone who asks at `wanted_at`.
+    fn suffices(&self, wanted_at: Duration) -> bool {
+        self.asked_at >= wanted_at || (self.has_failed && wanted_at < self.asked_at + FAILED_FOR)
+    }
+}
+
+/// Held while a read is under way.
+type ReadSlot = Rc<Mutex<Option<LastRead>>>;
 
 /// Reads of endpoints' entries that are under way.
 #[derive(Default)]
 pub struct ProcessReads {
-    /// Held while all endpoints are read; when the last such read failed.
-    all: Mutex<Option<Duration>>,
-    by_process: RefCell<HashMap<EndpointId, ProcessRead>>,
+    all: ReadSlot,
+    by_process: RefCell<HashMap<EndpointId, ReadSlot>>,
     /// Streams have begun whose processes are not confirmed.
     wanted: Notify,
 }
@@ -47,7 +61,7 @@
         self.wanted.notify_one();
     }
 
-    fn of(&self, process: EndpointId) -> ProcessRead {
+    fn of(&self, process: EndpointId) -> ReadSlot {
         let mut reads = self.by_process.borrow_mut();
         reads.retain(|id, read| *id == process || Rc::strong_count(read) > 1);
         reads.entry(process).or_default().clone()
@@ -57,55 +71,57 @@
 /// Checks which software is at the other end of a connection; asks the store if that is not known.
 pub async fn confirm(node: &Rc<Node>, connected: &ConnectedProcess) -> SoftwareCheck {
     let check = || node.core.borrow().discovery.check_software(connected);
-    let known = check();
-    if known != SoftwareCheck::NotConfirmed || connected.software.is_empty() {
-        return known;
-    }
-    let due_at = connected.connected_at + REGISTRATION_TIME;
-    sleep(due_at.saturating_sub(clock::now())).await;
-    let wanted_at = clock::now();
-    if !node.core.borrow().peers.is_large() {
-        refresh(node, wanted_at).await;
-        let known = check();
-        if known != SoftwareCheck::NotConfirmed {
-            return known;
-        }
+    let asked_at = clock::now();
+    let registration_time = node.core.borrow().discovery.registration_time(connected);
+    let due_in = (connected.connected_at + registration_time).saturating_sub(asked_at);
+    let is_settled = matches!(check(), SoftwareCheck::Confirmed | SoftwareCheck::Replaced);
+    if is_settled || connected.software.is_empty() || due_in > REGISTRATION_TIME {
+        return check();
     }
-    read_entry(node, &connected.process, wanted_at, check).await;
+    sleep(due_in).await;
+    // What a read has told counts even if another one takes too long.
+    let _ = timeout(CONFIRM_TIMEOUT, ask(node, connected, check)).await;
     let known = check();
     log::info!(
         endpoint = *connected.process.name,
         software = *connected.software,
         check = <&str>::from(known),
-        took_ms = (clock::now() - wanted_at).as_millis() as u64;
+        took_ms = (clock::now() - asked_at).as_millis() as u64;
         "software checked"
     );
     known
 }
 
-fn has_failed(failed_at: Option<Duration>, wanted_at: Duration) -> bool {
-    failed_at.is_some_and(|at| wanted_at < at + FAILED_FOR)
+async fn ask(node: &Rc<Node>, connected: &ConnectedProcess, check: impl Fn() -> SoftwareCheck) {
+    let wanted_at = clock::now();
+    let is_unknown = || !matches!(check(), SoftwareCheck::Confirmed | SoftwareCheck::Replaced);
+    if !node.core.borrow().peers.is_large() {
+        refresh(node, wanted_at).await;
+    }
+    if is_unknown() {
+        read_entry(node, &connected.process, wanted_at, is_unknown).await;
+    }
 }
 
 /// Brings the view of all endpoints up to date as of `wanted_at`. Requests that come together share a
 /// call.
 pub async fn refresh(node: &Rc<Node>, wanted_at: Duration) {
-    let reads = &node.process_reads;
-    let mut failed_at = reads.all.lock().await;
+    let mut last = node.process_reads.all.lock().await;
     let confirmed_at = node.core.borrow().discovery.view_confirmed_at();
-    if confirmed_at >= Some(wanted_at) || has_failed(*failed_at, wanted_at) {
+    let suffices = last.is_some_and(|read| read.suffices(wanted_at));
+    if suffices || confirmed_at >= Some(wanted_at) {
         return;
     }
     let asked_at = clock::now();
     let refreshed = timeout(READ_TIMEOUT, refresh_endpoints(node)).await;
-    *failed_at = match refreshed {
-        Ok(Ok(())) => None,
-        Ok(Err(error)) => {
-            log::info!(error:% = error; "endpoints not confirmed");
-            Some(asked_at)
-        }
-        Err(_) => Some(asked_at),
-    };
+    if let Ok(Err(error)) = &refreshed {
+        log::info!(error:% = error; "endpoints not confirmed");
+    }
+    let has_failed = !matches!(refreshed, Ok(Ok(())));
+    *last = Some(LastRead {
+        asked_at,
+        has_failed,
+    });
 }
 
 /// Reads the entry of one endpoint, for a VM that doesn't follow all endpoints or can't ask for them
@@ -114,29 +130,28 @@
     node: &Rc<Node>,
     process: &EndpointProcess,
     wanted_at: Duration,
-    check: impl Fn() -> SoftwareCheck,
+    is_unknown: impl Fn() -> bool,
 ) {
-    let read = node.process_reads.of(process.id());
-    let mut failed_at = read.lock().await;
-    if check() != SoftwareCheck::NotConfirmed || has_failed(*failed_at, wanted_at) {
+    let slot = node.process_reads.of(process.id());
+    let mut last = slot.lock().await;
+    if !is_unknown() || last.is_some_and(|read| read.suffices(wanted_at)) {
         return;
     }
     let key = format!("{}{}", node.dialect.keys.endpoints, process.name);
     let asked_at = clock::now();
-    let item = match timeout(READ_TIMEOUT, node.store.get(&key)).await {
-        Ok(Ok(item)) => item,
-        Ok(Err(error)) => {
-            log::info!(endpoint = *process.name, error:% = error; "entry not read");
-            *failed_at = Some(asked_at);
-            return;
-        }
-        Err(_) => {
-            *failed_at = Some(asked_at);
-            return;
-        }
+    let read = timeout(READ_TIMEOUT, node.store.get(&key)).await;
+    if let Ok(Err(error)) = &read {
+        log::info!(endpoint = *process.name, error:% = error; "entry not read");
+    }
+    let has_failed = !matches!(read, Ok(Ok(_)));
+    *last = Some(LastRead {
+        asked_at,
+        has_failed,
+    });
+    let Ok(Ok(Some(item))) = read else {
+        return;
     };
-    let entry = item.and_then(|item| (node.dialect.registration)(&process.name, &item.value).ok());
-    let Some(entry) = entry else {
+    let Ok(entry) = (node.dialect.registration)(&process.name, &item.value) else {
         return;
     };
     let now = clock::now();
@@ -156,16 +171,21 @@
 pub async fn confirm_starts(node: Rc<Node>) {
     loop {
         node.process_reads.wanted.notified().await;
+        if node.core.borrow().peers.is_large() {
+            // Its VMs don't follow the store, and ask for single entries when a stream breaks.
+            continue;
+        }
         sleep(REGISTRATION_TIME).await;
-        if !node.core.borrow().peers.is_large() && node.store_answers.get() {
+        if node.store_answers.get() {
             refresh(&node, clock::now()).await;
         }
-        let confirmed = {
+        let (confirmed, has_unconfirmed) = {
             let core = &mut *node.core.borrow_mut();
             let discovery = &core.discovery;
-            core.streams.confirm(clock::now(), |connected| {
+            let confirmed = core.streams.confirm(clock::now(), |connected| {
                 discovery.check_software(connected) == SoftwareCheck::Confirmed
-            })
+            });
+            (confirmed, core.streams.has_unconfirmed())
         };
         for record in confirmed {
             streams::report(
@@ -174,7 +194,11 @@
                 record.stream,
             );
         }
-        let has_failed = node.process_reads.all.lock().await.is_some();
+        if has_unconfirmed {
+            node.process_reads.want();
+        }
+        let has_failed = node.process_reads.all.lock().await;
+        let has_failed = has_failed.is_some_and(|read| read.has_failed);
         sleep(match has_failed {
             true => FAILED_REFRESH_INTERVAL,
             false => REFRESH_INTERVAL,
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -212,10 +212,15 @@
         core.quarantine.run_lost(quarantine_now(), lost);
     }
     let lost_at = clock::now();
-    note_lost_connections(node, endpoint, lost_at);
+    let began_at = lost_at.saturating_sub(run.ran);
+    node.core
+        .borrow_mut()
+        .discovery
+        .connection_lost(endpoint, began_at, lost_at);
+    check_connections_left(node, endpoint, lost_at);
     let host = pool::check_host(&run.target.address).await;
     // The ends of the other connections may arrive a little later.
-    note_lost_connections(node, endpoint, lost_at);
+    check_connections_left(node, endpoint, lost_at);
     let ended = host != HostCheck::NotClosed;
     log::info!(endpoint = run.target.instance, ended, stays; "a run lost its connection");
     if ended {
@@ -229,13 +234,13 @@
     ended
 }
 
-/// Notes that all connections to an endpoint's process have broken, if none is left that certainly
-/// led to it: another process may serve at its address from then on.
-fn note_lost_connections(node: &Node, endpoint: EndpointId, lost_at: Duration) {
+/// Notes whether no connection is left that certainly led to an endpoint's process: another process may
+/// serve at its address from then on.
+fn check_connections_left(node: &Node, endpoint: EndpointId, lost_at: Duration) {
     let discovery = &mut node.core.borrow_mut().discovery;
     let confirmed_until = discovery.connections_confirmed_until(endpoint);
     if !confirmed_until.is_some_and(|until| node.pool.has_open(endpoint, until)) {
-        discovery.connections_lost(endpoint, lost_at);
+        discovery.no_connection_left(endpoint, lost_at);
     }
 }
 
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -243,6 +243,18 @@
         return RunEnd::Quarantined(hold);
     }
     confirm_text(node, key).await;
+    let made_by = node
+        .runs
+        .with_progress(key, |progress| progress.software.clone());
+    if made_by
+        .flatten()
+        .is_some_and(|software| software != target.software)
+    {
+        // The entry has changed since the endpoint was chosen.
+        quarantine::item_not_sent(node, out);
+        let detail = "the endpoint has other software";
+        return RunEnd::Failed(Failure::not_of_endpoint(AttemptStage::NotSent, detail));
+    }
     let mut after_event = last_event(node, key);
     log::info!(
         job = *key.job,
@@ -329,7 +341,7 @@
             node.runs
                 .with_progress(key, |progress| progress.began_on = None);
         }
-        SoftwareCheck::Replaced | SoftwareCheck::NotConfirmed => restart(node, key),
+        _ => restart(node, key),
     }
 }
 
--- a/src/serve/streams.rs
+++ b/src/serve/streams.rs
@@ -20,7 +20,7 @@
 use super::processes;
 use super::replies::{self, Reply};
 use crate::clock;
-use crate::decide::discovery::{ConnectedProcess, SoftwareCheck};
+use crate::decide::discovery::{unknown_software, ConnectedProcess, SoftwareCheck};
 use crate::decide::routes::Route;
 use crate::decide::stream_origins::{StreamOrigin, StreamRecord, StreamStart};
 use crate::id::{self, Name, ServiceId, StreamId};
@@ -35,12 +35,16 @@
 /// Time for all answers of other VMs: many times a round trip between failure domains, and short
 /// compared with the gap after which callers abandon a stream.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time to find out which versions a service has: a caller abandons its stream after a gap of two
+/// seconds.
+const STORED_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Mean `Retry-After` of a stream that can't go on here: another VM may know more, and its caller
 /// abandons it after a gap of two seconds.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time beyond twice the timeout of a route, one for each of two attempts, for which its callers may
 /// return.
 const RETURN_MARGIN: Duration = Duration::from_secs(5);
+
 /// How the origin of a caller's stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -86,7 +90,14 @@
 ) {
     let now = clock::now();
     let check = node.core.borrow().discovery.check_software(connected);
-    let is_unconfirmed = check == SoftwareCheck::NotConfirmed && !origin.software.is_empty();
+    let origin = match check {
+        SoftwareCheck::Replaced => StreamOrigin {
+            software: unknown_software(),
+            ..origin
+        },
+        _ => origin,
+    };
+    let is_unconfirmed = check != SoftwareCheck::Confirmed && !origin.software.is_empty();
     let start = StreamStart {
         record: StreamRecord::new(stream, origin, time_left),
         process: is_unconfirmed.then(|| connected.process.clone()),
@@ -138,7 +149,7 @@
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct StreamAnswer {
     record: Option<StreamRecord>,
-    /// Not used any more: a VM's view of the versions may be older than the stream.
+    /// Always `None`; kept for programs that read it.
     sole: Option<StreamOrigin>,
 }
 
@@ -159,7 +170,7 @@
     fn start(&self, node: &Node) -> Option<(StreamStart, Duration)> {
         let core = node.core.borrow();
         let (mut start, known_at) = core.streams.start(clock::now(), self.stream?)?;
-        let connected = start.unconfirmed(known_at);
+        let connected = start.connection_to_confirm(known_at);
         let check = connected.map(|connected| core.discovery.check_software(&connected));
         if check == Some(SoftwareCheck::Confirmed) {
             start.process = None;
@@ -192,7 +203,8 @@
             None => (OriginSource::Unconfirmed, None),
         };
     }
-    match stored_origin(node, &query, arrived_at).await {
+    let stored = stored_origin(node, &query, arrived_at);
+    match timeout(STORED_TIMEOUT, stored).await.ok().flatten() {
         Some((source, origin)) => (source, Some(origin)),
         None => (OriginSource::NotKnown, None),
     }
@@ -204,7 +216,7 @@
     mut start: StreamStart,
     known_at: Duration,
 ) -> Option<StreamOrigin> {
-    if let Some(connected) = start.unconfirmed(known_at) {
+    if let Some(connected) = start.connection_to_confirm(known_at) {
         if processes::confirm(node, &connected).await != SoftwareCheck::Confirmed {
             return None;
         }
--- a/tests/confirmed_processes.rs
+++ b/tests/confirmed_processes.rs
@@ -99,16 +99,16 @@
 #[test]
 fn same_software() {
     let mut discovery = discovery();
+    let check = |discovery: &Discovery| discovery.check_software(&connected(ms(600)));
     write(&mut discovery, 1, "v1", 800);
-    assert_eq!(
-        discovery.check_software(&connected(ms(600))),
-        SoftwareCheck::Confirmed
-    );
+    // A third one may have accepted it, as long as the second one isn't confirmed.
+    assert_eq!(check(&discovery), SoftwareCheck::NotConfirmed);
+    let mut confirmed = self::discovery();
+    write(&mut confirmed, 1, "v1", 800);
+    confirmed.confirm_view(ms(900));
+    assert_eq!(check(&confirmed), SoftwareCheck::Confirmed);
     write(&mut discovery, 2, "v2", 900);
-    assert_eq!(
-        discovery.check_software(&connected(ms(600))),
-        SoftwareCheck::Replaced
-    );
+    assert_eq!(check(&discovery), SoftwareCheck::Replaced);
 }
 
 // The entry of a process that has ended stays for a while: it says nothing of the next one.
@@ -184,14 +184,21 @@
 #[test]
 fn lost_connections() {
     let mut discovery = discovery();
-    discovery.connections_lost(process(0).id(), ms(600));
+    let new = connected(ms(610));
+    let lose = |discovery: &mut Discovery, at: Duration| {
+        discovery.connection_lost(process(0).id(), ms(300), at);
+        discovery.no_connection_left(process(0).id(), at);
+    };
+    // A single loss, as by a broken answer, proves nothing.
+    lose(&mut discovery, ms(590));
     discovery.confirm_view(ms(700));
+    assert_eq!(discovery.check_software(&new), SoftwareCheck::Confirmed);
+    lose(&mut discovery, ms(600));
     assert_eq!(
         discovery.check_software(&connected(ms(400))),
         SoftwareCheck::Confirmed
     );
-    let new = connected(ms(610));
-    assert_eq!(discovery.check_software(&new), SoftwareCheck::Replaced);
+    assert_eq!(discovery.check_software(&new), SoftwareCheck::MayBeReplaced);
     discovery.confirm_view(ms(610) + RESTART_REGISTRATION_TIME);
     assert_eq!(discovery.check_software(&new), SoftwareCheck::Confirmed);
 }
@@ -257,7 +264,10 @@
     origins.record_local_start(ms(600), start(Some(process(0))));
     assert!(origins.get(ms(700), 7).is_none());
     let (known, known_at) = origins.start(ms(700), 7).unwrap();
-    assert_eq!(known.unconfirmed(known_at), Some(connected(ms(600))));
+    assert_eq!(
+        known.connection_to_confirm(known_at),
+        Some(connected(ms(600)))
+    );
     assert!(origins.confirm(ms(800), |_| false).is_empty());
     let confirmed = origins.confirm(ms(800), |one| *one == connected(ms(600)));
     assert_eq!(confirmed.len(), 1);
