Streams: other VMs confirm a start as soon as its own could

Change: a start on a connection that was opened after such a loss has an unknown version; all others are confirmed as before.

--- a/src/decide/stream_origins.rs
+++ b/src/decide/stream_origins.rs
@@ -15,7 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::discovery::{ConnectedProcess, EndpointProcess, RESTART_REGISTRATION_TIME};
+use super::discovery::{ConnectedProcess, EndpointProcess};
 use crate::id::{Name, ServiceId, StreamId};
 
 /// Records of one VM. At 100 bytes each they take a few megabytes.
@@ -86,8 +86,7 @@
     origin: Option<StreamOrigin>,
     /// The process that is assumed to have begun it; `None` once that is confirmed.
     process: Option<EndpointProcess>,
-    /// The stream's connection had been opened by then. For one that began at another VM it is later
-    /// by the longest time to a registration, since only that VM knows of lost connections.
+    /// When the record was made or received: the stream's connection had been opened by then.
     known_at: Duration,
     /// The stream began at this VM.
     is_local: bool,
@@ -124,10 +123,7 @@
         let mut row = Row {
             origin: Some(record.origin),
             process,
-            known_at: match is_local {
-                true => now,
-                false => now + RESTART_REGISTRATION_TIME,
-            },
+            known_at: now,
             is_local,
             until: now + needed,
         };
--- a/src/serve/streams.rs
+++ b/src/serve/streams.rs
@@ -91,7 +91,8 @@
     let now = clock::now();
     let check = node.core.borrow().discovery.check_software(connected);
     let origin = match check {
-        SoftwareCheck::Replaced => StreamOrigin {
+        // Other VMs don't know of the connections that this one has lost.
+        SoftwareCheck::Replaced | SoftwareCheck::MayBeReplaced => StreamOrigin {
             software: unknown_software(),
             ..origin
         },
