Settings: the memory and descriptors that a VM grants

Cause: a process did not know what it may use, so that no limit could follow from it, though the platform tells both.

The default memory is that of the smallest VM in use. Nothing reads them yet.

Measured: nothing; no behaviour changes.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -153,9 +153,33 @@
     #[serde(default)]
     pub overload: Overload,
     #[serde(default)]
+    pub machine: Machine,
+    #[serde(default)]
     pub log: Log,
 }
 
+/// What the VM grants one process.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Machine {
+    /// Memory in megabytes (10^6 bytes), beyond which the process is ended.
+    pub memory_mb: f64,
+    /// File descriptors. The process's own resource limit applies too.
+    pub descriptors: u64,
+    /// Those of them that sockets can't use.
+    pub descriptors_reserved: u64,
+}
+
+impl Default for Machine {
+    fn default() -> Machine {
+        Machine {
+            memory_mb: 88.0,
+            descriptors: 65_536,
+            descriptors_reserved: 0,
+        }
+    }
+}
+
 /// Decisions for services that run short of slots or have failing endpoints. Each is off unless it
 /// is set.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
@@ -413,6 +437,26 @@
         .into_iter()
         .filter(|(_, value, (range, _))| !range.contains(value));
     found.extend(wrong.map(|(field, value, (_, allowed))| (field, value.to_string(), allowed)));
+    found.extend(check_machine(&settings.machine));
+    found
+}
+
+fn check_machine(machine: &Machine) -> Vec<InvalidField> {
+    let mut found = Vec::new();
+    if !(32.0..=1e6).contains(&machine.memory_mb) {
+        let value = machine.memory_mb.to_string();
+        found.push(("machine.memory_mb", value, "32 to 1000000"));
+    }
+    let sockets = machine
+        .descriptors
+        .saturating_sub(machine.descriptors_reserved);
+    found.extend(check_range(
+        "machine.descriptors",
+        sockets,
+        128,
+        10_000_000,
+        "128 to 10000000 more than machine.descriptors_reserved",
+    ));
     found
 }
 
