Bodies: callers' bodies share a part of the VM's memory

What callers saw: a process ran out of memory and ended while clients sent many bodies of legal size at once, most of them short of their end.

Cause: the limit was one request's, and nothing counted all of them; the frames of a body kept the buffers that they were read into, so that a body in small chunks took up to 40 times its size, and a body of several frames was copied once more; a whole body stayed until its request ended.

Change: a budget follows from the VM's memory. Bodies share a quarter of what the program leaves, from their first byte until their last copy is dropped. What has arrived is counted, not what is announced. Where there is no room, bodies that have stalled for half a second yield, then those that are larger, and are refused with 503; what holds more than 64 KiB leaves a quarter of the room to smaller bodies. Bytes are copied out of each frame into one buffer.

Conclusion: the sum of bodies is bounded, whoever sends them.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,6 +21,7 @@
 pub mod limit;
 pub mod load_reports;
 pub mod members;
+pub mod memory;
 pub mod online;
 pub mod orders;
 pub mod peers;
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -52,6 +52,8 @@
     PlatformAway,
     #[strum(message = "this VM is not ready")]
     NotReady,
+    #[strum(message = "this VM has no memory left for the request")]
+    MemoryFull,
 }
 
 impl RefusalKind {
@@ -76,7 +78,8 @@
             | RefusalKind::SoftwareUnconfirmed
             | RefusalKind::Quarantined
             | RefusalKind::PlatformAway
-            | RefusalKind::NotReady => 503,
+            | RefusalKind::NotReady
+            | RefusalKind::MemoryFull => 503,
         }
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 mod answer_memory;
 pub mod ask;
+pub mod bodies;
 pub mod body;
 pub mod callers;
 pub mod cancellation;
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, HOST};
 use hyper::server::conn::http1;
@@ -44,6 +43,8 @@
 const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// `Retry-After` of a VM that has no configuration yet; it reads one within a second.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` of a VM whose memory for bodies is taken; stalled ones yield within a second.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Limits that apply until the first configuration is loaded.
 const HEAD_BYTES_DEFAULT: usize = 16 * 1024;
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(15);
@@ -466,9 +467,9 @@
         Ok(caller) => caller,
         Err(kind) => return unidentified_reply(kind),
     };
-    let body = match read_body(body, routes.rules.limits.body_bytes).await {
+    let body = match read_body(&node, body, routes.rules.limits.body_bytes).await {
         Ok(body) => body,
-        Err(kind) => return replies::refusal(kind, true, None),
+        Err(kind) => return unread_reply(&node, kind),
     };
     if route.kind == RouteKind::Batch {
         open.set_kind(RequestKind::Submission);
@@ -502,15 +503,21 @@
     online::serve(node, route, params, out, credential, service).await
 }
 
+/// The reply to a request whose body was not read.
+fn unread_reply(node: &Node, kind: RefusalKind) -> Reply {
+    let reason: &'static str = kind.into();
+    node.counters.refusals.with_label_values(&[reason]).inc();
+    let retry_after = (kind == RefusalKind::MemoryFull).then_some(MEMORY_RETRY_AFTER);
+    replies::refusal(kind, true, retry_after)
+}
+
 /// Reads a whole body.
-async fn read_body(body: Incoming, bytes_max: usize) -> Result<Bytes, RefusalKind> {
-    let read = Limited::new(body, bytes_max).collect();
-    match timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(RefusalKind::TooLarge)
-        }
-        Ok(Err(_)) => Err(RefusalKind::BadRequest),
-        Err(_) => Err(RefusalKind::SlowRequest),
-    }
+async fn read_body(
+    node: &Node,
+    mut body: Incoming,
+    bytes_max: usize,
+) -> Result<Bytes, RefusalKind> {
+    let read = node.bodies.read(&mut body, bytes_max);
+    let read = timeout(BODY_TIMEOUT, read).await;
+    read.unwrap_or(Err(RefusalKind::SlowRequest))
 }
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -8,11 +8,13 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use rustix::process::{getrlimit, Resource};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, Mutex, Notify};
 
 use super::admission;
 use super::answer_memory::AnswerMemory;
+use super::bodies::Bodies;
 use super::counters::{Counters, OpenRequests};
 use super::dialect::Dialect;
 use super::endpoint_news::endpoints_in_use;
@@ -34,6 +36,7 @@
 use crate::decide::freshness::{ConfirmationAges, Freshness, StoreSubject, VersionsMatch};
 use crate::decide::items::Items;
 use crate::decide::load_reports::LoadReports;
+use crate::decide::memory::{Budget, Grant};
 use crate::decide::online::{Action, Event, Online, ServiceConfig, SHARE_DEFAULT};
 use crate::decide::peers::{KnownVersions, LocalVm, Peers};
 use crate::decide::quarantine::Quarantine;
@@ -178,6 +181,10 @@
     pub key: Key,
     /// Socket for datagrams to other VMs; `None` until the process has opened it.
     pub gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// What the memory and descriptors of the VM are spent on.
+    pub budget: Budget,
+    /// Bodies of callers' requests.
+    pub bodies: Bodies,
     /// Room for answers of endpoints without a stated length.
     pub answer_memory: AnswerMemory,
     /// Software versions on record in the store, as last read.
@@ -239,6 +246,7 @@
             next_request: 1,
         };
         let counters = Counters::new();
+        let budget = Budget::of(grant(&settings));
         Rc::new_cyclic(|node: &Weak<Node>| {
             let own_store = store.observed({
                 let node = node.clone();
@@ -267,6 +275,8 @@
                 core: RefCell::new(core),
                 runs: Runs::default(),
                 gossip_socket: RefCell::new(None),
+                budget,
+                bodies: Bodies::new(budget.body_bytes),
                 answer_memory: AnswerMemory::default(),
                 software_records: SoftwareRecords::default(),
                 software_recording: Mutex::default(),
@@ -648,6 +658,17 @@
     }
 }
 
+/// What the VM grants this process, by the settings and by the limits of the process.
+fn grant(settings: &settings::Serve) -> Grant {
+    let machine = &settings.machine;
+    let limit = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    let descriptors = limit.min(machine.descriptors);
+    Grant {
+        memory_bytes: (machine.memory_mb * 1e6) as usize,
+        descriptors: descriptors.saturating_sub(machine.descriptors_reserved) as usize,
+    }
+}
+
 /// The services as configured for admission, each with the tightest goal of the routes that lead to
 /// it.
 fn services(rules: &Rules) -> HashMap<ServiceId, ServiceConfig> {
