Bodies: one that is announced beyond the limit is refused at once

What callers saw: a client that announced 256 MiB and waited got its 413 only with the timeout of the body, after 10 s.

Cause: the limit looked at what had arrived, never at the announced length.

Change: the announced length decides before anything is read. The reply closes the connection, and the rest of a refused body is discarded behind it, for 2 s and two bodies of the largest size at most, since a connection that is closed with bytes unread is reset, and the reset may overtake the reply.

Conclusion: what can't be served is refused at once, and the refusal arrives.

--- a/src/serve/bodies.rs
+++ b/src/serve/bodies.rs
@@ -11,11 +11,14 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::decide::memory::{BodyId, BodyRoom};
 use crate::decide::refusal::RefusalKind;
 
+/// Time for which the rest of a refused body is read.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
 /// Capacity of a body's first buffer, if the body is not known to be shorter.
 const FIRST_BYTES: usize = 1024;
 
@@ -66,6 +69,24 @@
     }
 }
 
+/// Reads on after a request was refused, and keeps nothing.
+///
+/// A connection that is closed with bytes unread is reset, and the reset may reach a caller that
+/// still sends before it has read the reply.
+pub async fn discard(mut body: Incoming, bytes_max: usize) {
+    let mut discarded_bytes = 0;
+    let discard = async {
+        while discarded_bytes <= bytes_max {
+            let Some(Ok(frame)) = body.frame().await else {
+                return;
+            };
+            discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
+        }
+    };
+    // A caller that sends more has had the time to read the reply.
+    let _ = timeout(DISCARD_TIME, discard).await;
+}
+
 impl Bodies {
     /// Bodies that take `room_bytes` together.
     pub fn new(room_bytes: usize) -> Bodies {
@@ -76,8 +97,11 @@
         }
     }
 
-    /// Reads a whole body of at most `bytes_max`.
+    /// Reads a whole body of at most `bytes_max`; none of it if it is announced to be larger.
     pub async fn read(&self, body: &mut Incoming, bytes_max: usize) -> Result<Bytes, RefusalKind> {
+        if body.size_hint().lower() > bytes_max as u64 {
+            return Err(RefusalKind::TooLarge);
+        }
         let (reading, yielded) = self.begin(clock::now());
         let announced_bytes = body.size_hint().exact().map(|bytes| bytes as usize);
         let expected_bytes = announced_bytes.unwrap_or(bytes_max);
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, HOST};
+use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, EXPECT, HOST};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -21,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
+use super::bodies;
 use super::body::{self, CountedBody};
 use super::counters::{ExpectedRequest, OpenRequest, RequestKind};
 use super::dialect::Operation;
@@ -34,7 +35,7 @@
 use crate::decide::access;
 use crate::decide::freshness::StoreSubject;
 use crate::decide::refusal::RefusalKind;
-use crate::decide::routes::{RouteKind, RouteTable, Rules};
+use crate::decide::routes::{CallerLimits, RouteKind, RouteTable, Rules};
 use crate::pages;
 use crate::util;
 
@@ -45,6 +46,8 @@
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of a VM whose memory for bodies is taken; stalled ones yield within a second.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// How much of a refused body is read, in bodies of the largest size allowed.
+const DISCARDED_BODIES_MAX: usize = 2;
 /// Limits that apply until the first configuration is loaded.
 const HEAD_BYTES_DEFAULT: usize = 16 * 1024;
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(15);
@@ -222,8 +225,10 @@
         // The caller's next request reaches another VM.
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
-    } else if let Some(keep_alive) = keep_alive(&node) {
-        reply.headers_mut().insert(KEEP_ALIVE, keep_alive);
+    } else if !reply.headers().contains_key(CONNECTION) {
+        if let Some(keep_alive) = keep_alive(&node) {
+            reply.headers_mut().insert(KEEP_ALIVE, keep_alive);
+        }
     }
     body::counted(reply, open)
 }
@@ -467,7 +472,8 @@
         Ok(caller) => caller,
         Err(kind) => return unidentified_reply(kind),
     };
-    let body = match read_body(&node, body, routes.rules.limits.body_bytes).await {
+    let is_awaited = head.headers.contains_key(EXPECT);
+    let body = match read_body(&node, body, &routes.rules.limits, is_awaited).await {
         Ok(body) => body,
         Err(kind) => return unread_reply(&node, kind),
     };
@@ -508,16 +514,26 @@
     let reason: &'static str = kind.into();
     node.counters.refusals.with_label_values(&[reason]).inc();
     let retry_after = (kind == RefusalKind::MemoryFull).then_some(MEMORY_RETRY_AFTER);
-    replies::refusal(kind, true, retry_after)
+    let mut reply = replies::refusal(kind, true, retry_after);
+    // What follows on the connection is the rest of the body.
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(CONNECTION, close);
+    reply
 }
 
-/// Reads a whole body.
+/// Reads a whole body. The rest of one that is refused is discarded behind the reply.
 async fn read_body(
     node: &Node,
     mut body: Incoming,
-    bytes_max: usize,
+    limits: &CallerLimits,
+    is_awaited: bool,
 ) -> Result<Bytes, RefusalKind> {
-    let read = node.bodies.read(&mut body, bytes_max);
+    let read = node.bodies.read(&mut body, limits.body_bytes);
     let read = timeout(BODY_TIMEOUT, read).await;
-    read.unwrap_or(Err(RefusalKind::SlowRequest))
+    let read = read.unwrap_or(Err(RefusalKind::SlowRequest));
+    if read.is_err() && !is_awaited {
+        let discarded = bodies::discard(body, DISCARDED_BODIES_MAX * limits.body_bytes);
+        tokio::task::spawn_local(discarded);
+    }
+    read
 }
