Connections: callers' connections share a part of memory and descriptors

What callers saw: 600 connections that sent nothing, or a part of a head, kept an ordinary request from being answered by a process with 300 descriptors; 3,000 heads without an end took 87 MB.

Cause: nothing limited callers' connections. They took every descriptor, those for endpoints and the store too, and each head kept its buffer.

Change: callers get 0.4 of the descriptors, and as many connections as fit into 30% of the shared memory at 32 KiB each, whichever is less. Where there are too many, the one that has waited longest for its caller is closed: those without a whole request yet first, then those between two requests, then those whose caller doesn't read the answer. A connection whose request is served is never closed for another one; if all are, the new one is closed. A caller that reads nothing of its answer for the idle timeout is closed.

Conclusion: connections and heads are bounded as a sum.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod callers;
 pub mod cancellation;
+mod connections;
 pub mod counters;
 pub mod delegate;
 pub mod dialect;
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -1,6 +1,5 @@
 //! Accepts connections from callers and dispatches their requests.
 
-use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io::{ErrorKind, IoSlice};
 use std::net::SocketAddr;
@@ -19,11 +18,13 @@
 use rand::Rng;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 use super::bodies;
 use super::body::{self, CountedBody};
-use super::counters::{ExpectedRequest, OpenRequest, RequestKind};
+use super::connections::{ConnectionEntry, ConnectionRequests, RequestStage};
+use super::counters::{OpenRequest, RequestKind};
 use super::dialect::Operation;
 use super::exchange::{self, Outgoing};
 use super::jobs;
@@ -86,7 +87,11 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(node.clone(), stream));
+                if let Some(entry) = node.connections.admit(clock::now(), &node.counters) {
+                    tokio::task::spawn_local(serve_connection(node.clone(), stream, entry));
+                }
+                // Connections that make way are closed before the next one is accepted.
+                yield_now().await;
             }
             Err(error) => {
                 log::warn!(error:% = error; "connections can't be accepted");
@@ -108,7 +113,9 @@
             Ok((stream, _)) => {
                 stream.set_nonblocking(true)?;
                 let stream = TcpStream::from_std(stream)?;
-                tokio::task::spawn_local(serve_connection(node.clone(), stream));
+                if let Some(entry) = node.connections.admit(clock::now(), &node.counters) {
+                    tokio::task::spawn_local(serve_connection(node.clone(), stream, entry));
+                }
             }
             Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
             Err(error) => return Err(error),
@@ -116,11 +123,11 @@
     }
 }
 
-async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+async fn serve_connection(node: Rc<Node>, stream: TcpStream, entry: ConnectionEntry) {
     let limits = node.routes().map(|table| table.rules.limits.clone());
     let head_bytes = limits.map_or(HEAD_BYTES_DEFAULT, |limits| limits.head_bytes);
     let accepted_at = clock::now();
-    let connection_requests = Rc::<ConnectionRequests>::default();
+    let connection_requests = entry.requests.clone();
     let first = node.open_requests.expect();
     connection_requests.first.replace(Some(first));
     let stream = CallerStream {
@@ -140,6 +147,9 @@
     // An error is a caller that disconnected or sent an invalid request, which hyper has answered.
     loop {
         let is_notified = tokio::select! {
+            biased;
+            // Before a request is read that would then have begun.
+            () = connection_requests.makes_way.notified() => return,
             _ = connection.as_mut() => return,
             () = node.closing.notified() => true,
             () = sleep(idle.check_interval()) => false,
@@ -147,9 +157,13 @@
         if clock::now() >= accepted_at + FIRST_REQUEST_TIMEOUT {
             connection_requests.first.take();
         }
+        let is_idle = idle.is_over(clock::now(), &node, &connection_requests);
+        if connection_requests.is_unread_for(clock::now(), idle.timeout) {
+            return;
+        }
         let is_busy = connection_requests.stage() == RequestStage::Open;
         let is_closing = is_notified || (is_busy && node.is_draining());
-        if !is_closing && !idle.is_over(clock::now(), &node, &connection_requests) {
+        if !is_closing && !is_idle {
             continue;
         }
         if timeout(ARRIVAL_GRACE, connection.as_mut()).await.is_ok() {
@@ -166,18 +180,11 @@
         }
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
-}
-
-/// What a caller's connection is used for now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RequestStage {
-    /// Nothing has arrived since the last reply.
-    Idle,
-    /// A part of a request's head has arrived.
-    Head,
-    /// A request is served.
-    Open,
+    tokio::select! {
+        biased;
+        () = connection_requests.makes_way.notified() => {}
+        _ = connection => {}
+    }
 }
 
 /// For how long a connection has waited for its caller.
@@ -245,69 +252,6 @@
     announced.and_then(|timeout| HeaderValue::try_from(timeout).ok())
 }
 
-/// Requests of one connection.
-#[derive(Default)]
-struct ConnectionRequests {
-    /// The newest request, until its reply has been sent. Other owners hold it only until the reply
-    /// has been handed to the connection, whose buffer may keep the end of it for a slow caller.
-    newest: RefCell<Option<Rc<OpenRequest>>>,
-    /// Whether the head of the newest request has not been read completely.
-    is_partial: Cell<bool>,
-    /// Present until the first request begins, or its timeout has passed.
-    first: RefCell<Option<ExpectedRequest>>,
-}
-
-impl ConnectionRequests {
-    /// Counts a request from its first bytes on. Without this, the connection counts as idle, and
-    /// is closed although a caller sends a request.
-    fn bytes_read(&self, node: &Node) {
-        if self.stage() == RequestStage::Idle {
-            self.begin(node);
-            self.is_partial.set(true);
-        }
-    }
-
-    /// The request whose head has been read.
-    fn head_read(&self, node: &Node) -> Rc<OpenRequest> {
-        let partial = self.newest.borrow().clone();
-        let partial = partial.filter(|_| self.is_partial.take());
-        partial.unwrap_or_else(|| self.begin(node))
-    }
-
-    /// All replies that were handed to the connection have been sent.
-    fn buffer_sent(&self) {
-        if self.stage() != RequestStage::Idle {
-            return;
-        }
-        if let Some(request) = self.newest.take() {
-            request.buffer_sent();
-        }
-    }
-
-    fn is_first_expected(&self) -> bool {
-        self.first.borrow().is_some()
-    }
-
-    fn begin(&self, node: &Node) -> Rc<OpenRequest> {
-        self.first.take();
-        let open = node.open_requests.begin(RequestKind::Reading);
-        self.newest.replace(Some(open.clone()));
-        open
-    }
-
-    fn stage(&self) -> RequestStage {
-        if self.is_partial.get() {
-            return RequestStage::Head;
-        }
-        let newest = self.newest.borrow();
-        let owners = newest.as_ref().map_or(0, Rc::strong_count);
-        match owners {
-            0 | 1 => RequestStage::Idle,
-            _ => RequestStage::Open,
-        }
-    }
-}
-
 /// A caller's connection, which reports that bytes were read and that all replies were sent.
 struct CallerStream {
     stream: TcpStream,
@@ -315,6 +259,15 @@
     requests: Rc<ConnectionRequests>,
 }
 
+impl CallerStream {
+    fn note_write(&self, is_written: bool) {
+        match is_written {
+            true => self.requests.written(),
+            false => self.requests.write_blocked(clock::now()),
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -325,7 +278,7 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut this.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
-            this.requests.bytes_read(&this.node);
+            this.requests.bytes_read(clock::now(), &this.node);
         }
         read
     }
@@ -337,7 +290,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(context, bytes);
+        this.note_write(written.is_ready());
+        written
     }
 
     fn poll_write_vectored(
@@ -345,7 +301,10 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write_vectored(context, slices);
+        this.note_write(written.is_ready());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -357,7 +316,7 @@
         let this = self.get_mut();
         let flushed = Pin::new(&mut this.stream).poll_flush(context);
         if matches!(flushed, Poll::Ready(Ok(()))) {
-            this.requests.buffer_sent();
+            this.requests.buffer_sent(clock::now());
         }
         flushed
     }
--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -230,6 +230,8 @@
     pub endpoint_silences: IntCounterVec,
     /// New connections to endpoints.
     pub connections: IntCounter,
+    /// Callers' connections that were closed because there were too many, by which.
+    pub connections_closed: IntCounterVec,
     /// Transitions of endpoints, by transition and by the source that reported it.
     pub endpoint_transitions: IntCounterVec,
     /// Changes of an endpoint's state by the evidence of the failure domain, by state.
@@ -317,6 +319,11 @@
                 "bramley_endpoint_connections_total",
                 "New connections to endpoints.",
             ),
+            connections_closed: metrics.counters(
+                "bramley_caller_connections_closed_total",
+                "Callers' connections that were closed because there were too many.",
+                &["connection"],
+            ),
             endpoint_transitions: metrics.counters(
                 "bramley_endpoint_transitions_total",
                 "What became of endpoints, and on whose word.",
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -15,6 +15,7 @@
 use super::admission;
 use super::answer_memory::AnswerMemory;
 use super::bodies::Bodies;
+use super::connections::Connections;
 use super::counters::{Counters, OpenRequests};
 use super::dialect::Dialect;
 use super::endpoint_news::endpoints_in_use;
@@ -183,6 +184,8 @@
     pub gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
     /// What the memory and descriptors of the VM are spent on.
     pub budget: Budget,
+    /// Connections of callers.
+    pub connections: Connections,
     /// Bodies of callers' requests.
     pub bodies: Bodies,
     /// Room for answers of endpoints without a stated length.
@@ -276,6 +279,7 @@
                 runs: Runs::default(),
                 gossip_socket: RefCell::new(None),
                 budget,
+                connections: Connections::new(budget.connections_max),
                 bodies: Bodies::new(budget.body_bytes),
                 answer_memory: AnswerMemory::default(),
                 software_records: SoftwareRecords::default(),
