Submissions: those that are stored at once share memory, in few copies

What callers saw: ten submissions of 4 MiB that listed as many small items as fit took 100 MB of a VM of 64, and 100 whole submissions 347 MB.

Cause: a submission stood as body, as items, as parts, as their JSON, as base64 and as the JSON of the write, several of them at once; and a list of small items took many times its size before its length was looked at.

Change: a submission takes four times its size from a room of its own, in order of arrival, for 1.5 s at most, and is refused with 503 then; what is at most 64 KiB has a quarter of the room to itself. Calls on the store for other VMs take from the same room.

Conclusion: the copies of submissions are bounded as a sum, and a single one fits.

--- a/src/decide/small_jobs.rs
+++ b/src/decide/small_jobs.rs
@@ -14,6 +14,8 @@
 
 /// Maximum number of items of one job; larger jobs use the chunked records of `decide::jobs`.
 pub const ITEMS_MAX: usize = 200;
+/// Maximum number of headers of one item.
+pub const ITEM_HEADERS_MAX: usize = 128;
 /// Maximum size of one immutable part as it is stored, in JSON: a value of the store holds 1 MiB, and
 /// its base64 form in transit is a third longer.
 pub const PART_BYTES_MAX: usize = 700 * 1024;
@@ -291,11 +293,11 @@
 
 /// Splits items into parts that fit a value of the store; `None` when a single item is too large, or
 /// all of them for one transaction.
-pub fn body_parts(items: &[Item]) -> Option<Vec<Vec<Item>>> {
+pub fn body_parts(items: Vec<Item>) -> Option<Vec<Vec<Item>>> {
     let mut parts: Vec<Vec<Item>> = Vec::new();
     let mut part_bytes = usize::MAX;
     for item in items {
-        let item_bytes = json_bytes(item) + SEPARATOR_BYTES;
+        let item_bytes = json_bytes(&item) + SEPARATOR_BYTES;
         if LIST_BYTES + item_bytes > PART_BYTES_MAX {
             return None;
         }
@@ -304,7 +306,7 @@
             part_bytes = LIST_BYTES;
         }
         part_bytes += item_bytes;
-        parts.last_mut()?.push(item.clone());
+        parts.last_mut()?.push(item);
     }
     (parts.len() <= BODY_PARTS_MAX).then_some(parts)
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -43,6 +43,7 @@
 mod silence;
 pub mod stop;
 mod streams;
+mod submissions;
 pub mod summary;
 mod waiting_items;
 pub mod waiting_page;
--- a/src/serve/ask.rs
+++ b/src/serve/ask.rs
@@ -35,6 +35,11 @@
 }
 
 impl AskError {
+    /// Whether the other VM refused to act on the request.
+    pub fn is_unavailable(&self) -> bool {
+        matches!(self, AskError::Refused { status } if *status == StatusCode::SERVICE_UNAVAILABLE)
+    }
+
     /// Whether the request certainly did not reach the other VM.
     pub fn is_unsent(&self) -> bool {
         let AskError::Connection { source } = self else {
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -18,7 +18,7 @@
 use crate::clock;
 use crate::decide::refusal::RefusalKind;
 use crate::decide::routes::Route;
-use crate::decide::small_jobs::{self, body_key, record_key, Item, SmallJobRecord};
+use crate::decide::small_jobs::{self, body_key, record_key, Item, ItemIndex, SmallJobRecord};
 use crate::id::{JobId, Name, Revision};
 use crate::store::{CommitOutcome, Txn, Write};
 use crate::util;
@@ -28,6 +28,8 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1400);
 /// `Retry-After` when the store could not be reached; outages last for seconds.
 pub(super) const STORE_RETRY_AFTER: Duration = Duration::from_millis(900);
+/// `Retry-After` of a VM whose memory for submissions is taken; another VM may have some.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Path under which another VM reports that it has cancelled a job; the job follows.
 pub const ENDED_PATH: &str = "/ended/";
 /// Timeout of that report; the caller that cancelled the job waits for it.
@@ -57,6 +59,10 @@
     if let Some((record, _)) = existing {
         return already_accepted(&record, &caller);
     }
+    let Some(memory) = node.submission_memory.take(body.len()).await else {
+        log::info!(job = *id, bytes = body.len(); "job refused: no memory for it");
+        return replies::refusal(RefusalKind::MemoryFull, true, Some(MEMORY_RETRY_AFTER));
+    };
     let items = match (node.dialect.submission)(&body) {
         Ok(items) => items,
         Err(error) => {
@@ -64,36 +70,46 @@
             return replies::refusal(RefusalKind::BadRequest, true, None);
         }
     };
+    drop(body);
     if let Some(item) = small_jobs::duplicate_id(&items) {
         log::info!(job = *id, item = **item; "job refused: duplicate item id");
         return replies::refusal(RefusalKind::BadRequest, true, None);
     }
-    let parts = match small_jobs::body_parts(&items) {
-        Some(parts) if items.len() <= small_jobs::ITEMS_MAX && !items.is_empty() => parts,
-        _ => return replies::refusal(RefusalKind::TooLarge, true, None),
-    };
-    let mut record = new_record(&node, id.clone(), &ask.host, route, &items, &parts);
+    if items.is_empty() || items.len() > small_jobs::ITEMS_MAX {
+        return replies::refusal(RefusalKind::TooLarge, true, None);
+    }
+    let mut record = new_record(&node, id.clone(), &ask.host, route, &items);
     record.workspace = caller;
+    let Some(parts) = small_jobs::body_parts(items) else {
+        return replies::refusal(RefusalKind::TooLarge, true, None);
+    };
+    record.body_parts = first_items(&parts);
+    // Each part is dropped once it is encoded.
+    let encoded = parts.into_iter().map(|part| encode(&part));
+    let keys = (0..).map(|number| body_key(&id, number));
+    let writes = keys.zip(encoded).map(|(key, part)| write(key, part));
+    let writes: Vec<Write> = writes.collect();
     // A task of its own: a caller that disconnects must not stop the write from being settled.
-    let accepted = accept(node.clone(), route.clone(), record, parts);
-    let settled = tokio::task::spawn_local(accepted).await;
+    let (stored, route) = (node.clone(), route.clone());
+    let accepted = tokio::task::spawn_local(async move {
+        let reply = accept(stored, route, record, writes).await;
+        drop(memory);
+        reply
+    });
+    let settled = accepted.await;
     settled.unwrap_or_else(|_| replies::refusal(RefusalKind::PlatformAway, false, None))
 }
 
-fn new_record(
-    node: &Node,
-    id: JobId,
-    host: &str,
-    route: &Route,
-    items: &[Item],
-    parts: &[Vec<Item>],
-) -> SmallJobRecord {
-    let mut first = 0;
-    let mut body_parts = Vec::new();
-    for part in parts {
-        body_parts.push(first);
-        first += part.len() as u32;
-    }
+/// The first item of each part.
+fn first_items(parts: &[Vec<Item>]) -> Vec<ItemIndex> {
+    let first = |first: &mut ItemIndex, part: &Vec<Item>| {
+        let next = *first + part.len() as ItemIndex;
+        Some(std::mem::replace(first, next))
+    };
+    parts.iter().scan(0, first).collect()
+}
+
+fn new_record(node: &Node, id: JobId, host: &str, route: &Route, items: &[Item]) -> SmallJobRecord {
     let created_ms = clock::unix_ms();
     SmallJobRecord {
         id,
@@ -108,7 +124,7 @@
         retention_ms: route.retention.as_millis() as u64,
         items: items.iter().map(|item| item.id.clone()).collect(),
         tokens: items.iter().map(|item| item.tokens).collect(),
-        body_parts,
+        body_parts: Vec::new(),
         listed: Vec::new(),
         text_parts: 0,
         failures: Vec::new(),
@@ -118,18 +134,11 @@
 }
 
 /// Writes record and items in one transaction, and answers by its outcome.
-async fn accept(
-    node: Rc<Node>,
-    route: Route,
-    record: SmallJobRecord,
-    parts: Vec<Vec<Item>>,
-) -> Reply {
+async fn accept(node: Rc<Node>, route: Route, record: SmallJobRecord, writes: Vec<Write>) -> Reply {
     let id = record.id.clone();
     if let Err(reply) = job_admission::admit(&node, &route, &record).await {
         return reply;
     }
-    let part = |(number, part)| write(body_key(&id, number as u32), encode(part));
-    let writes = parts.iter().enumerate().map(part).collect();
     let started = clock::now();
     let settled = replace_record_with_parts(&node, &record, 0, writes).await;
     job_admission::note_write(&node, &id, &settled);
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -29,6 +29,7 @@
 use super::relay::with_relay;
 use super::runs::Runs;
 use super::streams::records::SoftwareRecords;
+use super::submissions::SubmissionMemory;
 use crate::clock;
 use crate::decide::access::Workspace;
 use crate::decide::admission::Admission;
@@ -188,6 +189,8 @@
     pub connections: Connections,
     /// Bodies of callers' requests.
     pub bodies: Bodies,
+    /// Room for submissions while they are stored.
+    pub submission_memory: SubmissionMemory,
     /// Room for answers of endpoints without a stated length.
     pub answer_memory: AnswerMemory,
     /// Software versions on record in the store, as last read.
@@ -281,6 +284,7 @@
                 budget,
                 connections: Connections::new(budget.connections_max),
                 bodies: Bodies::new(budget.body_bytes),
+                submission_memory: SubmissionMemory::new(budget.submission_bytes),
                 answer_memory: AnswerMemory::default(),
                 software_records: SoftwareRecords::default(),
                 software_recording: Mutex::default(),
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use super::ask::{ask, reply};
 use super::node::Node;
@@ -72,7 +72,7 @@
             reply
         }
         // The other VM has not received the call, so it adds no doubt.
-        Err(error) if error.is_unsent() => first,
+        Err(error) if error.is_unsent() || error.is_unavailable() => first,
         Err(error) => Err(Error::Unknown {
             detail: format!("{to} did not make the call: {error}"),
         }),
@@ -81,6 +81,15 @@
 
 /// Makes a call for another VM, directly and never by way of a third one.
 pub async fn answer(node: &Node, body: Incoming) -> Reply {
+    let announced_bytes = body.size_hint().exact().unwrap_or(u64::MAX);
+    let announced_bytes = usize::try_from(announced_bytes).unwrap_or(usize::MAX);
+    if announced_bytes > CALL_BYTES_MAX {
+        return replies::empty(413);
+    }
+    let Some(_memory) = node.submission_memory.take(announced_bytes).await else {
+        log::info!(bytes = announced_bytes; "no memory for another VM's store call");
+        return replies::empty(503);
+    };
     let Ok(body) = Limited::new(body, CALL_BYTES_MAX).collect().await else {
         return replies::empty(400);
     };
--- a/tests/small_jobs.rs
+++ b/tests/small_jobs.rs
@@ -130,7 +130,7 @@
         tokens: 100,
     };
     let items: Vec<Item> = (0..40).map(item).collect();
-    for part in body_parts(&items).unwrap() {
+    for part in body_parts(items.clone()).unwrap() {
         assert!(serde_json::to_vec(&part).unwrap().len() <= PART_BYTES_MAX);
     }
 }
@@ -146,7 +146,7 @@
             tokens: 100,
         })
         .collect();
-    let parts = body_parts(&items).unwrap();
+    let parts = body_parts(items.clone()).unwrap();
     let mut first = 0;
     let mut record = record(7);
     record.body_parts.clear();
@@ -169,7 +169,7 @@
         body: "A".repeat(PART_BYTES_MAX + 1),
         tokens: 100,
     };
-    assert!(body_parts(&[item]).is_none());
+    assert!(body_parts(vec![item]).is_none());
 }
 
 // A VM is paused with finished results that are not yet listed; another VM claims the job and lists
