Jobs: an item that fits no value of the store is spread over several

What callers saw: a submission within the limit of bodies was refused with 413, which no client sends again, if one of its items took more than 525 KB: one of 700 KB, 1 MB or 3 MB, or three of 900 KB.

Cause: an item had to fit one value of the store.

Change: the body of such an item is split over parts of its own. In the record they have the same first item, so records of before read as they did; a program of before can't read such a job.

--- a/src/decide/small_jobs.rs
+++ b/src/decide/small_jobs.rs
@@ -5,6 +5,7 @@
 //! to the one that replaces it.
 
 use std::collections::HashSet;
+use std::ops::RangeInclusive;
 
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
@@ -95,7 +96,8 @@
     /// Maximum tokens of each item, prompt and completion. Empty when callers don't specify them.
     #[serde(default)]
     pub tokens: Vec<u32>,
-    /// First item of each body part.
+    /// First item of each body part. A part with the same one as the part before it goes on with the
+    /// body of that item.
     pub body_parts: Vec<ItemIndex>,
     /// Invariant: append-only, and each item is listed at most once.
     pub listed: Vec<ListedResult>,
@@ -276,14 +278,42 @@
         Some((row.part, index))
     }
 
-    /// The part that contains an item's body, and its index in the part.
-    pub fn body_location(&self, item: ItemIndex) -> Option<(u32, usize)> {
-        let part = self.body_parts.partition_point(|first| *first <= item);
-        let part = part.checked_sub(1)?;
-        Some((part as u32, (item - self.body_parts[part]) as usize))
+    /// Where an item's body is stored.
+    pub fn body_location(&self, item: ItemIndex) -> Option<BodyLocation> {
+        let last = self.body_parts.partition_point(|first| *first <= item);
+        let last = last.checked_sub(1)?;
+        let first = *self.body_parts.get(last)?;
+        let first_part = self.body_parts.partition_point(|other| *other < first);
+        Some(BodyLocation {
+            parts: first_part as u32..=last as u32,
+            index: (item - first) as usize,
+        })
+    }
+
+    /// Whether a body part goes on with the item that the part before it begins.
+    pub fn is_continued(&self, part: usize) -> bool {
+        part > 0 && self.body_parts.get(part - 1) == self.body_parts.get(part)
     }
 }
 
+/// Where an item's body is stored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BodyLocation {
+    /// The part with the item, and those that go on with its body if it is large.
+    pub parts: RangeInclusive<u32>,
+    /// Index of the item in its part.
+    pub index: usize,
+}
+
+/// One body part.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BodyPart {
+    /// Its first item.
+    pub first: ItemIndex,
+    /// Whole items, or one that has a piece of its body here.
+    pub items: Vec<Item>,
+}
+
 /// The first id that occurs twice.
 pub fn duplicate_id(items: &[Item]) -> Option<&Name> {
     let mut seen = HashSet::new();
@@ -291,26 +321,82 @@
     ids.find(|id| !seen.insert(*id))
 }
 
-/// Splits items into parts that fit a value of the store; `None` when a single item is too large, or
-/// all of them for one transaction.
-pub fn body_parts(items: Vec<Item>) -> Option<Vec<Vec<Item>>> {
-    let mut parts: Vec<Vec<Item>> = Vec::new();
+/// Splits items into parts that fit a value of the store. An item that fits none has its body spread
+/// over parts of its own. `None` if that is not possible, or if there are too many parts for one
+/// transaction.
+pub fn body_parts(items: Vec<Item>) -> Option<Vec<BodyPart>> {
+    let mut parts: Vec<BodyPart> = Vec::new();
     let mut part_bytes = usize::MAX;
-    for item in items {
+    for (index, item) in items.into_iter().enumerate() {
+        let first = index as ItemIndex;
         let item_bytes = json_bytes(&item) + SEPARATOR_BYTES;
         if LIST_BYTES + item_bytes > PART_BYTES_MAX {
-            return None;
+            let pieces = split_body(item)?.into_iter();
+            parts.extend(pieces.map(|piece| BodyPart {
+                first,
+                items: vec![piece],
+            }));
+            part_bytes = usize::MAX;
+            continue;
         }
         if part_bytes.saturating_add(item_bytes) > PART_BYTES_MAX {
-            parts.push(Vec::new());
+            parts.push(BodyPart {
+                first,
+                items: Vec::new(),
+            });
             part_bytes = LIST_BYTES;
         }
         part_bytes += item_bytes;
-        parts.last_mut()?.push(item);
+        parts.last_mut()?.items.push(item);
     }
     (parts.len() <= BODY_PARTS_MAX).then_some(parts)
 }
 
+/// Splits the body of an item into pieces that fit a value each; `None` if the rest of the item fits
+/// none, or if the body is not base64.
+fn split_body(item: Item) -> Option<Vec<Item>> {
+    let is_base64 = |byte: u8| byte.is_ascii_alphanumeric() || b"+/=".contains(&byte);
+    if !item.body.bytes().all(is_base64) {
+        return None;
+    }
+    let body = item.body;
+    let rest = Item {
+        body: String::new(),
+        ..item
+    };
+    let rest_bytes = json_bytes(&rest) + SEPARATOR_BYTES + LIST_BYTES;
+    let piece_bytes = PART_BYTES_MAX.checked_sub(rest_bytes)?;
+    if piece_bytes < PART_BYTES_MAX / 2 {
+        return None;
+    }
+    let continued = Item {
+        path: String::new(),
+        headers: Vec::new(),
+        ..rest.clone()
+    };
+    let pieces = (0..body.len()).step_by(piece_bytes).map(|from| {
+        let body = &body[from..body.len().min(from + piece_bytes)];
+        let item = if from == 0 { &rest } else { &continued };
+        Item {
+            body: body.to_owned(),
+            ..item.clone()
+        }
+    });
+    Some(pieces.collect())
+}
+
+/// Adds the items of a part. One that goes on with the last item of the part before it extends that
+/// item's body.
+pub fn join_part(items: &mut Vec<Item>, part: Vec<Item>, is_continued: bool) {
+    let mut part = part.into_iter();
+    if is_continued {
+        if let (Some(item), Some(piece)) = (items.last_mut(), part.next()) {
+            item.body.push_str(&piece.body);
+        }
+    }
+    items.extend(part);
+}
+
 /// The entries of a list that fit one value of the store together, the first ones preferred.
 pub fn fitting<T: Serialize>(entries: impl IntoIterator<Item = T>) -> Vec<T> {
     let mut list_bytes = LIST_BYTES;
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -11,14 +11,14 @@
 use super::job_admission;
 use super::job_table::decode;
 use super::node::Node;
-use super::part_cache;
+use super::part_cache::{self, PartError};
 use super::peers;
 use super::replies::{self, Reply};
 use super::runs;
 use crate::clock;
 use crate::decide::refusal::RefusalKind;
 use crate::decide::routes::Route;
-use crate::decide::small_jobs::{self, body_key, record_key, Item, ItemIndex, SmallJobRecord};
+use crate::decide::small_jobs::{self, body_key, record_key, BodyLocation, Item, SmallJobRecord};
 use crate::id::{JobId, Name, Revision};
 use crate::store::{CommitOutcome, Txn, Write};
 use crate::util;
@@ -83,9 +83,9 @@
     let Some(parts) = small_jobs::body_parts(items) else {
         return replies::refusal(RefusalKind::TooLarge, true, None);
     };
-    record.body_parts = first_items(&parts);
+    record.body_parts = parts.iter().map(|part| part.first).collect();
     // Each part is dropped once it is encoded.
-    let encoded = parts.into_iter().map(|part| encode(&part));
+    let encoded = parts.into_iter().map(|part| encode(&part.items));
     let keys = (0..).map(|number| body_key(&id, number));
     let writes = keys.zip(encoded).map(|(key, part)| write(key, part));
     let writes: Vec<Write> = writes.collect();
@@ -100,15 +100,6 @@
     settled.unwrap_or_else(|_| replies::refusal(RefusalKind::PlatformAway, false, None))
 }
 
-/// The first item of each part.
-fn first_items(parts: &[Vec<Item>]) -> Vec<ItemIndex> {
-    let first = |first: &mut ItemIndex, part: &Vec<Item>| {
-        let next = *first + part.len() as ItemIndex;
-        Some(std::mem::replace(first, next))
-    };
-    parts.iter().scan(0, first).collect()
-}
-
 fn new_record(node: &Node, id: JobId, host: &str, route: &Route, items: &[Item]) -> SmallJobRecord {
     let created_ms = clock::unix_ms();
     SmallJobRecord {
@@ -257,26 +248,38 @@
         Err(reply) => return reply,
     };
     let index = record.items.iter().position(|known| *known == item);
-    let position = index.and_then(|index| record.body_location(index as u32));
-    let Some((part, position)) = position.filter(|_| !record.cancelled) else {
+    let location = index.and_then(|index| record.body_location(index as u32));
+    let Some(location) = location.filter(|_| !record.cancelled) else {
         return replies::refusal(RefusalKind::NotFound, true, None);
     };
-    let read = part_cache::read::<Vec<Item>>(&node, body_key(&job, part), record.owner).await;
-    let body = match &read {
-        Ok(items) => items
-            .get(position)
-            .map(|item| BASE64_STANDARD.decode(&item.body)),
+    match read_body(&node, &record, location).await {
+        Ok(Some(body)) => replies::binary(body),
+        Ok(None) => replies::refusal(RefusalKind::PlatformAway, true, Some(STORE_RETRY_AFTER)),
         Err(error) => {
             log::warn!(job = *job, error:% = error; "an item's body can't be read");
-            None
+            replies::refusal(RefusalKind::PlatformAway, true, Some(STORE_RETRY_AFTER))
         }
-    };
-    match body {
-        Some(Ok(body)) => replies::binary(body.into()),
-        _ => replies::refusal(RefusalKind::PlatformAway, true, Some(STORE_RETRY_AFTER)),
     }
 }
 
+/// Reads the body of an item; `None` if it is not there, or not base64.
+async fn read_body(
+    node: &Rc<Node>,
+    record: &SmallJobRecord,
+    location: BodyLocation,
+) -> Result<Option<Bytes>, PartError> {
+    let mut items = Vec::new();
+    for part in location.parts {
+        let key = body_key(&record.id, part);
+        let read = part_cache::read::<Vec<Item>>(node, key, record.owner).await?;
+        let is_continued = record.is_continued(part as usize);
+        small_jobs::join_part(&mut items, read, is_continued);
+    }
+    let item = items.get(location.index);
+    let body = item.and_then(|item| BASE64_STANDARD.decode(&item.body).ok());
+    Ok(body.map(Bytes::from))
+}
+
 /// Cancels a job.
 pub async fn cancel(node: Rc<Node>, caller: &Option<Name>, job: JobId) -> Reply {
     for _ in 0..CANCEL_ATTEMPTS_MAX {
--- a/src/serve/runs/claims.rs
+++ b/src/serve/runs/claims.rs
@@ -12,7 +12,7 @@
 use crate::decide::discovery::unknown_software;
 use crate::decide::items::ItemKey;
 use crate::decide::small_jobs::{
-    body_key, progress_key, record_key, text_key, Item, ItemIndex, SmallJobRecord,
+    body_key, join_part, progress_key, record_key, text_key, Item, ItemIndex, SmallJobRecord,
 };
 use crate::id::{self, JobId, OwnerId, Revision};
 use crate::serve::job_table::Job;
@@ -74,7 +74,8 @@
     let mut items = Vec::new();
     for part in 0..record.body_parts.len() {
         let key = body_key(&record.id, part as u32);
-        items.extend(part_cache::read::<Vec<Item>>(node, key, record.owner).await?);
+        let read = part_cache::read::<Vec<Item>>(node, key, record.owner).await?;
+        join_part(&mut items, read, record.is_continued(part));
     }
     Ok(items)
 }
