Answers: all of them share a part of the VM's memory

What callers saw: 100 streams of long events whose callers read nothing took 103 to 110 MB of a VM of 64.

Cause: 32 chunks of any size could wait for each caller; only answers without a stated length were counted, each beyond its first 64 KiB; and connections to endpoints grew buffers of up to 400 KB.

Change: whole answers, and events beyond 16 KiB, take from one room that follows from the VM's memory; what holds more than 64 KiB leaves a quarter to smaller answers. At most 64 KiB and one chunk wait for a caller. Buffers of connections to endpoints have 64 KiB. An answer for which there is no memory is not its endpoint's fault.

Conclusion: what goes out is bounded like what comes in.

--- a/src/serve/answer_memory.rs
+++ b/src/serve/answer_memory.rs
@@ -1,65 +1,112 @@
-//! Limits the memory of answers that are collected without knowing how long they are.
+//! Limits the memory of answers that are collected, and of events that wait for their callers.
 
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Bytes of one answer that are not counted, so that short answers always have room.
-const UNCOUNTED_BYTES: usize = 64 * 1024;
-/// Bytes of all answers together beyond that.
-const COUNTED_BYTES_MAX: usize = 16 * 1024 * 1024;
+use crate::decide::memory::usable_bytes;
 
-/// Room for answers without a stated length.
+/// Room for answers.
 #[derive(Debug, Clone)]
 pub struct AnswerMemory {
+    room_bytes: usize,
     free_bytes: Arc<Semaphore>,
 }
 
-impl Default for AnswerMemory {
-    fn default() -> AnswerMemory {
+/// Memory that is taken until this is dropped.
+#[derive(Debug)]
+pub struct TakenMemory {
+    memory: AnswerMemory,
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl AnswerMemory {
+    /// Answers that take `room_bytes` together.
+    pub fn new(room_bytes: usize) -> AnswerMemory {
+        let room_bytes = room_bytes.min(Semaphore::MAX_PERMITS);
         AnswerMemory {
-            free_bytes: Arc::new(Semaphore::new(COUNTED_BYTES_MAX)),
+            room_bytes,
+            free_bytes: Arc::new(Semaphore::new(room_bytes)),
+        }
+    }
+
+    /// Nothing yet.
+    pub fn take_nothing(&self) -> TakenMemory {
+        TakenMemory {
+            memory: self.clone(),
+            permit: None,
+        }
+    }
+}
+
+impl TakenMemory {
+    /// Takes memory up to this size; false if there is no room.
+    pub fn grow_to(&mut self, bytes: usize) -> bool {
+        let taken_bytes = self.permit.as_ref().map_or(0, |taken| taken.num_permits());
+        let Some(more_bytes) = bytes.checked_sub(taken_bytes).filter(|more| *more > 0) else {
+            return true;
+        };
+        let AnswerMemory {
+            room_bytes,
+            free_bytes,
+        } = &self.memory;
+        let kept_bytes = room_bytes - usable_bytes(*room_bytes, bytes);
+        let Ok(permits) = u32::try_from(more_bytes) else {
+            return false;
+        };
+        if free_bytes.available_permits() < more_bytes + kept_bytes {
+            return false;
+        }
+        let Ok(more) = free_bytes.clone().try_acquire_many_owned(permits) else {
+            return false;
+        };
+        match &mut self.permit {
+            Some(taken) => taken.merge(more),
+            None => self.permit = Some(more),
         }
+        true
     }
 }
 
+/// Bytes that hold something until their last copy is dropped.
+struct HeldBytes<T> {
+    bytes: Bytes,
+    _held: T,
+}
+
+impl<T> AsRef<[u8]> for HeldBytes<T> {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Bytes that hold `held` until their last copy is dropped.
+pub fn hold<T: Send + 'static>(bytes: Bytes, held: T) -> Bytes {
+    Bytes::from_owner(HeldBytes { bytes, _held: held })
+}
+
 /// An answer as far as it has been collected.
 #[derive(Debug)]
 pub struct CollectedAnswer {
     bytes: BytesMut,
-    /// Where its bytes are counted; `None` if its length is known.
-    memory: Option<AnswerMemory>,
-    /// Invariant: covers what `bytes` has beyond [`UNCOUNTED_BYTES`], if it is counted.
-    counted: Option<OwnedSemaphorePermit>,
+    /// Invariant: covers `bytes`.
+    taken: TakenMemory,
 }
 
 impl CollectedAnswer {
-    /// An empty answer, counted in `memory` if its length is not known.
-    pub fn new(memory: Option<AnswerMemory>) -> CollectedAnswer {
+    /// An empty answer.
+    pub fn new(memory: &AnswerMemory) -> CollectedAnswer {
         CollectedAnswer {
             bytes: BytesMut::new(),
-            memory,
-            counted: None,
+            taken: memory.take_nothing(),
         }
     }
 
     /// Appends bytes; false if there is no room for them.
     pub fn push(&mut self, bytes: &[u8]) -> bool {
-        if let Some(memory) = &self.memory {
-            let counted_bytes = self
-                .counted
-                .as_ref()
-                .map_or(0, |permit| permit.num_permits());
-            let needed_bytes = (self.bytes.len() + bytes.len()).saturating_sub(UNCOUNTED_BYTES);
-            let more_bytes = needed_bytes.saturating_sub(counted_bytes) as u32;
-            let Ok(more) = memory.free_bytes.clone().try_acquire_many_owned(more_bytes) else {
-                return false;
-            };
-            match &mut self.counted {
-                Some(counted) => counted.merge(more),
-                None => self.counted = Some(more),
-            }
+        if !self.taken.grow_to(self.bytes.len() + bytes.len()) {
+            return false;
         }
         self.bytes.extend_from_slice(bytes);
         true
@@ -71,15 +118,6 @@
 
     /// The whole answer, which counts until its last copy is dropped.
     pub fn freeze(self) -> Bytes {
-        match self.counted {
-            Some(_) => Bytes::from_owner(self),
-            None => self.bytes.freeze(),
-        }
-    }
-}
-
-impl AsRef<[u8]> for CollectedAnswer {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        hold(self.bytes.freeze(), self.taken)
     }
 }
--- a/src/serve/events.rs
+++ b/src/serve/events.rs
@@ -6,8 +6,14 @@
 use snafu::Snafu;
 use tokio::task::yield_now;
 
+use super::answer_memory::{AnswerMemory, TakenMemory};
+use super::exchange::Failure;
+use crate::decide::retry::AttemptStage;
+
 /// Size limit of an unfinished event; an endpoint that exceeds it is broken.
 const EVENT_BYTES_MAX: usize = 1024 * 1024;
+/// Bytes of one stream that are part of what its connection takes.
+pub const UNCOUNTED_BYTES: usize = 16 * 1024;
 /// Size limit of comments and blank lines between two events.
 const FILLER_BYTES_MAX: usize = 64 * 1024;
 
@@ -36,12 +42,20 @@
     EndedWithinEvent,
     #[snafu(display("an event exceeds the size limit"))]
     EventTooLong,
+    #[snafu(display("there is no memory left for an event"))]
+    MemoryFull,
 }
 
 impl StreamError {
-    /// Whether the connection ended early; otherwise the endpoint sent something wrong.
-    pub fn is_connection_lost(&self) -> bool {
-        !matches!(self, StreamError::EventTooLong)
+    /// The failure of an attempt whose answer had reached this stage.
+    pub fn failure(&self, stage: AttemptStage) -> Failure {
+        match self {
+            StreamError::BrokenOff { .. } | StreamError::EndedWithinEvent => {
+                Failure::of_connection(stage, self.to_string())
+            }
+            StreamError::EventTooLong => Failure::of_endpoint(stage, self.to_string()),
+            StreamError::MemoryFull => Failure::not_of_endpoint(stage, self.to_string()),
+        }
     }
 }
 
@@ -49,16 +63,27 @@
 pub struct EventStream {
     body: Incoming,
     splitter: Splitter,
+    memory: AnswerMemory,
+    /// Invariant: covers what is buffered, if that is more than [`UNCOUNTED_BYTES`].
+    taken: TakenMemory,
 }
 
 impl EventStream {
-    pub fn new(body: Incoming) -> EventStream {
+    /// Reads a body; long events take `memory`.
+    pub fn new(body: Incoming, memory: &AnswerMemory) -> EventStream {
         EventStream {
             body,
             splitter: Splitter::default(),
+            memory: memory.clone(),
+            taken: memory.take_nothing(),
         }
     }
 
+    /// The memory that the last events have taken.
+    pub fn take_memory(&mut self) -> TakenMemory {
+        std::mem::replace(&mut self.taken, self.memory.take_nothing())
+    }
+
     /// Waits for the next whole events; `None` at the end of the stream. Nothing is lost if the future
     /// is dropped.
     pub async fn next(&mut self) -> Result<Option<Vec<Event>>, StreamError> {
@@ -66,6 +91,10 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            let buffered_bytes = self.splitter.buffer.len() + data.len();
+            if buffered_bytes > UNCOUNTED_BYTES && !self.taken.grow_to(buffered_bytes) {
+                return Err(StreamError::MemoryFull);
+            }
             let events = self.splitter.push(&data);
             if !events.is_empty() {
                 return Ok(Some(events));
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -191,7 +191,7 @@
     pub bodies: Bodies,
     /// Room for submissions while they are stored.
     pub submission_memory: SubmissionMemory,
-    /// Room for answers of endpoints without a stated length.
+    /// Room for answers of endpoints.
     pub answer_memory: AnswerMemory,
     /// Software versions on record in the store, as last read.
     pub software_records: SoftwareRecords,
@@ -285,7 +285,7 @@
                 connections: Connections::new(budget.connections_max),
                 bodies: Bodies::new(budget.body_bytes),
                 submission_memory: SubmissionMemory::new(budget.submission_bytes),
-                answer_memory: AnswerMemory::default(),
+                answer_memory: AnswerMemory::new(budget.answer_bytes),
                 software_records: SoftwareRecords::default(),
                 software_recording: Mutex::default(),
                 process_reads: ProcessReads::default(),
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -1,6 +1,7 @@
 //! The life cycle of one online request: admission, attempts, relay of the answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -11,13 +12,13 @@
 use hyper::{Response, StatusCode};
 use snafu::Snafu;
 use tokio::sync::mpsc::{self, Receiver, Sender, UnboundedReceiver};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Semaphore};
 use tokio::time::{sleep, timeout};
 
-use super::answer_memory::CollectedAnswer;
+use super::answer_memory::{hold, CollectedAnswer, TakenMemory};
 use super::body::{BodyAborted, Chunk, ReplyBody};
 use super::dialect::{PromptSegment, RequestParams};
-use super::events::{check_next, Event as StreamEvent, EventStream, StreamError};
+use super::events::{check_next, Event as StreamEvent, EventStream};
 use super::exchange::{self, Answer, AnswerEvidence, Failure, Outgoing, SendOptions, Target};
 use super::node::{Node, ANONYMOUS_WORKSPACE};
 use super::processes;
@@ -40,6 +41,10 @@
 /// Chunks that may queue for a slow caller; when the queue is full, reading from the endpoint
 /// pauses.
 const CHUNKS_QUEUED_MAX: usize = 32;
+/// Bytes that may queue for a slow caller, beside one chunk.
+const QUEUED_BYTES_MAX: usize = 64 * 1024;
+/// Size of a chunk that only counts as one.
+const CHUNK_UNCOUNTED_BYTES: usize = 512;
 /// Size limit of a plain answer, which is buffered until it is complete.
 const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
 
@@ -108,6 +113,7 @@
         deadline: now + time_limit,
         reply_start: Some(reply_sender),
         chunks: chunk_sender,
+        queue_room: Arc::new(Semaphore::new(QUEUED_BYTES_MAX)),
         error_answer: None,
         public: route.public,
         credential,
@@ -265,6 +271,8 @@
     /// `None` once a reply has begun.
     reply_start: Option<oneshot::Sender<ReplyStart>>,
     chunks: Sender<Chunk>,
+    /// Room for chunks that the caller has not read.
+    queue_room: Arc<Semaphore>,
     /// The route requires no key.
     public: bool,
     /// The caller's credential.
@@ -624,9 +632,8 @@
         // The bytes of an answer without a stated length may come without end.
         let has_length = head.headers.contains_key(CONTENT_LENGTH);
         let is_bounded = !head.status.is_server_error() || has_length;
-        let memory = (!has_length).then(|| node.answer_memory.clone());
         let evidence = AnswerEvidence::of(&head, &body);
-        let collected = collect(body, CollectedAnswer::new(memory), || {
+        let collected = collect(body, CollectedAnswer::new(&node.answer_memory), || {
             if is_bounded {
                 node.note_endpoint_data(endpoint);
             }
@@ -639,6 +646,7 @@
                 return AttemptResult::Failed(match error {
                     CollectError::BrokenOff => Failure::of_connection(stage, detail),
                     CollectError::TooLarge => Failure::of_endpoint(stage, detail),
+                    CollectError::MemoryFull => Failure::not_of_endpoint(stage, detail),
                 });
             }
             WaitResult::CallerLeft => return AttemptResult::CallerLeft,
@@ -697,7 +705,7 @@
         let keep_alive = exchange::keep_alive(&head);
         let evidence = AnswerEvidence::of(&head, &body);
         let mut head = Some(head);
-        let mut events = EventStream::new(body);
+        let mut events = EventStream::new(body, &self.node.answer_memory);
         loop {
             let next = match self.wait(events.next()).await {
                 WaitResult::Value(next) => next,
@@ -706,8 +714,10 @@
                 WaitResult::GivenUp => return AttemptResult::Failed(silent_failure(self.stage())),
             };
             match next {
-                Ok(Some(events)) => {
-                    let passed = self.pass_events(target.endpoint, &events, &mut head).await;
+                Ok(Some(new_events)) => {
+                    let taken = events.take_memory();
+                    let passed = self.pass_events(target.endpoint, new_events, taken, &mut head);
+                    let passed = passed.await;
                     if let Some(ended) = passed {
                         return ended;
                     }
@@ -717,7 +727,7 @@
                     return AttemptResult::Failed(Failure::of_connection(self.stage(), detail));
                 }
                 Ok(None) => break,
-                Err(error) => return AttemptResult::Failed(self.stream_failure(&error)),
+                Err(error) => return AttemptResult::Failed(error.failure(self.stage())),
             }
         }
         if let Some(ended) = self.check_whole(target, evidence).await {
@@ -765,18 +775,12 @@
         }
     }
 
-    fn stream_failure(&self, error: &StreamError) -> Failure {
-        match error.is_connection_lost() {
-            true => Failure::of_connection(self.stage(), error.to_string()),
-            false => Failure::of_endpoint(self.stage(), error.to_string()),
-        }
-    }
-
     /// Passes on whole events, up to the first one that does not follow its predecessor.
     async fn pass_events(
         &mut self,
         endpoint: EndpointId,
-        events: &[StreamEvent],
+        events: Vec<StreamEvent>,
+        taken: TakenMemory,
         head: &mut Option<response::Parts>,
     ) -> Option<AttemptResult> {
         // Only a whole event is progress: a failing endpoint may send other bytes without end.
@@ -785,7 +789,7 @@
         let mut raw = BytesMut::new();
         let mut last_event = self.last_event;
         let mut broken = None;
-        for event in events {
+        for event in &events {
             if let Err(detail) = check_next(last_event, event.id) {
                 broken = Some(detail);
                 break;
@@ -797,20 +801,24 @@
             // As long as the caller has nothing, it can be answered with a status.
             raw.clear();
         }
+        // They are copied, and a caller may take long to read.
+        drop(events);
         if !raw.is_empty() {
             if let Some(ended) = self.record_origin().await {
                 return Some(ended);
             }
             self.last_event = last_event;
             self.begin_stream(head);
-            let is_unread = self.chunks.capacity() == 0;
+            let queued_bytes = self.queued_bytes(raw.len());
+            let is_unread = self.chunks.capacity() == 0
+                || self.queue_room.available_permits() < queued_bytes as usize;
             if is_unread {
                 self.node.note_unread(self.request, true);
             }
-            let sent = self.chunks.send(Ok(raw.freeze()));
+            let sent = self.queue_chunk(raw.freeze(), queued_bytes, taken);
             match timeout(self.time_left(), sent).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return Some(AttemptResult::CallerLeft),
+                Ok(true) => {}
+                Ok(false) => return Some(AttemptResult::CallerLeft),
                 Err(_) => return Some(AttemptResult::DeadlinePassed),
             }
             if is_unread {
@@ -821,6 +829,29 @@
         broken.map(|detail| AttemptResult::Failed(failure(detail)))
     }
 
+    /// How much a chunk takes of the queue for a slow caller.
+    fn queued_bytes(&self, chunk_bytes: usize) -> u32 {
+        match chunk_bytes <= CHUNK_UNCOUNTED_BYTES {
+            true => 0,
+            false => chunk_bytes.min(QUEUED_BYTES_MAX) as u32,
+        }
+    }
+
+    /// Queues a chunk for the caller once there is room; false if the caller has disconnected.
+    async fn queue_chunk(&self, chunk: Bytes, queued_bytes: u32, taken: TakenMemory) -> bool {
+        if queued_bytes == 0 {
+            return self.chunks.send(Ok(chunk)).await.is_ok();
+        }
+        let room = self.queue_room.clone().acquire_many_owned(queued_bytes);
+        let room = tokio::select! {
+            biased;
+            () = self.chunks.closed() => return false,
+            room = room => room,
+        };
+        let chunk = hold(chunk, (taken, room));
+        self.chunks.send(Ok(chunk)).await.is_ok()
+    }
+
     /// Records which software began the stream, before the caller receives the first event. Returns
     /// how the attempt ended if that is not possible.
     async fn record_origin(&mut self) -> Option<AttemptResult> {
@@ -985,8 +1016,10 @@
 enum CollectError {
     #[snafu(display("the answer broke off"))]
     BrokenOff,
-    #[snafu(display("the answer takes more memory than there is for it"))]
+    #[snafu(display("the answer exceeds the size limit"))]
     TooLarge,
+    #[snafu(display("there is no memory left for the answer"))]
+    MemoryFull,
 }
 
 /// Reads a body to its end, and calls `note_data` for each part.
@@ -1002,9 +1035,12 @@
         let frame = frame.map_err(|_| CollectError::BrokenOff)?;
         note_data();
         let data = frame.into_data().unwrap_or_default();
-        if answer.len() + data.len() > ANSWER_BYTES_MAX || !answer.push(&data) {
+        if answer.len() + data.len() > ANSWER_BYTES_MAX {
             return Err(CollectError::TooLarge);
         }
+        if !answer.push(&data) {
+            return Err(CollectError::MemoryFull);
+        }
     }
     Ok(answer.freeze())
 }
--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -28,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// A host that accepts connections for a process that is gone closes them within this time.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
+/// Largest buffer of a connection, and so the largest head of an answer.
+const BUFFER_BYTES_MAX: usize = 64 * 1024;
 /// How long an idle connection is kept if its endpoint names no timeout.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(2);
 /// Part of the endpoint's idle timeout after which a connection is not used again: a request that
@@ -93,7 +95,10 @@
         // endpoint announced that it is leaving.
         let reset = stream.set_zero_linger();
         reset.map_err(|error| not_sent(error.to_string()))?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
         let opened_at = clock::now();
         let counted = count(opened_at);
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -360,7 +360,7 @@
 ) -> Result<(), RunEnd> {
     let failed = |failure| Err(RunEnd::Failed(failure));
     let stage = AttemptStage::Answering;
-    let mut events = EventStream::new(body);
+    let mut events = EventStream::new(body, &node.answer_memory);
     let mut progress_due_at = Some(clock::now() + PROGRESS_TIME_MIN);
     loop {
         let next = match timeout(EVENT_TIMEOUT, events.next()).await {
@@ -370,13 +370,11 @@
         let new_events = match next {
             Ok(Some(new_events)) => new_events,
             Ok(None) => return Ok(()),
-            Err(error) if error.is_connection_lost() => {
-                return failed(Failure::of_connection(stage, error.to_string()))
-            }
-            Err(error) => return failed(Failure::of_endpoint(stage, error.to_string())),
+            Err(error) => return failed(error.failure(stage)),
         };
         // Only a whole event is progress: a failing endpoint may send other bytes without end.
         node.note_endpoint_data(connected.process.id());
+        drop(events.take_memory());
         for event in new_events {
             record_event(node, key, connected, event.id, event.data())?;
         }
