Budget: cached parts, jobs and internal connections have their parts too

What callers saw: nothing yet; found by adding up what a process may hold. Cached parts took 16 MiB whatever the VM had, the items of all jobs that run here were kept, idle connections to endpoints were limited for each endpoint only, and connections of other VMs and operators not at all.

Cause: a bound for one of something, and none for their sum.

Change: each has its part of the budget. A job whose items don't fit waits before they are read, in the order of arrival, with a quarter of the room for small jobs.

Conclusion: the sum of all parts is the memory that the VM grants.

--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -12,10 +12,18 @@
 /// head, and short events of the answer.
 pub const CONNECTION_BYTES: usize = 32 * 1024;
 /// Part of the descriptors that callers' connections take. As many are left for their requests'
-/// connections to endpoints, and the rest for the store and other VMs.
-const CALLER_DESCRIPTORS: f64 = 0.4;
+/// connections to endpoints, and what remains for the store.
+const CALLER_DESCRIPTORS: f64 = 0.3;
 /// Part of the descriptors that idle connections to endpoints take.
-const IDLE_DESCRIPTORS: f64 = 0.2;
+const IDLE_DESCRIPTORS: f64 = 0.05;
+/// Part of the descriptors that connections of other VMs take.
+const PEER_DESCRIPTORS: f64 = 0.25;
+/// Part of the descriptors that connections to each kind of internal pages take.
+const PAGE_DESCRIPTORS: f64 = 0.02;
+/// Connections to each kind of internal pages at least.
+const PAGE_CONNECTIONS_MIN: usize = 4;
+/// Most memory for cached parts: jobs of one minute take less.
+const CACHE_BYTES_MAX: usize = 16 * 1024 * 1024;
 /// What holds at most this much is small.
 pub const SMALL_BYTES: usize = 64 * 1024;
 /// Part of a room that is left to what is small.
@@ -51,6 +59,10 @@
     pub connections_max: usize,
     /// Idle connections to endpoints.
     pub idle_connections_max: usize,
+    /// Connections of other VMs.
+    pub peer_connections_max: usize,
+    /// Connections to the pages of the load balancer, and as many to those of operators.
+    pub page_connections_max: usize,
 }
 
 impl Budget {
@@ -59,17 +71,19 @@
         let shared = shared.max(SHARED_BYTES_MIN);
         let part = |percent: usize| shared / 100 * percent;
         let descriptors = |share: f64| (grant.descriptors as f64 * share) as usize;
-        let connection_bytes = part(30);
+        let connection_bytes = part(25);
         Budget {
             connection_bytes,
             body_bytes: part(25),
             submission_bytes: part(20),
             job_bytes: part(10),
-            answer_bytes: part(10),
-            cache_bytes: part(5),
+            answer_bytes: part(8),
+            cache_bytes: part(12).min(CACHE_BYTES_MAX),
             connections_max: descriptors(CALLER_DESCRIPTORS)
                 .min(connection_bytes / CONNECTION_BYTES),
             idle_connections_max: descriptors(IDLE_DESCRIPTORS),
+            peer_connections_max: descriptors(PEER_DESCRIPTORS),
+            page_connections_max: descriptors(PAGE_DESCRIPTORS).max(PAGE_CONNECTIONS_MIN),
         }
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -32,6 +32,7 @@
 pub mod pool;
 mod processes;
 mod quarantine;
+mod queued_room;
 mod quotas;
 mod refreshing;
 pub mod registration;
@@ -43,7 +44,6 @@
 mod silence;
 pub mod stop;
 mod streams;
-mod submissions;
 pub mod summary;
 mod waiting_items;
 pub mod waiting_page;
@@ -106,18 +106,21 @@
         node.clone(),
         ready,
         internal_pages::PAGE_CONNECTION_LIFETIME_MAX,
+        node.budget.page_connections_max,
         internal_pages::readiness,
     ));
     spawn_local(internal_pages::serve(
         node.clone(),
         operators,
         internal_pages::PAGE_CONNECTION_LIFETIME_MAX,
+        node.budget.page_connections_max,
         internal_pages::operator_pages,
     ));
     spawn_local(internal_pages::serve(
         node.clone(),
         peers,
         internal_pages::PEER_CONNECTION_LIFETIME_MAX,
+        node.budget.peer_connections_max,
         internal_pages::peer_pages,
     ));
     spawn_local(peers::send_heartbeats(node.clone(), socket.clone()));
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use serde::Serialize;
 use strum::IntoEnumIterator;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -131,21 +133,29 @@
     }
 }
 
-/// Serves pages on one listener until the process ends; no connection lasts longer than
-/// `lifetime_max`.
+/// Serves pages on one listener until the process ends. No connection lasts longer than
+/// `lifetime_max`, and those beyond `connections_max` are closed at once.
 pub async fn serve<B, F>(
     node: Rc<Node>,
     listener: TcpListener,
     lifetime_max: Duration,
+    connections_max: usize,
     handler: impl Fn(Rc<Node>, Request<Incoming>) -> F + Copy + 'static,
 ) where
     B: Body<Data = Bytes, Error = BodyAborted> + 'static,
     F: Future<Output = Response<B>> + 'static,
 {
+    let connections = Arc::new(Semaphore::new(connections_max));
     loop {
         let stream = accept(&listener).await;
+        let Ok(counted) = connections.clone().try_acquire_owned() else {
+            let closed = &node.counters.connections_closed;
+            closed.with_label_values(&["internal"]).inc();
+            continue;
+        };
         let node = node.clone();
         spawn_local(async move {
+            let _counted = counted;
             let service = service_fn(|request| {
                 let reply = handler(node.clone(), request);
                 async move { Ok::<Response<B>, Infallible>(reply.await) }
--- a/src/serve/job_table.rs
+++ b/src/serve/job_table.rs
@@ -45,7 +45,6 @@
 }
 
 /// All jobs that this process has.
-#[derive(Default)]
 pub struct Jobs {
     pub rows: HashMap<JobId, Job>,
     pub parts: PartCache,
@@ -61,6 +60,18 @@
 }
 
 impl Jobs {
+    /// No jobs; their parts are cached up to `cache_bytes`.
+    pub fn new(cache_bytes: usize) -> Jobs {
+        Jobs {
+            rows: HashMap::new(),
+            parts: PartCache::new(cache_bytes),
+            revision: 0,
+            watched_revision: 0,
+            readers: 0,
+            changed: Rc::default(),
+        }
+    }
+
     /// Takes a record unless a newer one is here. `confirmed_at` is when the store was asked for it.
     /// Returns the key of its route and the number of tokens that finished with this record.
     pub fn apply_record(
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -59,7 +59,7 @@
     if let Some((record, _)) = existing {
         return already_accepted(&record, &caller);
     }
-    let Some(memory) = node.submission_memory.take(body.len()).await else {
+    let Some(memory) = node.submission_memory.take_for_submission(body.len()).await else {
         log::info!(job = *id, bytes = body.len(); "job refused: no memory for it");
         return replies::refusal(RefusalKind::MemoryFull, true, Some(MEMORY_RETRY_AFTER));
     };
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -26,10 +26,10 @@
 use super::pool::Pool;
 use super::processes::ProcessReads;
 use super::quarantine;
+use super::queued_room::QueuedRoom;
 use super::relay::with_relay;
 use super::runs::Runs;
 use super::streams::records::SoftwareRecords;
-use super::submissions::SubmissionMemory;
 use crate::clock;
 use crate::decide::access::Workspace;
 use crate::decide::admission::Admission;
@@ -190,7 +190,9 @@
     /// Bodies of callers' requests.
     pub bodies: Bodies,
     /// Room for submissions while they are stored.
-    pub submission_memory: SubmissionMemory,
+    pub submission_memory: QueuedRoom,
+    /// Room for the items of jobs that run here.
+    pub job_memory: QueuedRoom,
     /// Room for answers of endpoints.
     pub answer_memory: AnswerMemory,
     /// Software versions on record in the store, as last read.
@@ -227,6 +229,7 @@
         let mut online = Online::new(domain, util::rng());
         online.watch_silence = true;
         online.policy = settings.routing;
+        let budget = Budget::of(grant(&settings));
         let core = Core {
             online,
             items: Items::default(),
@@ -237,7 +240,7 @@
             backlog: Backlog::default(),
             discovery: Discovery::default(),
             routes: None,
-            jobs: Jobs::default(),
+            jobs: Jobs::new(budget.cache_bytes),
             live: Live::default(),
             peers: Peers::new(settings.mesh_max),
             freshness: Freshness::default(),
@@ -252,7 +255,6 @@
             next_request: 1,
         };
         let counters = Counters::new();
-        let budget = Budget::of(grant(&settings));
         Rc::new_cyclic(|node: &Weak<Node>| {
             let own_store = store.observed({
                 let node = node.clone();
@@ -276,7 +278,7 @@
                 started_at: clock::now(),
                 store_answers: Cell::new(false),
                 renewed_at: Cell::new(None),
-                pool: Pool::default(),
+                pool: Pool::new(budget.idle_connections_max),
                 counters,
                 core: RefCell::new(core),
                 runs: Runs::default(),
@@ -284,7 +286,8 @@
                 budget,
                 connections: Connections::new(budget.connections_max),
                 bodies: Bodies::new(budget.body_bytes),
-                submission_memory: SubmissionMemory::new(budget.submission_bytes),
+                submission_memory: QueuedRoom::new(budget.submission_bytes),
+                job_memory: QueuedRoom::new(budget.job_bytes),
                 answer_memory: AnswerMemory::new(budget.answer_bytes),
                 software_records: SoftwareRecords::default(),
                 software_recording: Mutex::default(),
--- a/src/serve/part_cache.rs
+++ b/src/serve/part_cache.rs
@@ -11,19 +11,27 @@
 use crate::id::OwnerId;
 use crate::store::Error;
 
-/// Bytes of cached parts in one process. Jobs of one minute at the present load take a quarter of
-/// it; dropped parts are read again from the store.
-const CACHE_BYTES_MAX: usize = 16 * 1024 * 1024;
-
 /// Parts by key, the oldest dropped first.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PartCache {
+    /// Dropped parts are read again from the store.
+    bytes_max: usize,
     rows: HashMap<String, Bytes>,
     order: VecDeque<String>,
     bytes: usize,
 }
 
 impl PartCache {
+    /// Keeps parts of `bytes_max` together.
+    pub fn new(bytes_max: usize) -> PartCache {
+        PartCache {
+            bytes_max,
+            rows: HashMap::new(),
+            order: VecDeque::new(),
+            bytes: 0,
+        }
+    }
+
     /// Caches a part.
     pub fn insert(&mut self, key: String, value: Bytes) {
         if self.rows.contains_key(&key) {
@@ -32,7 +40,7 @@
         self.bytes += value.len();
         self.rows.insert(key.clone(), value);
         self.order.push_back(key);
-        while self.bytes > CACHE_BYTES_MAX {
+        while self.bytes > self.bytes_max {
             let Some(oldest) = self.order.pop_front() else {
                 return;
             };
--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -220,13 +220,23 @@
 }
 
 /// Idle connections by endpoint.
-#[derive(Default)]
 pub struct Pool {
+    /// Idle connections to all endpoints together.
+    idle_max: usize,
     idle: RefCell<HashMap<EndpointId, Vec<Idle>>>,
     open: OpenConnections,
 }
 
 impl Pool {
+    /// Keeps at most `idle_max` idle connections.
+    pub fn new(idle_max: usize) -> Pool {
+        Pool {
+            idle_max,
+            idle: RefCell::default(),
+            open: OpenConnections::default(),
+        }
+    }
+
     /// Opens a connection to an endpoint.
     pub async fn open(&self, endpoint: EndpointId, address: &str) -> Result<Connection, Error> {
         Connection::open_counted(address, |opened_at| {
@@ -278,8 +288,9 @@
             timeout.mul_f64(IDLE_TIMEOUT_SHARE)
         });
         let mut idle = self.idle.borrow_mut();
+        let idle_total: usize = idle.values().map(Vec::len).sum();
         let connections = idle.entry(endpoint).or_default();
-        if connections.len() < IDLE_CONNECTIONS_MAX {
+        if connections.len() < IDLE_CONNECTIONS_MAX && idle_total < self.idle_max {
             let until = clock::now() + lifetime;
             connections.push(Idle { connection, until });
         }
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -86,7 +86,11 @@
     if announced_bytes > CALL_BYTES_MAX {
         return replies::empty(413);
     }
-    let Some(_memory) = node.submission_memory.take(announced_bytes).await else {
+    let Some(_memory) = node
+        .submission_memory
+        .take_for_submission(announced_bytes)
+        .await
+    else {
         log::info!(bytes = announced_bytes; "no memory for another VM's store call");
         return replies::empty(503);
     };
--- a/src/serve/runs.rs
+++ b/src/serve/runs.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -75,6 +75,8 @@
 struct OwnedJob {
     epoch: Epoch,
     items: Rc<Vec<Item>>,
+    /// Memory of the items.
+    _memory: Option<OwnedSemaphorePermit>,
     progress: HashMap<ItemIndex, ItemProgress>,
     finished: Vec<FinishedItem>,
     /// Most results that one write may list, after the store rejected a write with more of them.
--- a/src/serve/runs/claims.rs
+++ b/src/serve/runs/claims.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::sleep;
 
 use super::progress::{self, SavedProgress};
@@ -13,6 +14,7 @@
 use crate::decide::items::ItemKey;
 use crate::decide::small_jobs::{
     body_key, join_part, progress_key, record_key, text_key, Item, ItemIndex, SmallJobRecord,
+    PART_BYTES_MAX,
 };
 use crate::id::{self, JobId, OwnerId, Revision};
 use crate::serve::job_table::Job;
@@ -53,20 +55,47 @@
     }
     let (node, job) = (node.clone(), job.clone());
     tokio::task::spawn_local(async move {
-        match load_items(&node, &record).await {
-            Ok(items) => {
-                let saved = progress::read(&node, &record).await;
-                add_job(&node, &record, items, saved);
-            }
-            Err(error) => {
-                log::warn!(job = *job, error:% = error; "a job's items can't be read");
-                sleep(LOAD_RETRY_AFTER).await;
-            }
+        let memory = node
+            .job_memory
+            .take_for_job(items_bytes(&node, &record))
+            .await;
+        if is_unchanged(&node, &record) {
+            load(&node, &record, memory).await;
         }
         node.runs.loading.borrow_mut().remove(&job);
     });
 }
 
+/// Whether a job has the same owner as in this record, and is open, after a wait for memory.
+fn is_unchanged(node: &Node, record: &SmallJobRecord) -> bool {
+    let current = node.core.borrow().jobs.current(&record.id);
+    current.is_some_and(|(current, _)| current.epoch == record.epoch && !current.ended())
+}
+
+/// Reads a job's items and takes them on.
+async fn load(node: &Rc<Node>, record: &SmallJobRecord, memory: Option<OwnedSemaphorePermit>) {
+    match load_items(node, record).await {
+        Ok(items) => {
+            let saved = progress::read(node, record).await;
+            add_job(node, record, items, saved, memory);
+        }
+        Err(error) => {
+            log::warn!(job = *record.id, error:% = error; "a job's items can't be read");
+            sleep(LOAD_RETRY_AFTER).await;
+        }
+    }
+}
+
+/// About how much memory the items of a job take.
+fn items_bytes(node: &Node, record: &SmallJobRecord) -> usize {
+    let core = node.core.borrow();
+    let part_bytes = |part: usize| {
+        let cached = core.jobs.parts.get(&body_key(&record.id, part as u32));
+        cached.map_or(PART_BYTES_MAX, |part| part.len())
+    };
+    (0..record.body_parts.len()).map(part_bytes).sum()
+}
+
 async fn load_items(
     node: &Rc<Node>,
     record: &SmallJobRecord,
@@ -85,6 +114,7 @@
     record: &SmallJobRecord,
     items: Vec<Item>,
     mut saved: HashMap<ItemIndex, SavedProgress>,
+    memory: Option<OwnedSemaphorePermit>,
 ) {
     let now = clock::now();
     let counts: HashMap<ItemIndex, u32> = record.failures.iter().copied().collect();
@@ -110,6 +140,7 @@
         epoch: record.epoch,
         progress: progress.collect::<HashMap<_, _>>(),
         items: Rc::new(items),
+        _memory: memory,
         finished: Vec::new(),
         results_per_write_max: None,
         failures_unwritten: false,
