Heads: the timeout that the configuration sets for them

What callers saw: the rest of a head was waited for as long as an idle connection (15 s), although the configuration allows 3 s.

Cause: headerTimeoutMs was not read.

Change: it is part of the limits, and counts from the first byte of a head to its end.

--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -99,6 +99,8 @@
 pub struct CallerLimits {
     pub head_bytes: usize,
     pub body_bytes: usize,
+    /// From the first byte of a head to its end.
+    pub head_timeout: Duration,
     pub idle_timeout: Duration,
 }
 
--- a/src/serve/callers.rs
+++ b/src/serve/callers.rs
@@ -197,6 +197,8 @@
     /// The longest timeout that was in force since the connection was opened: its caller may not have
     /// heard of a shorter one yet.
     timeout: Duration,
+    /// The same for the rest of a head.
+    head_timeout: Duration,
 }
 
 impl IdleTime {
@@ -207,13 +209,22 @@
 
     /// Whether the caller has sent nothing, or only a part of a head, for longer than allowed.
     fn is_over(&mut self, now: Duration, node: &Node, requests: &ConnectionRequests) -> bool {
-        let in_force = node.routes().map(|table| table.rules.limits.idle_timeout);
-        self.timeout = self.timeout.max(in_force.unwrap_or(IDLE_TIMEOUT_DEFAULT));
+        let routes = node.routes();
+        let limits = routes.as_ref().map(|table| &table.rules.limits);
+        let idle_timeout = limits.map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_timeout);
+        let head_timeout = limits.map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.head_timeout);
+        self.timeout = self.timeout.max(idle_timeout);
+        self.head_timeout = self.head_timeout.max(head_timeout);
         let stage = Some(requests.stage()).filter(|stage| *stage != RequestStage::Open);
         if stage != self.began_as {
             (self.began_as, self.began_at) = (stage, now);
         }
-        stage.is_some() && now >= self.began_at + self.timeout
+        let timeout = match stage {
+            None => return false,
+            Some(RequestStage::Head) => self.head_timeout.min(self.timeout),
+            Some(_) => self.timeout,
+        };
+        now >= self.began_at + timeout
     }
 }
 
--- a/tests/route_rules.rs
+++ b/tests/route_rules.rs
@@ -34,6 +34,7 @@
         limits: CallerLimits {
             head_bytes: 16_384,
             body_bytes: 1 << 20,
+            head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
         workspaces: None,
