Metrics: open connections of callers, and bytes of their bodies

Cause: operators could not see how much of the budget callers take.

Change: two gauges; the counter of closed connections loses 'caller' in its name, since internal ones count there too.

Measured: the library builds and clippy is clean; no test of its own.

--- a/src/serve/counters.rs
+++ b/src/serve/counters.rs
@@ -230,7 +230,11 @@
     pub endpoint_silences: IntCounterVec,
     /// New connections to endpoints.
     pub connections: IntCounter,
-    /// Callers' connections that were closed because there were too many, by which.
+    /// Open connections of callers.
+    pub caller_connections: Gauge,
+    /// Bytes of callers' bodies.
+    pub body_bytes: Gauge,
+    /// Connections that were closed because there were too many, by which.
     pub connections_closed: IntCounterVec,
     /// Transitions of endpoints, by transition and by the source that reported it.
     pub endpoint_transitions: IntCounterVec,
@@ -319,9 +323,15 @@
                 "bramley_endpoint_connections_total",
                 "New connections to endpoints.",
             ),
+            caller_connections: metrics
+                .gauge("bramley_caller_connections", "Open connections of callers."),
+            body_bytes: metrics.gauge(
+                "bramley_body_bytes",
+                "Bytes of bodies that are being read or whose requests are served.",
+            ),
             connections_closed: metrics.counters(
-                "bramley_caller_connections_closed_total",
-                "Callers' connections that were closed because there were too many.",
+                "bramley_connections_closed_total",
+                "Connections that were closed because there were too many.",
                 &["connection"],
             ),
             endpoint_transitions: metrics.counters(
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -182,6 +182,7 @@
             update_idle_counters(&node);
             update_open_requests(&node);
             update_confirmation_ages(&node);
+            update_callers(&node);
             replies::binary(Bytes::from(node.counters.metrics.page().body))
         }
         "/dump" => replies::json(200, Bytes::from(dump(&node))),
@@ -223,6 +224,14 @@
     }
 }
 
+fn update_callers(node: &Node) {
+    let counters = &node.counters;
+    counters
+        .caller_connections
+        .set(node.connections.count() as f64);
+    counters.body_bytes.set(node.bodies.held_bytes() as f64);
+}
+
 fn update_confirmation_ages(node: &Node) {
     let now = clock::now();
     let core = node.core.borrow();
