Items: one call on the store confirms all that a resumed item needs

In a fleet of more than 30 VMs each item that makes way and resumes asked twice, once for the process that began its text and once for the next one, and no answer served another item.

Change: a VM that knows all endpoints reads them with one call, which confirms every connection that was opened before. An item that resumes has its connection ready before its beginning is checked, so that one call serves both. Where the entries don't fit a page, single ones are read as before.

--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -262,6 +262,20 @@
     confirmed.or_else(|| node.pool.take(target.endpoint))
 }
 
+/// Has a confirmed connection ready for a run that continues another one.
+///
+/// The call on the store that confirms it confirms what was opened before too, so that the process
+/// which began the run needs no call of its own afterwards.
+pub async fn prepare(node: &Rc<Node>, target: &Target) -> Result<(), Failure> {
+    let connection = match take_idle(node, target, true) {
+        Some(connection) => connection,
+        None => open(node, target).await?,
+    };
+    let checked = check_software(node, target, &connection).await;
+    node.pool.put(target.endpoint, connection, None);
+    checked
+}
+
 /// Checks that a connection leads to the software version that its endpoint is registered with.
 async fn check_software(
     node: &Rc<Node>,
--- a/src/serve/processes.rs
+++ b/src/serve/processes.rs
@@ -95,7 +95,8 @@
 async fn ask(node: &Rc<Node>, connected: &ConnectedProcess, check: impl Fn() -> SoftwareCheck) {
     let wanted_at = clock::now();
     let is_unknown = || !matches!(check(), SoftwareCheck::Confirmed | SoftwareCheck::Replaced);
-    if !node.core.borrow().peers.is_large() {
+    let holds_all = node.core.borrow().discovery.holds_all();
+    if holds_all {
         refresh(node, wanted_at).await;
     }
     if is_unknown() {
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -242,6 +242,10 @@
     if let Err(hold) = quarantine::admit_item(node, out) {
         return RunEnd::Quarantined(hold);
     }
+    if last_event(node, key).is_some() {
+        // Without a connection, sending fails in the same way and says why.
+        let _ = exchange::prepare(node, &target).await;
+    }
     confirm_text(node, key).await;
     let made_by = node
         .runs
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -207,14 +207,8 @@
     node: &Node,
     followed: FollowedPrefix,
 ) -> Result<Option<WatchAnswer>, Error> {
-    let sent_at = clock::now();
-    let (items, more, at) = node.store.first_page(followed.prefix).await?;
-    if !more {
-        return Ok(Some(WatchAnswer {
-            update: StoreUpdate::Snapshot(items),
-            at,
-            asked_at: Some(sent_at),
-        }));
+    if let Some(answer) = read_page(node, followed).await? {
+        return Ok(Some(answer));
     }
     while !may_read_all(node) && !is_updated_by_delegate(node, followed.subject) {
         sleep(FIRST_NEWS_CHECK_INTERVAL).await;
@@ -222,6 +216,17 @@
     Ok(None)
 }
 
+/// Reads the endpoints with one call; `None` if they don't fit one page.
+async fn read_page(node: &Node, followed: FollowedPrefix) -> Result<Option<WatchAnswer>, Error> {
+    let sent_at = clock::now();
+    let (items, more, at) = node.store.first_page(followed.prefix).await?;
+    Ok((!more).then(|| WatchAnswer {
+        update: StoreUpdate::Snapshot(items),
+        at,
+        asked_at: Some(sent_at),
+    }))
+}
+
 /// How long a starting VM waits for its delegates; differs between VMs, so that they don't all read
 /// the store at once when no delegate does.
 fn first_news_wait(node: &Node) -> Duration {
@@ -324,8 +329,19 @@
 
 /// Asks the store once for changes of endpoints, and applies them.
 pub async fn refresh_endpoints(node: &Node) -> Result<(), Error> {
-    let after = node.core.borrow().discovery.revision;
-    let answer = ask_store_once(node, followed_endpoints(node), after).await?;
+    let followed = followed_endpoints(node);
+    let (after, is_large) = {
+        let core = node.core.borrow();
+        (core.discovery.revision, core.peers.is_large())
+    };
+    let answer = match is_large {
+        // What delegates told last may be older than the store's history.
+        true => read_page(node, followed).await?,
+        false => Some(ask_store_once(node, followed, after).await?),
+    };
+    let Some(answer) = answer else {
+        return Ok(());
+    };
     let asked_at = answer.asked_at;
     apply_endpoints(node, answer);
     if let Some(asked_at) = asked_at {
