Bodies: look for those that yield only where room is missing

Cause: each growth of a body copied the table of all unfinished ones.

Change: they are listed and sorted only when bytes are missing.

--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -153,23 +153,8 @@
         let held_bytes = self.unfinished.get(&body)?.bytes + more_bytes;
         let usable_bytes = usable_bytes(self.room_bytes, held_bytes);
         let needed_bytes = self.unfinished_bytes + finished_bytes + more_bytes;
-        let mut missing_bytes = needed_bytes.saturating_sub(usable_bytes);
-        let mut yielding = Vec::new();
-        let mut rest = self.unfinished.clone();
-        rest.remove(&body);
-        while missing_bytes > 0 {
-            let largest = rest
-                .iter()
-                .filter(|(_, other)| other.bytes > 0)
-                .map(|(id, other)| (other.yields_to(now, held_bytes), other.bytes, *id))
-                .max()?;
-            let (true, bytes, id) = largest else {
-                return None;
-            };
-            rest.remove(&id);
-            yielding.push(id);
-            missing_bytes = missing_bytes.saturating_sub(bytes);
-        }
+        let missing_bytes = needed_bytes.saturating_sub(usable_bytes);
+        let yielding = self.yielding(now, body, held_bytes, missing_bytes)?;
         for other in &yielding {
             self.end(*other);
         }
@@ -179,6 +164,34 @@
         Some(yielding)
     }
 
+    /// The bodies that free `missing_bytes` for a body that then holds `held_bytes`; `None` if they
+    /// don't have as many.
+    fn yielding(
+        &self,
+        now: Duration,
+        body: BodyId,
+        held_bytes: usize,
+        missing_bytes: usize,
+    ) -> Option<Vec<BodyId>> {
+        if missing_bytes == 0 {
+            return Some(Vec::new());
+        }
+        let others = self.unfinished.iter().filter(|(id, _)| **id != body);
+        let mut others: Vec<_> = others
+            .filter(|(_, other)| other.bytes > 0 && other.yields_to(now, held_bytes))
+            .map(|(id, other)| (other.bytes, *id))
+            .collect();
+        others.sort_unstable();
+        let mut yielding = Vec::new();
+        let mut freed_bytes = 0;
+        while freed_bytes < missing_bytes {
+            let (bytes, other) = others.pop()?;
+            freed_bytes += bytes;
+            yielding.push(other);
+        }
+        Some(yielding)
+    }
+
     /// Notes that bytes have arrived which needed no more memory.
     pub fn touch(&mut self, now: Duration, body: BodyId) {
         if let Some(row) = self.unfinished.get_mut(&body) {
