Replies: results and bodies of items share a part of the VM's memory

Clients that ask for results or bodies of items and read nothing of the replies had each reply kept whole, up to 4 MB a connection, whatever the other connections held; callers saw the VM end where its memory did. Nothing counted what the process itself answers.

A reply takes memory before what it consists of is read, and until it has been sent, in order of arrival and with a part left to small ones. While one waits, the connection whose caller has left such a reply unread for longest is closed, if it has stalled for half a second. Records note the sizes of their parts, so that the memory is known before a part is read; parts of unknown size count as the largest. A page parses each part once.

The connections' part falls from 25% to 23%, that of submissions from 20% to 18%, jobs from 10% to 9%, the cache from 12% to 10%.

--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -28,8 +28,9 @@
 pub const SMALL_BYTES: usize = 64 * 1024;
 /// Part of a room that is left to what is small.
 const SMALL_SHARE: f64 = 0.25;
-/// An unfinished body that has received nothing for this long yields to any other.
-const STALLED_AFTER: Duration = Duration::from_millis(500);
+/// A body that has received nothing for this long yields to any other, and so does a reply of which
+/// nothing was read.
+pub const STALLED_AFTER: Duration = Duration::from_millis(500);
 
 /// What a VM grants one process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +54,8 @@
     pub job_bytes: usize,
     /// Answers that are collected, and events that wait for their callers.
     pub answer_bytes: usize,
+    /// Replies with results of batch jobs or bodies of items, until they are sent.
+    pub reply_bytes: usize,
     /// Cached parts of batch jobs.
     pub cache_bytes: usize,
     /// Callers' connections.
@@ -71,14 +74,15 @@
         let shared = shared.max(SHARED_BYTES_MIN);
         let part = |percent: usize| shared / 100 * percent;
         let descriptors = |share: f64| (grant.descriptors as f64 * share) as usize;
-        let connection_bytes = part(25);
+        let connection_bytes = part(23);
         Budget {
             connection_bytes,
-            body_bytes: part(25),
-            submission_bytes: part(20),
-            job_bytes: part(10),
+            body_bytes: part(24),
+            submission_bytes: part(18),
+            job_bytes: part(9),
             answer_bytes: part(8),
-            cache_bytes: part(12).min(CACHE_BYTES_MAX),
+            reply_bytes: part(8),
+            cache_bytes: part(10).min(CACHE_BYTES_MAX),
             connections_max: descriptors(CALLER_DESCRIPTORS)
                 .min(connection_bytes / CONNECTION_BYTES),
             idle_connections_max: descriptors(IDLE_DESCRIPTORS),
--- a/src/decide/small_jobs.rs
+++ b/src/decide/small_jobs.rs
@@ -99,10 +99,17 @@
     /// First item of each body part. A part with the same one as the part before it goes on with the
     /// body of that item.
     pub body_parts: Vec<ItemIndex>,
+    /// Sizes of the body parts in bytes. Empty in records of programs that don't note them.
+    #[serde(default)]
+    pub body_part_bytes: Vec<u32>,
     /// Invariant: append-only, and each item is listed at most once.
     pub listed: Vec<ListedResult>,
     /// Number of text parts so far.
     pub text_parts: u32,
+    /// Sizes of the text parts in bytes. Shorter than their number, or empty, if a program that
+    /// doesn't note them has written the record.
+    #[serde(default)]
+    pub text_part_bytes: Vec<u32>,
     /// Failed runs of items that are not listed yet, so that a new owner continues the count.
     pub failures: Vec<(ItemIndex, u32)>,
     pub cancelled: bool,
@@ -225,6 +232,8 @@
             return None;
         }
         let mut record = self.clone();
+        // A missing size must not shift those that follow.
+        record.text_part_bytes.resize(self.text_parts as usize, 0);
         let mut parts: Vec<(u32, Vec<String>)> = Vec::new();
         let mut part_bytes = usize::MAX;
         for result in finished {
@@ -238,12 +247,16 @@
                 }
                 parts.push((record.text_parts, Vec::new()));
                 record.text_parts += 1;
+                record.text_part_bytes.push(0);
                 part_bytes = LIST_BYTES;
             }
             let Some((part, texts)) = parts.last_mut() else {
                 break;
             };
             part_bytes += text_bytes;
+            if let Some(noted_bytes) = record.text_part_bytes.last_mut() {
+                *noted_bytes = part_bytes as u32;
+            }
             texts.push(result.text.clone());
             record.listed.push(ListedResult {
                 item: result.item,
@@ -278,6 +291,30 @@
         Some((row.part, index))
     }
 
+    /// Size of the text parts with the results from a position on, up to `bytes_max` or one part.
+    pub fn page_bytes(&self, position: usize, bytes_max: usize) -> usize {
+        let mut page_bytes = 0;
+        let mut last = None;
+        for row in self.listed.iter().skip(position) {
+            if last == Some(row.part) {
+                continue;
+            }
+            last = Some(row.part);
+            page_bytes += noted_bytes(&self.text_part_bytes, row.part).unwrap_or(TEXT_BYTES_MAX);
+            if page_bytes >= bytes_max {
+                break;
+            }
+        }
+        page_bytes
+    }
+
+    /// Size of the parts with an item's body.
+    pub fn body_bytes(&self, location: &BodyLocation) -> usize {
+        let parts = location.parts.clone();
+        let part_bytes = |part| noted_bytes(&self.body_part_bytes, part).unwrap_or(PART_BYTES_MAX);
+        parts.map(part_bytes).sum()
+    }
+
     /// Where an item's body is stored.
     pub fn body_location(&self, item: ItemIndex) -> Option<BodyLocation> {
         let last = self.body_parts.partition_point(|first| *first <= item);
@@ -296,6 +333,12 @@
     }
 }
 
+/// The noted size of a part.
+fn noted_bytes(noted: &[u32], part: u32) -> Option<usize> {
+    let bytes = noted.get(part as usize).copied();
+    bytes.filter(|bytes| *bytes > 0).map(|bytes| bytes as usize)
+}
+
 /// Where an item's body is stored.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BodyLocation {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -38,6 +38,7 @@
 pub mod registration;
 pub mod relay;
 pub mod replies;
+mod reply_memory;
 pub mod results;
 pub mod retire;
 pub mod runs;
--- a/src/serve/ask.rs
+++ b/src/serve/ask.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::{Request, StatusCode, Uri};
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
@@ -30,6 +31,11 @@
     },
     #[snafu(display("answered {status}"))]
     Refused { status: StatusCode },
+    #[snafu(
+        display("there is no memory left for the answer"),
+        visibility(pub(super))
+    )]
+    MemoryFull,
     #[snafu(display("no answer in time"), context(false))]
     TimedOut { source: tokio::time::error::Elapsed },
 }
@@ -61,22 +67,28 @@
     within: Duration,
 ) -> Result<T, AskError> {
     let exchange = async {
-        let mut connection = Connection::open(&to.to_string()).await?;
-        let mut request = Request::new(Full::new(Bytes::from(body)));
-        *request.uri_mut() = path.parse::<Uri>()?;
-        let answer = connection.send(request).await?;
-        if answer.status() != StatusCode::OK {
-            let status = answer.status();
-            return RefusedSnafu { status }.fail();
-        }
-        Ok(answer.into_body().collect().await?.to_bytes())
+        let sealed = ask_body(to, path, body).await?.collect().await?;
+        Ok::<_, AskError>(sealed.to_bytes())
     };
     let sealed = timeout(within, exchange).await??;
     Ok(node.key.open(&sealed)?)
 }
 
+/// Sends a request to another VM, and returns the sealed answer before it is read.
+pub async fn ask_body(to: SocketAddr, path: &str, body: Vec<u8>) -> Result<Incoming, AskError> {
+    let mut connection = Connection::open(&to.to_string()).await?;
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.uri_mut() = path.parse::<Uri>()?;
+    let answer = connection.send(request).await?;
+    let status = answer.status();
+    match status {
+        StatusCode::OK => Ok(answer.into_body()),
+        _ => RefusedSnafu { status }.fail(),
+    }
+}
+
 /// The answer to a request of another VM.
-pub fn reply(sealed: Result<Vec<u8>, wire::Error>) -> Reply {
+pub fn reply(sealed: Result<impl Into<Bytes>, wire::Error>) -> Reply {
     match sealed {
         Ok(sealed) => replies::binary(sealed.into()),
         Err(error) => {
--- a/src/serve/connections.rs
+++ b/src/serve/connections.rs
@@ -9,7 +9,7 @@
 
 use super::counters::{Counters, ExpectedRequest, OpenRequest, RequestKind};
 use super::node::Node;
-use crate::decide::memory::{connection_to_close, ConnectionWait};
+use crate::decide::memory::{connection_to_close, ConnectionWait, STALLED_AFTER};
 
 /// Id of a connection, in the order in which they were accepted.
 type ConnectionId = u64;
@@ -68,6 +68,24 @@
         })
     }
 
+    /// Closes the connection whose caller has left a reply about a job unread for longest, if it has
+    /// stalled.
+    pub fn close_unread(&self, now: Duration, counters: &Counters) {
+        let mut open = self.open.borrow_mut();
+        let unread = open.iter().filter_map(|(id, requests)| {
+            let since = requests.job_reply_unread_since()?;
+            (now >= since + STALLED_AFTER).then_some((since, *id))
+        });
+        let Some((_, id)) = unread.min() else {
+            return;
+        };
+        if let Some(requests) = open.remove(&id) {
+            requests.makes_way.notify_one();
+            let counter = &counters.connections_closed;
+            counter.with_label_values(&["unread"]).inc();
+        }
+    }
+
     /// Number of open connections.
     pub fn count(&self) -> usize {
         self.open.borrow().len()
@@ -138,6 +156,14 @@
         }
     }
 
+    /// Since when the caller has not read a reply with results or the body of an item, if it doesn't.
+    fn job_reply_unread_since(&self) -> Option<Duration> {
+        let newest = self.newest.borrow();
+        let kind = newest.as_ref()?.kind();
+        let is_job_reply = matches!(kind, RequestKind::Results | RequestKind::ItemBody);
+        self.unread_since.get().filter(|_| is_job_reply)
+    }
+
     /// Notes that the caller leaves no room for what is written.
     pub fn write_blocked(&self, now: Duration) {
         if self.unread_since.get().is_none() {
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -14,6 +14,7 @@
 use super::part_cache::{self, PartError};
 use super::peers;
 use super::replies::{self, Reply};
+use super::reply_memory;
 use super::runs;
 use crate::clock;
 use crate::decide::refusal::RefusalKind;
@@ -28,8 +29,8 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1400);
 /// `Retry-After` when the store could not be reached; outages last for seconds.
 pub(super) const STORE_RETRY_AFTER: Duration = Duration::from_millis(900);
-/// `Retry-After` of a VM whose memory for submissions is taken; another VM may have some.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` of a VM whose memory for jobs is taken; another VM may have some.
+pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Path under which another VM reports that it has cancelled a job; the job follows.
 pub const ENDED_PATH: &str = "/ended/";
 /// Timeout of that report; the caller that cancelled the job waits for it.
@@ -89,6 +90,10 @@
     let keys = (0..).map(|number| body_key(&id, number));
     let writes = keys.zip(encoded).map(|(key, part)| write(key, part));
     let writes: Vec<Write> = writes.collect();
+    record.body_part_bytes = writes
+        .iter()
+        .map(|write| write.value.len() as u32)
+        .collect();
     // A task of its own: a caller that disconnects must not stop the write from being settled.
     let (stored, route) = (node.clone(), route.clone());
     let accepted = tokio::task::spawn_local(async move {
@@ -116,8 +121,10 @@
         items: items.iter().map(|item| item.id.clone()).collect(),
         tokens: items.iter().map(|item| item.tokens).collect(),
         body_parts: Vec::new(),
+        body_part_bytes: Vec::new(),
         listed: Vec::new(),
         text_parts: 0,
+        text_part_bytes: Vec::new(),
         failures: Vec::new(),
         cancelled: false,
         nonce: util::nonce(),
@@ -252,8 +259,13 @@
     let Some(location) = location.filter(|_| !record.cancelled) else {
         return replies::refusal(RefusalKind::NotFound, true, None);
     };
+    let bytes = record.body_bytes(&location);
+    let Some(memory) = reply_memory::take(&node, bytes).await else {
+        log::info!(job = *job, bytes; "an item's body can't be read: no memory for it");
+        return replies::refusal(RefusalKind::MemoryFull, true, Some(MEMORY_RETRY_AFTER));
+    };
     match read_body(&node, &record, location).await {
-        Ok(Some(body)) => replies::binary(body),
+        Ok(Some(body)) => replies::binary(reply_memory::hold(body, memory)),
         Ok(None) => replies::refusal(RefusalKind::PlatformAway, true, Some(STORE_RETRY_AFTER)),
         Err(error) => {
             log::warn!(job = *job, error:% = error; "an item's body can't be read");
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -193,6 +193,8 @@
     pub submission_memory: QueuedRoom,
     /// Room for the items of jobs that run here.
     pub job_memory: QueuedRoom,
+    /// Room for replies with results of jobs or bodies of items.
+    pub reply_memory: QueuedRoom,
     /// Room for answers of endpoints.
     pub answer_memory: AnswerMemory,
     /// Software versions on record in the store, as last read.
@@ -288,6 +290,7 @@
                 bodies: Bodies::new(budget.body_bytes),
                 submission_memory: QueuedRoom::new(budget.submission_bytes),
                 job_memory: QueuedRoom::new(budget.job_bytes),
+                reply_memory: QueuedRoom::new(budget.reply_bytes),
                 answer_memory: AnswerMemory::new(budget.answer_bytes),
                 software_records: SoftwareRecords::default(),
                 software_recording: Mutex::default(),
--- a/src/serve/queued_room.rs
+++ b/src/serve/queued_room.rs
@@ -1,4 +1,4 @@
-//! Memory that is taken in the order of arrival, by submissions and jobs.
+//! Memory that is taken in the order of arrival, by submissions, jobs and replies.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +11,8 @@
 /// Copies of a submission that are held at once: as items, as they are stored, and as they are sent
 /// to the store or to another VM.
 const COPIES_MAX: usize = 4;
+/// Copies of a reply that are held while it is made: what was read, and the reply itself.
+const REPLY_COPIES_MAX: usize = 2;
 /// Unit in which memory is taken.
 const UNIT_BYTES: usize = 1024;
 /// Time that a submission waits for memory. Its caller has the time to send it to another VM.
@@ -53,6 +55,12 @@
         self.take(items_bytes, items_bytes <= SMALL_BYTES).await
     }
 
+    /// Waits for memory for a reply.
+    pub async fn take_for_reply(&self, reply_bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let needed_bytes = reply_bytes.saturating_mul(REPLY_COPIES_MAX);
+        self.take(needed_bytes, reply_bytes <= SMALL_BYTES).await
+    }
+
     async fn take(&self, bytes: usize, is_small: bool) -> Option<OwnedSemaphorePermit> {
         let needed_units = bytes / UNIT_BYTES + 1;
         let (room, units) = match is_small {
@@ -64,3 +72,10 @@
         room.clone().acquire_many_owned(units).await.ok()
     }
 }
+
+/// Returns what a permit takes beyond `bytes`.
+pub fn shrink(permit: &mut OwnedSemaphorePermit, bytes: usize) {
+    let kept_units = bytes / UNIT_BYTES + 1;
+    let surplus_units = permit.num_permits().saturating_sub(kept_units);
+    drop(permit.split(surplus_units));
+}
--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -1,20 +1,26 @@
 //! Results of batch jobs, for callers that read them while the jobs run.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::Body;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{sleep, timeout};
 
-use super::ask::{ask, reply};
+use super::ask::{ask_body, reply, AskError, MemoryFullSnafu};
 use super::dialect::ResultRow;
 use super::job_table::Job;
-use super::jobs::{find_for_caller, read_from_store, store_unavailable, STORE_RETRY_AFTER};
+use super::jobs::{
+    find_for_caller, read_from_store, store_unavailable, MEMORY_RETRY_AFTER, STORE_RETRY_AFTER,
+};
 use super::node::Node;
-use super::part_cache;
+use super::part_cache::{self, PartError};
 use super::peers;
 use super::replies::{self, Reply};
+use super::reply_memory;
 use crate::clock;
 use crate::decide::refusal::RefusalKind;
 use crate::decide::small_jobs::{self, SmallJobRecord};
@@ -135,7 +141,7 @@
     let owner = peers::remote_owner(node, record.owner).filter(|_| !record.ended())?;
     let wait = until.saturating_sub(clock::now());
     let path = format!("{PATH}{}/{after}/{}", record.id, wait.as_millis());
-    match ask::<Bytes>(node, owner, &path, Vec::new(), wait + ANSWER_MARGIN).await {
+    match ask_for_page(node, owner, &path, wait + ANSWER_MARGIN).await {
         Ok(page) => Some(replies::json(200, page)),
         Err(error) => {
             log::info!(job = *record.id, owner:% = owner, error:% = error; "a job's owner did not tell its results");
@@ -149,6 +155,25 @@
     }
 }
 
+/// Asks another VM for a page of results, which takes memory here before it is read.
+async fn ask_for_page(
+    node: &Node,
+    owner: SocketAddr,
+    path: &str,
+    within: Duration,
+) -> Result<Bytes, AskError> {
+    let exchange = async {
+        let page = ask_body(owner, path, Vec::new()).await?;
+        let bytes = page.size_hint().lower() as usize;
+        let Some(memory) = reply_memory::take(node, bytes).await else {
+            return MemoryFullSnafu.fail();
+        };
+        let page: Bytes = node.key.open(&page.collect().await?.to_bytes())?;
+        Ok(reply_memory::hold(page, memory))
+    };
+    timeout(within, exchange).await?
+}
+
 /// Answers another VM with the results of a job that is run here, as [`results`] answers callers.
 pub async fn answer(node: &Rc<Node>, path: &str) -> Reply {
     let mut fields = path.strip_prefix(PATH).unwrap_or_default().split('/');
@@ -186,16 +211,12 @@
         }
         wait_for_change(node, &job, until - now).await;
     };
-    let page = results_page(node, &record, after).await;
-    match page.status().as_u16() {
-        200 => match page.into_body().collect().await {
-            Ok(body) => reply(node.key.seal(&body.to_bytes())),
-            Err(error) => {
-                log::warn!(job = *job, error:% = error; "results can't be forwarded");
-                replies::empty(500)
-            }
-        },
-        status => replies::empty(status),
+    match make_page(node, &record, after).await {
+        Ok((page, memory)) => {
+            let sealed = node.key.seal(&page).map(Bytes::from);
+            reply(sealed.map(|sealed| reply_memory::hold(sealed, memory)))
+        }
+        Err(refusal) => replies::empty(refusal.status().as_u16()),
     }
 }
 
@@ -278,22 +299,51 @@
 }
 
 async fn results_page(node: &Rc<Node>, record: &SmallJobRecord, after: usize) -> Reply {
+    match make_page(node, record, after).await {
+        Ok((page, memory)) => replies::json(200, reply_memory::hold(page, memory)),
+        Err(refusal) => refusal,
+    }
+}
+
+/// A page of results and the memory that it takes, or the refusal to answer with.
+async fn make_page(
+    node: &Rc<Node>,
+    record: &SmallJobRecord,
+    after: usize,
+) -> Result<(Bytes, OwnedSemaphorePermit), Reply> {
+    let bytes = record.page_bytes(after, PAGE_BYTES_MAX);
+    let Some(memory) = reply_memory::take(node, bytes).await else {
+        log::info!(job = *record.id, bytes; "results can't be read: no memory for them");
+        let retry_after = Some(MEMORY_RETRY_AFTER);
+        return Err(replies::refusal(RefusalKind::MemoryFull, true, retry_after));
+    };
+    let page = read_page(node, record, after).await.map_err(|error| {
+        log::warn!(job = *record.id, error:% = error; "results can't be read");
+        replies::refusal(RefusalKind::PlatformAway, true, Some(STORE_RETRY_AFTER))
+    })?;
+    Ok((page, memory))
+}
+
+async fn read_page(
+    node: &Rc<Node>,
+    record: &SmallJobRecord,
+    after: usize,
+) -> Result<Bytes, PartError> {
     let mut rows = Vec::new();
     let mut bytes = 0;
+    let mut last_part = None;
+    let mut texts = Vec::new();
     for position in after..record.listed.len() {
         let Some((part, place)) = record.text_location(position) else {
             break;
         };
-        let key = small_jobs::text_key(&record.id, part);
-        let texts: Vec<String> = match part_cache::read(node, key, record.owner).await {
-            Ok(texts) => texts,
-            Err(error) => {
-                log::warn!(job = *record.id, error:% = error; "results can't be read");
-                return replies::refusal(RefusalKind::PlatformAway, true, Some(STORE_RETRY_AFTER));
-            }
-        };
+        if last_part != Some(part) {
+            let key = small_jobs::text_key(&record.id, part);
+            texts = part_cache::read::<Vec<String>>(node, key, record.owner).await?;
+            last_part = Some(part);
+        }
         let listed = &record.listed[position];
-        let text = texts.get(place).cloned().unwrap_or_default();
+        let text = texts.get_mut(place).map(std::mem::take).unwrap_or_default();
         bytes += json_bytes(&text);
         if bytes > PAGE_BYTES_MAX && !rows.is_empty() {
             break;
@@ -305,6 +355,5 @@
         });
     }
     let next = after + rows.len();
-    let body = (node.dialect.results)(record.items.len(), &rows, next);
-    replies::json(200, body)
+    Ok((node.dialect.results)(record.items.len(), &rows, next))
 }
--- a/tests/body_room.rs
+++ b/tests/body_room.rs
@@ -65,6 +65,7 @@
             + budget.submission_bytes
             + budget.job_bytes
             + budget.answer_bytes
+            + budget.reply_bytes
             + budget.cache_bytes;
         assert!(spent_bytes <= grant.memory_bytes - 20_000_000);
         assert!(budget.connections_max + budget.idle_connections_max < grant.descriptors);
--- a/tests/small_jobs.rs
+++ b/tests/small_jobs.rs
@@ -4,7 +4,7 @@
 
 use bramleyseam::decide::small_jobs::{
     body_parts, join_part, BodyPart, FinishedItem, Item, ItemOutcome, SmallJobRecord,
-    PART_BYTES_MAX,
+    PART_BYTES_MAX, TEXT_BYTES_MAX,
 };
 use quickcheck::quickcheck;
 use rand::rngs::SmallRng;
@@ -24,8 +24,10 @@
         items: (0..items).map(|at| format!("item-{at}").into()).collect(),
         tokens: vec![100; items],
         body_parts: vec![0],
+        body_part_bytes: Vec::new(),
         listed: Vec::new(),
         text_parts: 0,
+        text_part_bytes: Vec::new(),
         failures: Vec::new(),
         cancelled: false,
         nonce: 1,
@@ -104,6 +106,35 @@
     assert!(listing.record.complete());
 }
 
+// Readers take memory by these sizes; that of a part which another program wrote is not known.
+#[test]
+fn noted_sizes() {
+    let text = "x".repeat(50_000);
+    let done: Vec<FinishedItem> = (0..20).map(|item| finished(item, &text)).collect();
+    let before = SmallJobRecord {
+        text_parts: 1,
+        ..record(20)
+    };
+    let listing = before.list(1, 1, &done, &[], 2).unwrap();
+    let encoded = |texts: &Vec<String>| serde_json::to_vec(texts).unwrap().len();
+    let sizes: Vec<usize> = listing
+        .parts
+        .iter()
+        .map(|(_, texts)| encoded(texts))
+        .collect();
+    assert_eq!(sizes.len(), 2);
+    let page_bytes = |record: &SmallJobRecord, after| record.page_bytes(after, usize::MAX);
+    let record = listing.record;
+    assert!((sizes[0] + sizes[1]..sizes[0] + sizes[1] + 4).contains(&page_bytes(&record, 0)));
+    assert!((sizes[1]..sizes[1] + 2).contains(&page_bytes(&record, 19)));
+    assert_eq!(page_bytes(&record, 20), 0);
+    let unknown = SmallJobRecord {
+        text_part_bytes: Vec::new(),
+        ..record
+    };
+    assert_eq!(page_bytes(&unknown, 19), TEXT_BYTES_MAX);
+}
+
 // A part's size was the length of its texts, which grow up to six times when they are encoded, so that
 // the store rejected it.
 #[test]
