Jobs: one that is taken over takes as much memory as its items do

A VM that took over jobs ran seven of them at a time, however small, and the others waited for those to end: where a job's parts were not cached, each counted as the largest, and the memory was not returned once the items had been read. Introduced with the part of the memory for items; callers saw results late.

The record now notes the sizes of the parts, and what was taken beyond the items' size is returned.

--- a/src/decide/small_jobs.rs
+++ b/src/decide/small_jobs.rs
@@ -33,6 +33,9 @@
 /// entries.
 pub const PARTS_PER_WRITE: usize = 8;
 
+/// Memory of an item, or of one of its headers, beside its text.
+const ITEM_ROW_BYTES: usize = 64;
+
 /// More failed runs than an item can have in its time.
 const FAILURES_MAX: u32 = u32::MAX / 2;
 
@@ -52,6 +55,17 @@
     pub tokens: u32,
 }
 
+impl Item {
+    /// About how much memory the item takes.
+    pub fn held_bytes(&self) -> usize {
+        let headers = self.headers.iter();
+        let header_bytes: usize = headers
+            .map(|(name, value)| name.len() + value.len() + ITEM_ROW_BYTES)
+            .sum();
+        ITEM_ROW_BYTES + self.id.len() + self.path.len() + header_bytes + self.body.len()
+    }
+}
+
 /// How an item ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, IntoStaticStr)]
 #[serde(rename_all = "snake_case")]
@@ -308,6 +322,13 @@
         page_bytes
     }
 
+    /// Size of all body parts.
+    pub fn items_bytes(&self) -> usize {
+        (0..self.body_parts.len() as u32)
+            .map(|part| noted_bytes(&self.body_part_bytes, part).unwrap_or(PART_BYTES_MAX))
+            .sum()
+    }
+
     /// Size of the parts with an item's body.
     pub fn body_bytes(&self, location: &BodyLocation) -> usize {
         let parts = location.parts.clone();
--- a/src/serve/runs/claims.rs
+++ b/src/serve/runs/claims.rs
@@ -14,13 +14,13 @@
 use crate::decide::items::ItemKey;
 use crate::decide::small_jobs::{
     body_key, join_part, progress_key, record_key, text_key, Item, ItemIndex, SmallJobRecord,
-    PART_BYTES_MAX,
 };
 use crate::id::{self, JobId, OwnerId, Revision};
 use crate::serve::job_table::Job;
 use crate::serve::jobs;
 use crate::serve::node::{Node, Stage};
 use crate::serve::part_cache;
+use crate::serve::queued_room::shrink;
 use crate::store::{CommitOutcome, Txn};
 use crate::util;
 
@@ -55,10 +55,7 @@
     }
     let (node, job) = (node.clone(), job.clone());
     tokio::task::spawn_local(async move {
-        let memory = node
-            .job_memory
-            .take_for_job(items_bytes(&node, &record))
-            .await;
+        let memory = node.job_memory.take_for_job(record.items_bytes()).await;
         if is_unchanged(&node, &record) {
             load(&node, &record, memory).await;
         }
@@ -73,9 +70,12 @@
 }
 
 /// Reads a job's items and takes them on.
-async fn load(node: &Rc<Node>, record: &SmallJobRecord, memory: Option<OwnedSemaphorePermit>) {
+async fn load(node: &Rc<Node>, record: &SmallJobRecord, mut memory: Option<OwnedSemaphorePermit>) {
     match load_items(node, record).await {
         Ok(items) => {
+            if let Some(memory) = &mut memory {
+                shrink(memory, items.iter().map(Item::held_bytes).sum());
+            }
             let saved = progress::read(node, record).await;
             add_job(node, record, items, saved, memory);
         }
@@ -86,16 +86,6 @@
     }
 }
 
-/// About how much memory the items of a job take.
-fn items_bytes(node: &Node, record: &SmallJobRecord) -> usize {
-    let core = node.core.borrow();
-    let part_bytes = |part: usize| {
-        let cached = core.jobs.parts.get(&body_key(&record.id, part as u32));
-        cached.map_or(PART_BYTES_MAX, |part| part.len())
-    };
-    (0..record.body_parts.len()).map(part_bytes).sum()
-}
-
 async fn load_items(
     node: &Rc<Node>,
     record: &SmallJobRecord,
