Jobs: the records of all jobs share a part of the VM's memory

A client submitted jobs whose items had ids of 3 KB, 600 KB of them a job. Each VM keeps the records of all jobs until they are removed, and nothing limited their sum. A record close to the largest value of the store was accepted too, and would have been too large once results were listed.

Records have a part of the memory, of which small ones keep a quarter; a job whose record finds no room is refused with 503, unless it was accepted before, which the store tells. A job whose record would outgrow a value is refused with 413: 200 items with ids of more than 3.4 KB each.

The connections' part falls to 22%, bodies 23%, submissions 17%, jobs 8%, answers and replies 7% each, the cache 9%.

--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -52,6 +52,8 @@
     pub submission_bytes: usize,
     /// Items of the batch jobs that run here.
     pub job_bytes: usize,
+    /// Records of batch jobs, of this VM and of all others.
+    pub record_bytes: usize,
     /// Answers that are collected, and events that wait for their callers.
     pub answer_bytes: usize,
     /// Replies with results of batch jobs or bodies of items, until they are sent.
@@ -74,15 +76,16 @@
         let shared = shared.max(SHARED_BYTES_MIN);
         let part = |percent: usize| shared / 100 * percent;
         let descriptors = |share: f64| (grant.descriptors as f64 * share) as usize;
-        let connection_bytes = part(23);
+        let connection_bytes = part(22);
         Budget {
             connection_bytes,
-            body_bytes: part(24),
-            submission_bytes: part(18),
-            job_bytes: part(9),
-            answer_bytes: part(8),
-            reply_bytes: part(8),
-            cache_bytes: part(10).min(CACHE_BYTES_MAX),
+            body_bytes: part(23),
+            submission_bytes: part(17),
+            job_bytes: part(8),
+            record_bytes: part(7),
+            answer_bytes: part(7),
+            reply_bytes: part(7),
+            cache_bytes: part(9).min(CACHE_BYTES_MAX),
             connections_max: descriptors(CALLER_DESCRIPTORS)
                 .min(connection_bytes / CONNECTION_BYTES),
             idle_connections_max: descriptors(IDLE_DESCRIPTORS),
--- a/src/decide/small_jobs.rs
+++ b/src/decide/small_jobs.rs
@@ -33,6 +33,10 @@
 /// entries.
 pub const PARTS_PER_WRITE: usize = 8;
 
+/// Largest entries of one item in a record: its result, its failures and a part, in JSON.
+const ITEM_ENTRIES_BYTES: usize = 96;
+/// Memory of a record without its items.
+const RECORD_BYTES: usize = 512;
 /// Memory of an item, or of one of its headers, beside its text.
 const ITEM_ROW_BYTES: usize = 64;
 
@@ -158,6 +162,17 @@
             && self.failures.iter().all(is_counted)
     }
 
+    /// Whether the record fits a value of the store, however far the job gets.
+    pub fn fits_value(&self) -> bool {
+        json_bytes(self) + self.items.len() * ITEM_ENTRIES_BYTES <= PART_BYTES_MAX
+    }
+
+    /// About how much memory the record takes.
+    pub fn held_bytes(&self) -> usize {
+        let item_bytes = |id: &Name| id.len() + ITEM_ROW_BYTES;
+        RECORD_BYTES + self.items.iter().map(item_bytes).sum::<usize>()
+    }
+
     /// Whether every item is listed.
     pub fn complete(&self) -> bool {
         self.listed.len() == self.items.len()
--- a/src/serve/job_table.rs
+++ b/src/serve/job_table.rs
@@ -150,6 +150,11 @@
         keys.chain([backlog::route_key(route, None)]).collect()
     }
 
+    /// Memory of all records.
+    pub fn record_bytes(&self) -> usize {
+        self.rows.values().map(|job| job.record.held_bytes()).sum()
+    }
+
     /// Tokens of open items on a route, summed over the records.
     pub fn open_tokens(&self, route: RouteKey) -> u64 {
         self.open_tokens_of_owners(route, |_| true)
--- a/src/serve/jobs.rs
+++ b/src/serve/jobs.rs
@@ -5,6 +5,7 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
+use hyper::StatusCode;
 
 use super::ask::{ask, reply};
 use super::dialect::RequestParams;
@@ -17,6 +18,7 @@
 use super::reply_memory;
 use super::runs;
 use crate::clock;
+use crate::decide::memory::usable_bytes;
 use crate::decide::refusal::RefusalKind;
 use crate::decide::routes::Route;
 use crate::decide::small_jobs::{self, body_key, record_key, BodyLocation, Item, SmallJobRecord};
@@ -31,6 +33,8 @@
 pub(super) const STORE_RETRY_AFTER: Duration = Duration::from_millis(900);
 /// `Retry-After` of a VM whose memory for jobs is taken; another VM may have some.
 pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` while the records of jobs leave no room; they go some time after their jobs' end.
+const RECORDS_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Path under which another VM reports that it has cancelled a job; the job follows.
 pub const ENDED_PATH: &str = "/ended/";
 /// Timeout of that report; the caller that cancelled the job waits for it.
@@ -94,6 +98,9 @@
         .iter()
         .map(|write| write.value.len() as u32)
         .collect();
+    if !record.fits_value() {
+        return replies::refusal(RefusalKind::TooLarge, true, None);
+    }
     // A task of its own: a caller that disconnects must not stop the write from being settled.
     let (stored, route) = (node.clone(), route.clone());
     let accepted = tokio::task::spawn_local(async move {
@@ -134,6 +141,9 @@
 /// Writes record and items in one transaction, and answers by its outcome.
 async fn accept(node: Rc<Node>, route: Route, record: SmallJobRecord, writes: Vec<Write>) -> Reply {
     let id = record.id.clone();
+    if !has_room_for_record(&node, &record) {
+        return refuse_without_room(&node, &record).await;
+    }
     if let Err(reply) = job_admission::admit(&node, &route, &record).await {
         return reply;
     }
@@ -173,6 +183,25 @@
     }
 }
 
+/// Whether a job's record has room here. Each VM has the records of all jobs.
+fn has_room_for_record(node: &Node, record: &SmallJobRecord) -> bool {
+    let more_bytes = record.held_bytes();
+    let room_bytes = usable_bytes(node.budget.record_bytes, more_bytes);
+    node.core.borrow().jobs.record_bytes() + more_bytes <= room_bytes
+}
+
+/// Refuses a job whose record has no room, unless it was accepted before.
+async fn refuse_without_room(node: &Rc<Node>, record: &SmallJobRecord) -> Reply {
+    match read_from_store(node, &record.id).await {
+        Ok(existing) => already_accepted(&existing, &record.workspace),
+        Err(reply) if reply.status() != StatusCode::NOT_FOUND => reply,
+        Err(_) => {
+            log::info!(job = *record.id, items = record.items.len(); "job refused: no memory for its record");
+            replies::refusal(RefusalKind::MemoryFull, true, Some(RECORDS_RETRY_AFTER))
+        }
+    }
+}
+
 /// The answer to a submission whose job exists already. An id belongs to the workspace that
 /// submitted it first.
 pub(super) fn already_accepted(existing: &SmallJobRecord, caller: &Option<Name>) -> Reply {
--- a/tests/body_room.rs
+++ b/tests/body_room.rs
@@ -64,6 +64,7 @@
             + budget.body_bytes
             + budget.submission_bytes
             + budget.job_bytes
+            + budget.record_bytes
             + budget.answer_bytes
             + budget.reply_bytes
             + budget.cache_bytes;
--- a/tests/small_jobs.rs
+++ b/tests/small_jobs.rs
@@ -4,7 +4,7 @@
 
 use bramleyseam::decide::small_jobs::{
     body_parts, join_part, BodyPart, FinishedItem, Item, ItemOutcome, SmallJobRecord,
-    PART_BYTES_MAX, TEXT_BYTES_MAX,
+    BODY_PARTS_MAX, PART_BYTES_MAX, TEXT_BYTES_MAX,
 };
 use quickcheck::quickcheck;
 use rand::rngs::SmallRng;
@@ -106,6 +106,35 @@
     assert!(listing.record.complete());
 }
 
+// A record that fits the store when its job is accepted, and no more once results are listed, would
+// never list them.
+#[test]
+fn grown_record() {
+    let with_ids = |id_bytes: usize| SmallJobRecord {
+        items: (0..200)
+            .map(|at| format!("{at:0>id_bytes$}").into())
+            .collect(),
+        tokens: vec![u32::MAX; 200],
+        body_parts: vec![199; BODY_PARTS_MAX],
+        body_part_bytes: vec![u32::MAX; BODY_PARTS_MAX],
+        ..record(200)
+    };
+    let sizes = [16, 1000, 3000, 3500, 3600, 4000];
+    let fits: Vec<bool> = sizes.map(|size| with_ids(size).fits_value()).into();
+    assert_eq!(fits[..2], [true, true]);
+    assert!(!fits[5]);
+    for (size, _) in sizes.iter().zip(&fits).filter(|(_, fits)| **fits) {
+        let mut record = with_ids(*size);
+        let failures: Vec<(u32, u32)> = (0..200).map(|item| (item, u32::MAX / 4)).collect();
+        for item in 0..200 {
+            let done = [finished(item, "x")];
+            record = record.list(1, 1, &done, &failures, 2).unwrap().record;
+            let encoded = serde_json::to_vec(&record).unwrap().len();
+            assert!(encoded <= PART_BYTES_MAX, "{encoded} bytes");
+        }
+    }
+}
+
 // Readers take memory by these sizes; that of a part which another program wrote is not known.
 #[test]
 fn noted_sizes() {
