Ask: a connection to another VM is kept until its answer has been read

Answers of other VMs were cut at their head since, as the connection was dropped before the body was read, which ends it. Callers of a large fleet waited for the store in place of the owner.

--- a/src/serve/ask.rs
+++ b/src/serve/ask.rs
@@ -67,22 +67,27 @@
     within: Duration,
 ) -> Result<T, AskError> {
     let exchange = async {
-        let sealed = ask_body(to, path, body).await?.collect().await?;
-        Ok::<_, AskError>(sealed.to_bytes())
+        let (sealed, _connection) = ask_body(to, path, body).await?;
+        Ok::<_, AskError>(sealed.collect().await?.to_bytes())
     };
     let sealed = timeout(within, exchange).await??;
     Ok(node.key.open(&sealed)?)
 }
 
-/// Sends a request to another VM, and returns the sealed answer before it is read.
-pub async fn ask_body(to: SocketAddr, path: &str, body: Vec<u8>) -> Result<Incoming, AskError> {
+/// Sends a request to another VM. Returns the sealed answer before it is read, and its connection,
+/// which has to be kept until then.
+pub async fn ask_body(
+    to: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<(Incoming, Connection), AskError> {
     let mut connection = Connection::open(&to.to_string()).await?;
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.uri_mut() = path.parse::<Uri>()?;
     let answer = connection.send(request).await?;
     let status = answer.status();
     match status {
-        StatusCode::OK => Ok(answer.into_body()),
+        StatusCode::OK => Ok((answer.into_body(), connection)),
         _ => RefusedSnafu { status }.fail(),
     }
 }
--- a/src/serve/results.rs
+++ b/src/serve/results.rs
@@ -163,7 +163,7 @@
     within: Duration,
 ) -> Result<Bytes, AskError> {
     let exchange = async {
-        let page = ask_body(owner, path, Vec::new()).await?;
+        let (page, _connection) = ask_body(owner, path, Vec::new()).await?;
         let bytes = page.size_hint().lower() as usize;
         let Some(memory) = reply_memory::take(node, bytes).await else {
             return MemoryFullSnafu.fail();
