Items: one VM of a large fleet confirms endpoints for all

Each item that resumes had its own VM ask the store which process it is connected to.

Now the VM asks the first delegate that the store answers, with a request that is sent once the connection is open. The delegate asks the store after that, at most once in 150 ms for all VMs that have asked meanwhile, and returns what has changed. If it fails, the VM asks the store itself, and does so for 2 s. Streams of callers, which would wait for that, ask the store as before.

--- a/src/decide/peers/queries.rs
+++ b/src/decide/peers/queries.rs
@@ -212,6 +212,16 @@
         pick_address(local.vm, sources.map(|(_, from)| from))
     }
 
+    /// The VM of a large fleet that confirms endpoints for the others: the first delegate of the first
+    /// failure domain whose delegates the store answers.
+    pub fn confirming_vm(&self, now: Duration) -> Option<SocketAddr> {
+        let delegates = self.domains.living_delegates(now);
+        let with_store =
+            delegates.filter(|delegate| delegate.store_available && !delegate.draining);
+        let first = with_store.min_by_key(|delegate| (delegate.domain, delegate.peer_address));
+        first.map(|delegate| delegate.peer_address)
+    }
+
     /// A living VM that the metadata store answers: the one with the latest heartbeat, else a
     /// delegate.
     pub fn peer_with_store(&self, now: Duration) -> Option<SocketAddr> {
--- a/src/serve/endpoint_news.rs
+++ b/src/serve/endpoint_news.rs
@@ -13,9 +13,11 @@
 
 use super::ask::{ask, reply, AskError};
 use super::node::{Core, Node};
+use super::processes;
 use super::replies::{self, Reply};
 use crate::clock;
 use crate::decide::discovery::{EndpointNews, EndpointQuery};
+use crate::decide::freshness::StoreSubject;
 use crate::decide::subset::SubsetOwner;
 use crate::id::{EndpointId, Name};
 
@@ -23,6 +25,8 @@
 pub const PATH: &str = "/endpoints";
 /// The same for news with software versions. Programs that don't know this path answer 404.
 pub const SOFTWARE_PATH: &str = "/endpoints/software";
+/// The same, once this VM's view is confirmed to be as new as the query.
+pub const CONFIRMED_PATH: &str = "/endpoints/confirmed";
 /// Largest query: the ids of a subset of several thousand endpoints.
 const QUERY_BYTES_MAX: usize = 256 * 1024;
 
@@ -95,6 +99,25 @@
     true
 }
 
+/// Has another VM confirm that this VM's view of all endpoints is as new as this call; false if it
+/// can't.
+pub async fn fetch_confirmed(
+    node: &Rc<Node>,
+    from: SocketAddr,
+    within: Duration,
+) -> Result<bool, AskError> {
+    let sealed = node.key.seal(&query(node))?;
+    let asked_at = clock::now();
+    let news = ask::<SoftwareNews>(node, from, CONFIRMED_PATH, sealed, within).await?;
+    let news = news.into_news();
+    let is_confirmed = news.complete && news.at >= node.core.borrow().discovery.revision;
+    apply(node, from, news);
+    if is_confirmed {
+        node.confirm(StoreSubject::Endpoints, asked_at);
+    }
+    Ok(is_confirmed)
+}
+
 fn query(node: &Node) -> EndpointQuery {
     let own = node.local_vm();
     let mut guard = node.core.borrow_mut();
@@ -131,7 +154,7 @@
 }
 
 /// Answers another VM's query.
-pub async fn answer(node: &Node, path: &str, body: Incoming) -> Reply {
+pub async fn answer(node: &Rc<Node>, path: &str, body: Incoming) -> Reply {
     let Ok(body) = Limited::new(body, QUERY_BYTES_MAX).collect().await else {
         return replies::empty(400);
     };
@@ -142,12 +165,15 @@
             return replies::empty(400);
         }
     };
+    if path == CONFIRMED_PATH && !processes::refresh_for_other(node, clock::now()).await {
+        return replies::empty(503);
+    }
     let news = node.core.borrow().discovery.answer(clock::now(), &query);
     let Some(news) = news else {
         return replies::empty(503);
     };
     match path {
-        SOFTWARE_PATH => reply(node.key.seal(&SoftwareNews::new(news))),
+        SOFTWARE_PATH | CONFIRMED_PATH => reply(node.key.seal(&SoftwareNews::new(news))),
         _ => reply(node.key.seal(&news)),
     }
 }
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -13,7 +13,7 @@
 use super::dialect::{AnswerHead, Attempt, PromptSegment};
 use super::node::Node;
 use super::pool::{self, Connection, HostCheck};
-use super::processes;
+use super::processes::{self, EntrySource};
 use crate::decide::discovery::{ConnectedProcess, EndpointProcess, SoftwareCheck};
 use crate::decide::quarantine::{Fingerprint, RequestIdentity, RunIdentity};
 use crate::decide::retry::AttemptStage;
@@ -221,7 +221,8 @@
             None => open(node, target).await?,
         };
         if options.continues {
-            if let Err(failure) = check_software(node, target, &connection).await {
+            let checked = check_software(node, target, &connection, EntrySource::Store).await;
+            if let Err(failure) = checked {
                 // It may be confirmed later on.
                 node.pool.put(target.endpoint, connection, None);
                 return Err(failure);
@@ -271,7 +272,7 @@
         Some(connection) => connection,
         None => open(node, target).await?,
     };
-    let checked = check_software(node, target, &connection).await;
+    let checked = check_software(node, target, &connection, EntrySource::Fleet).await;
     node.pool.put(target.endpoint, connection, None);
     checked
 }
@@ -281,8 +282,9 @@
     node: &Rc<Node>,
     target: &Target,
     connection: &Connection,
+    source: EntrySource,
 ) -> Result<(), Failure> {
-    let check = processes::confirm(node, &target.connected(connection)).await;
+    let check = processes::confirm_by(node, &target.connected(connection), source).await;
     let detail = match check {
         SoftwareCheck::Confirmed => return Ok(()),
         SoftwareCheck::Replaced => "another process serves at the endpoint's address",
--- a/src/serve/internal_pages.rs
+++ b/src/serve/internal_pages.rs
@@ -254,7 +254,9 @@
 async fn answer_peer(node: &Rc<Node>, request: Request<Incoming>) -> Reply {
     match request.uri().path() {
         relay::PATH => relay::answer(node, request.into_body()).await,
-        path @ (endpoint_news::PATH | endpoint_news::SOFTWARE_PATH) => {
+        path @ (endpoint_news::PATH
+        | endpoint_news::SOFTWARE_PATH
+        | endpoint_news::CONFIRMED_PATH) => {
             let path = path.to_owned();
             endpoint_news::answer(node, &path, request.into_body()).await
         }
--- a/src/serve/processes.rs
+++ b/src/serve/processes.rs
@@ -1,7 +1,7 @@
 //! Finds out which process accepted a connection to an endpoint, by reading the endpoint's entry again
 //! after the connection was opened.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::time::{sleep, timeout};
 
+use super::endpoint_news;
 use super::node::Node;
 use super::watch::refresh_endpoints;
 use super::{peers, streams};
@@ -24,6 +25,12 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time after a failed read in which no other one is made: many streams break at once.
 const FAILED_FOR: Duration = Duration::from_millis(300);
+/// Shortest time between two refreshes on behalf of other VMs, which share each of them.
+const SHARED_REFRESH_INTERVAL: Duration = Duration::from_millis(150);
+/// Timeout of a refresh by another VM; some time is left for one by this VM.
+const SHARED_REFRESH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after a failed one in which this VM asks the store itself.
+const SHARED_REFRESH_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Shortest time between two refreshes on behalf of streams that have begun.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 /// The same after a failure.
@@ -51,6 +58,10 @@
 pub struct ProcessReads {
     all: ReadSlot,
     by_process: RefCell<HashMap<EndpointId, ReadSlot>>,
+    /// When this VM last asked the store on behalf of others. Held while it does.
+    shared_at: Mutex<Duration>,
+    /// When another VM last failed to confirm the view.
+    shared_failed_at: Cell<Option<Duration>>,
     /// Streams have begun whose processes are not confirmed.
     wanted: Notify,
 }
@@ -68,8 +79,26 @@
     }
 }
 
+/// Who is asked for the newest entries of endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntrySource {
+    /// The store, at once.
+    Store,
+    /// In a large fleet, the VM that asks the store for all VMs, a little later.
+    Fleet,
+}
+
 /// Checks which software is at the other end of a connection; asks the store if that is not known.
 pub async fn confirm(node: &Rc<Node>, connected: &ConnectedProcess) -> SoftwareCheck {
+    confirm_by(node, connected, EntrySource::Store).await
+}
+
+/// Like [`confirm`], by the newest entries that `source` has.
+pub async fn confirm_by(
+    node: &Rc<Node>,
+    connected: &ConnectedProcess,
+    source: EntrySource,
+) -> SoftwareCheck {
     let check = || node.core.borrow().discovery.check_software(connected);
     let asked_at = clock::now();
     let registration_time = node.core.borrow().discovery.registration_time(connected);
@@ -80,6 +109,9 @@
     }
     sleep(due_in).await;
     // What a read has told counts even if another one takes too long.
+    if source == EntrySource::Fleet {
+        refresh_by_other(node, asked_at + due_in).await;
+    }
     let _ = timeout(CONFIRM_TIMEOUT, ask(node, connected, check)).await;
     let known = check();
     log::info!(
@@ -96,7 +128,7 @@
     let wanted_at = clock::now();
     let is_unknown = || !matches!(check(), SoftwareCheck::Confirmed | SoftwareCheck::Replaced);
     let holds_all = node.core.borrow().discovery.holds_all();
-    if holds_all {
+    if holds_all && is_unknown() {
         refresh(node, wanted_at).await;
     }
     if is_unknown() {
@@ -125,6 +157,47 @@
     });
 }
 
+/// Has the view of all endpoints brought up to date by the VM that does so for all VMs of a large
+/// fleet.
+///
+/// Where VMs ask the store each for itself, every item that resumes costs a call.
+async fn refresh_by_other(node: &Rc<Node>, wanted_at: Duration) {
+    let reads = &node.process_reads;
+    let failed_at = reads.shared_failed_at.get();
+    let has_failed = failed_at.is_some_and(|at| wanted_at < at + SHARED_REFRESH_RETRY_AFTER);
+    let to = {
+        let core = node.core.borrow();
+        let is_usable = core.peers.is_large() && core.discovery.holds_all() && !has_failed;
+        let is_new = core.discovery.view_confirmed_at() >= Some(wanted_at);
+        let to = core.peers.confirming_vm(wanted_at);
+        to.filter(|to| is_usable && !is_new && *to != node.settings.peer_address)
+    };
+    let Some(to) = to else {
+        return;
+    };
+    let confirmed = endpoint_news::fetch_confirmed(node, to, SHARED_REFRESH_TIMEOUT).await;
+    if !matches!(confirmed, Ok(true)) {
+        reads.shared_failed_at.set(Some(clock::now()));
+    }
+    if let Err(error) = confirmed {
+        log::info!(by:% = to, error:% = error; "endpoints not confirmed by another VM");
+    }
+}
+
+/// Brings the view of all endpoints up to date on behalf of other VMs that asked at `wanted_at`; false
+/// if that failed.
+pub async fn refresh_for_other(node: &Rc<Node>, wanted_at: Duration) -> bool {
+    let is_confirmed = || node.core.borrow().discovery.view_confirmed_at() >= Some(wanted_at);
+    let mut shared_at = node.process_reads.shared_at.lock().await;
+    if !is_confirmed() {
+        let due_at = *shared_at + SHARED_REFRESH_INTERVAL;
+        sleep(due_at.saturating_sub(clock::now())).await;
+        *shared_at = clock::now();
+        refresh(node, *shared_at).await;
+    }
+    is_confirmed()
+}
+
 /// Reads the entry of one endpoint, for a VM that doesn't follow all endpoints or can't ask for them
 /// itself.
 async fn read_entry(
