Answers: one alone may take more than their room

Found by reading. Now one answer may exceed the room while there is no other; the next ones fail as they do where the room is full.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,7 +4,7 @@
 //! else is the same in every deployment. Decisions are made in [`crate::decide`].
 
 pub mod admission;
-mod answer_memory;
+pub mod answer_memory;
 pub mod ask;
 pub mod bodies;
 pub mod body;
--- a/src/serve/answer_memory.rs
+++ b/src/serve/answer_memory.rs
@@ -41,7 +41,8 @@
 }
 
 impl TakenMemory {
-    /// Takes memory up to this size; false if there is no room.
+    /// Takes memory up to this size; false if there is no room. One answer may take more than the room
+    /// while there is no other.
     pub fn grow_to(&mut self, bytes: usize) -> bool {
         let taken_bytes = self.permit.as_ref().map_or(0, |taken| taken.num_permits());
         let Some(more_bytes) = bytes.checked_sub(taken_bytes).filter(|more| *more > 0) else {
@@ -52,12 +53,14 @@
             free_bytes,
         } = &self.memory;
         let kept_bytes = room_bytes - usable_bytes(*room_bytes, bytes);
-        let Ok(permits) = u32::try_from(more_bytes) else {
-            return false;
-        };
-        if free_bytes.available_permits() < more_bytes + kept_bytes {
+        let available_bytes = free_bytes.available_permits();
+        let is_alone = available_bytes + taken_bytes == *room_bytes;
+        if !is_alone && available_bytes < more_bytes + kept_bytes {
             return false;
         }
+        let Ok(permits) = u32::try_from(more_bytes.min(available_bytes)) else {
+            return false;
+        };
         let Ok(more) = free_bytes.clone().try_acquire_many_owned(permits) else {
             return false;
         };
