--- a/src/serve/answer_memory.rs
+++ b/src/serve/answer_memory.rs
@@ -115,7 +115,7 @@
         true
     }
 
-    pub fn len(&self) -> usize {
+    pub fn collected_bytes(&self) -> usize {
         self.bytes.len()
     }
 
--- a/src/serve/online.rs
+++ b/src/serve/online.rs
@@ -1035,7 +1035,7 @@
         let frame = frame.map_err(|_| CollectError::BrokenOff)?;
         note_data();
         let data = frame.into_data().unwrap_or_default();
-        if answer.len() + data.len() > ANSWER_BYTES_MAX {
+        if answer.collected_bytes() + data.len() > ANSWER_BYTES_MAX {
             return Err(CollectError::TooLarge);
         }
         if !answer.push(&data) {
