Silence: an attempt is not moved to an endpoint that is silent itself

Cause: two requests of an idle VM that meet both failing endpoints wait for the time of a pause and use up two attempts there. For the third one the VM draws among endpoints that it has not heard from recently, and one of them may be the other failing endpoint: its ejection has passed after 1 s, although it has sent nothing since.

Change: the draw is among endpoints that are not silent, if there are any.

The time that both wait for, in case the endpoints only pause, is unchanged.

--- a/src/decide/online/silence.rs
+++ b/src/decide/online/silence.rs
@@ -297,7 +297,13 @@
         let may_try = !self.tries_unproven(now, service) && !self.may_pause_together(now, service);
         if found.is_none() && may_try {
             is_unproven = true;
-            found = self.choose_free(now, row, is_idle);
+            // One that has sent nothing since it went silent may still be dead.
+            let is_unheard = |endpoint: &Endpoint| endpoint.silent_at.is_some();
+            found = self
+                .choose_free(now, row, |endpoint| {
+                    is_idle(endpoint) && !is_unheard(endpoint)
+                })
+                .or_else(|| self.choose_free(now, row, is_idle));
         }
         let Some(endpoint) = found else {
             return self.same_endpoint(now, row, is_responsive);
--- a/tests/silent_successors.rs
+++ b/tests/silent_successors.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use bramleyseam::decide::endpoints::SILENT_EJECT_MIN;
 use bramleyseam::decide::online::{
     Action, Arrival, AttemptOutcome, Event, Online, ServiceConfig, SuccessorState,
     QUEUED_SILENCE_TIMEOUT, RESPONSE_SILENCE_TIMEOUT, RETIRED_SERVICE_TIME, SILENCE_TIMEOUT,
@@ -45,7 +46,11 @@
 impl Simulation {
     /// Endpoints run software "v1", unless `software` says otherwise.
     fn new(endpoints: usize, software: impl Fn(usize) -> &'static str) -> Simulation {
-        let mut online = Online::new(1, SmallRng::seed_from_u64(1));
+        Simulation::seeded(1, endpoints, software)
+    }
+
+    fn seeded(seed: u64, endpoints: usize, software: impl Fn(usize) -> &'static str) -> Simulation {
+        let mut online = Online::new(1, SmallRng::seed_from_u64(seed));
         online.watch_silence = true;
         let configs = endpoint_configs(endpoints, SERVICE, SLOTS, |_| 1);
         let configs = configs.enumerate().map(|(at, (id, mut config))| {
@@ -341,6 +346,31 @@
     }
 }
 
+// An attempt was moved to an endpoint that was silent itself, once that one's ejection had passed.
+#[test]
+fn silent_before() {
+    for seed in 0..20 {
+        let mut simulation = Simulation::seeded(seed, 3, |_| "v1");
+        simulation.begin(1);
+        let first = simulation.streams[&1];
+        let row = simulation.online.endpoints.get_mut(first).unwrap();
+        row.went_silent(simulation.now);
+        simulation.handle(Event::Ended {
+            request: 1,
+            outcome: AttemptOutcome::Abandoned,
+        });
+        simulation.streams.clear();
+        let second = sent_to(&simulation.arrive(2)).unwrap();
+        simulation.receive(2, second);
+        simulation.handle(Event::FirstToken { request: 2 });
+        simulation.run_for(SILENT_EJECT_MIN);
+        simulation.paused = vec![second];
+        let actions = simulation.run_for(SILENCE_TIMEOUT + TICK);
+        assert_eq!(given_up(&actions), [2]);
+        assert_ne!(simulation.close(2), Some(first));
+    }
+}
+
 // A silent endpoint that was out of use for its failures was used again as soon as it sent anything.
 #[test]
 fn failing_before() {
