Items keep their text while the store can't tell which software serves

Cause: an item that makes way for online requests goes on at a new connection, which it may only once the store has told which software serves there. While the store is away, and for 2.3 s after it, that can't be known, and the item dropped its text each time it made way.

Change: it keeps the text and leaves its slot to others, for as long as the text has taken to make and 4 s at most; then it starts again as before.

--- a/src/decide/discovery.rs
+++ b/src/decide/discovery.rs
@@ -209,6 +209,12 @@
         }
     }
 
+    /// Whether a call to the store at `asked_at` can confirm processes: not in an outage, nor until
+    /// endpoints that started in it have registered.
+    pub fn can_confirm(&self, asked_at: Duration) -> bool {
+        self.outage.is_settled(asked_at)
+    }
+
     /// Up to when all changes are known to have been applied.
     pub fn view_confirmed_at(&self) -> Option<Duration> {
         self.confirmations.view_at()
--- a/src/decide/items.rs
+++ b/src/decide/items.rs
@@ -26,6 +26,8 @@
 const RUN_TIME_NEWEST_WEIGHT: f64 = 0.1;
 /// Delay before the retry of an item whose run failed because of its endpoint.
 pub const FAILED_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Longest time for which an item keeps a text that it may not continue.
+pub const UNCONFIRMED_WAIT_MAX: Duration = Duration::from_secs(4);
 /// Delay before a preempted item may start again. The actions of other VMs show within this time;
 /// without the delay items are started and preempted many times a second during a burst.
 pub const PREEMPTED_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -56,7 +58,8 @@
 pub enum WaitReason {
     /// The quarantine delays it.
     HeldBack,
-    /// Its last run was preempted or failed a moment ago, or nothing could run it until then.
+    /// Its last run was preempted or failed a moment ago, nothing could run it until then, or the store
+    /// can't tell yet which software made its text.
     Delayed,
     /// Its service has no endpoint in use.
     NoEndpoint,
@@ -228,6 +231,15 @@
     (f64::from(slots) * URGENT_SLOT_SHARE) as u32
 }
 
+/// Whether an item keeps a text that it may not continue since `unconfirmed_since`: for as long as a
+/// new one would take to make, as `ran` tells.
+///
+/// It lasts for an unknown time until the store can tell which software serves. By then an item that
+/// waits has lost at most as much time again as one that is run anew at once.
+pub fn keeps_text(now: Duration, unconfirmed_since: Duration, ran: Duration) -> bool {
+    now < unconfirmed_since + ran.min(UNCONFIRMED_WAIT_MAX)
+}
+
 /// Whether an item is given up after `failures` responses of 500, `uncharged` of them from endpoints
 /// that fail other requests too.
 pub fn is_given_up(failures: u32, uncharged: u32, attempts_max: u32) -> bool {
@@ -330,21 +342,34 @@
         back_in: Duration,
         recheck_in: Duration,
     ) {
+        self.start_withdrawn(key, now + recheck_in);
         if let Some(state) = self.states.get_mut(key) {
-            if let Stage::Running {
-                endpoint, since, ..
-            } = state.stage
-            {
-                if let Some(grants) = self.slot_grants.get_mut(&state.service) {
-                    grants.withdraw_start(since, endpoint);
-                }
-            }
-            let not_before = now + recheck_in;
-            state.stage = Stage::Waiting { not_before };
             state.held_until = Some(now + back_in);
         }
     }
 
+    /// Delays an item that can't go on yet for a reason of its own; it is tried again after
+    /// `recheck_in`.
+    pub fn delayed(&mut self, now: Duration, key: &ItemKey, recheck_in: Duration) {
+        self.start_withdrawn(key, now + recheck_in);
+    }
+
+    /// Puts an item that was started but not sent back among those that wait.
+    fn start_withdrawn(&mut self, key: &ItemKey, not_before: Duration) {
+        let Some(state) = self.states.get_mut(key) else {
+            return;
+        };
+        if let Stage::Running {
+            endpoint, since, ..
+        } = state.stage
+        {
+            if let Some(grants) = self.slot_grants.get_mut(&state.service) {
+                grants.withdraw_start(since, endpoint);
+            }
+        }
+        state.stage = Stage::Waiting { not_before };
+    }
+
     /// Sets the earlier run time of an item that resumes here after it ran on another VM.
     pub fn set_run_time(&mut self, key: &ItemKey, ran: Duration) {
         if let Some(state) = self.states.get_mut(key) {
--- a/src/serve/processes.rs
+++ b/src/serve/processes.rs
@@ -88,6 +88,11 @@
     Fleet,
 }
 
+/// Whether the store could tell now which software is at the other end of a connection.
+pub fn can_confirm(node: &Node, now: Duration) -> bool {
+    node.store_answers.get() && node.core.borrow().discovery.can_confirm(now)
+}
+
 /// Checks which software is at the other end of a connection; asks the store if that is not known.
 pub async fn confirm(node: &Rc<Node>, connected: &ConnectedProcess) -> SoftwareCheck {
     confirm_by(node, connected, EntrySource::Store).await
--- a/src/serve/runs.rs
+++ b/src/serve/runs.rs
@@ -53,6 +53,8 @@
     software: Option<Name>,
     /// The connection that brought the first event, while its process is not confirmed.
     began_on: Option<ConnectedProcess>,
+    /// Since when the text waits for the store to tell which software made it, or would continue it.
+    unconfirmed_since: Option<Duration>,
     failures: u32,
     /// Endpoints that answered 500 to it on this VM.
     failed_at: Vec<EndpointId>,
@@ -245,6 +247,7 @@
         progress.text_bytes = 0;
         progress.last_event = None;
         progress.began_on = None;
+        progress.unconfirmed_since = None;
         progress.software.take()
     });
     node.counters.items_restarted.inc();
--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -36,6 +36,8 @@
 /// Longest time until a quarantined item is considered again: an answer to another request may have
 /// cleared a segment that they share.
 const QUARANTINED_RECHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time until an item is considered again whose text the store can't confirm yet.
+const UNCONFIRMED_RECHECK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// How a run of an item ended.
 enum RunEnd {
@@ -50,6 +52,8 @@
     Yielded,
     /// Not sent: a quarantined suspect delays the item.
     Quarantined(Hold),
+    /// Not sent: the store can't tell yet which software made the text, or would continue it.
+    Unconfirmed,
     Failed(Failure),
 }
 
@@ -120,14 +124,14 @@
         RunEnd::TooLarge => "too_large",
         RunEnd::Yielded => "yielded",
         RunEnd::Quarantined(_) => "held_back",
+        RunEnd::Unconfirmed => "unconfirmed",
         RunEnd::Failed(_) => "broken_off",
     };
     node.counters.items.with_label_values(&[what]).inc();
     let lost = lost_request(out.as_ref(), &end);
-    let level = if is_known {
-        log::Level::Debug
-    } else {
-        log::Level::Info
+    let level = match is_known || matches!(end, RunEnd::Unconfirmed) {
+        true => log::Level::Debug,
+        false => log::Level::Info,
     };
     log::log!(
         level,
@@ -169,6 +173,10 @@
             let mut core = node.core.borrow_mut();
             core.items.quarantined(now, &key, back_in, recheck_in);
         }
+        RunEnd::Unconfirmed => {
+            let items = &mut node.core.borrow_mut().items;
+            items.delayed(now, &key, UNCONFIRMED_RECHECK_INTERVAL);
+        }
         RunEnd::Failed(failure) => {
             let mut core = node.core.borrow_mut();
             if failure.endpoint_at_fault {
@@ -246,7 +254,10 @@
         // Without a connection, sending fails in the same way and says why.
         let _ = exchange::prepare(node, &target).await;
     }
-    confirm_text(node, key).await;
+    if !confirm_text(node, key).await {
+        quarantine::item_not_sent(node, out);
+        return RunEnd::Unconfirmed;
+    }
     let made_by = node
         .runs
         .with_progress(key, |progress| progress.software.clone());
@@ -270,12 +281,20 @@
     );
     let mut sent = send(node, &target, out, after_event).await;
     if matches!(&sent, Ok(Err(failure)) if failure.software_unconfirmed) {
+        if awaits_store(node, key, clock::now()) {
+            quarantine::item_not_sent(node, out);
+            return RunEnd::Unconfirmed;
+        }
         restart(node, key);
         after_event = None;
         sent = send(node, &target, out, after_event).await;
     }
     let answer = match sent {
-        Ok(Ok(answer)) => answer,
+        Ok(Ok(answer)) => {
+            node.runs
+                .with_progress(key, |progress| progress.unconfirmed_since = None);
+            answer
+        }
         Ok(Err(failure)) => {
             if failure.stage == AttemptStage::NotSent {
                 quarantine::item_not_sent(node, out);
@@ -332,21 +351,41 @@
     timeout(EVENT_TIMEOUT, exchange::send(node, target, out, options)).await
 }
 
-/// Drops the text of an item unless it is known which software made it.
-async fn confirm_text(node: &Rc<Node>, key: &ItemKey) {
+/// Drops the text of an item unless it is known which software made it; false if that may be known
+/// later.
+async fn confirm_text(node: &Rc<Node>, key: &ItemKey) -> bool {
     let began_on = node
         .runs
         .with_progress(key, |progress| progress.began_on.clone());
     let Some(began_on) = began_on.flatten() else {
-        return;
+        return true;
     };
-    match processes::confirm(node, &began_on).await {
-        SoftwareCheck::Confirmed => {
-            node.runs
-                .with_progress(key, |progress| progress.began_on = None);
-        }
-        _ => restart(node, key),
+    if processes::confirm(node, &began_on).await == SoftwareCheck::Confirmed {
+        node.runs
+            .with_progress(key, |progress| progress.began_on = None);
+        return true;
+    }
+    if awaits_store(node, key, clock::now()) {
+        return false;
     }
+    restart(node, key);
+    true
+}
+
+/// Whether an item keeps its text until the store can tell which software made it, or would continue
+/// it.
+fn awaits_store(node: &Node, key: &ItemKey, now: Duration) -> bool {
+    if processes::can_confirm(node, now) {
+        return false;
+    }
+    let ran = node.core.borrow().items.run_time(now, key);
+    let since = node.runs.with_progress(key, |progress| {
+        if progress.unconfirmed_since.is_none() {
+            log::info!(job = *key.job, item = key.item; "item waits for the store");
+        }
+        *progress.unconfirmed_since.get_or_insert(now)
+    });
+    since.is_some_and(|since| items::keeps_text(now, since, ran))
 }
 
 /// Drops the text of an item, so that any software may run it.
--- a/src/serve/runs/progress.rs
+++ b/src/serve/runs/progress.rs
@@ -178,6 +178,7 @@
             last_event: Some(self.last_event),
             software: self.software,
             began_on: None,
+            unconfirmed_since: None,
             failures,
             failed_at: Vec::new(),
             run: None,
--- a/tests/item_restarts.rs
+++ b/tests/item_restarts.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use bramleyseam::decide::endpoints::Endpoints;
-use bramleyseam::decide::items::{Action, ItemKey, ItemPlanner, Items, WaitReason};
+use bramleyseam::decide::items::{
+    self, Action, ItemKey, ItemPlanner, Items, WaitReason, UNCONFIRMED_WAIT_MAX,
+};
 use bramleyseam::decide::usage::Usage;
 use bramleyseam::id::EndpointId;
 use bramleyseam::standin::table::endpoint_configs;
@@ -111,3 +113,35 @@
     assert_eq!(reason(ms(1_000)), WaitReason::OtherSoftware);
     assert_eq!(reason(WAIT), WaitReason::NoFreeSlot);
 }
+
+// A text was dropped as soon as the store was away, however long it had taken to make.
+#[test]
+fn unconfirmed_text() {
+    let since = ms(1_000);
+    let ran = ms(800);
+    assert!(items::keeps_text(since, since, ran));
+    assert!(items::keeps_text(since + ran - ms(1), since, ran));
+    assert!(!items::keeps_text(since + ran, since, ran));
+    assert!(!items::keeps_text(
+        since + UNCONFIRMED_WAIT_MAX,
+        since,
+        ms(600_000)
+    ));
+}
+
+// An item that waits for the store keeps its text and leaves its slot to others.
+#[test]
+fn delayed_start() {
+    let endpoints = endpoints();
+    let own = endpoints.rows[0].id;
+    let key = ItemKey {
+        job: "job".into(),
+        item: 0,
+    };
+    let mut items = item_with_text(&key);
+    assert_eq!(plan(&mut items, &endpoints, ms(0)), Some((own, false)));
+    items.delayed(ms(10), &key, ms(400));
+    assert_eq!(items.running_at(own), 0);
+    assert_eq!(plan(&mut items, &endpoints, ms(400)), None);
+    assert_eq!(plan(&mut items, &endpoints, ms(410)), Some((own, false)));
+}
