No reads of the store that can't confirm a process

Change: no read while none can confirm, and none of a single entry after one of all that was answered, or while the store does not answer.

A platform test of the calls did not tell the two codes apart, since a break of all connections of a process asks for nothing.

--- a/src/serve/processes.rs
+++ b/src/serve/processes.rs
@@ -108,8 +108,9 @@
     let asked_at = clock::now();
     let registration_time = node.core.borrow().discovery.registration_time(connected);
     let due_in = (connected.connected_at + registration_time).saturating_sub(asked_at);
-    let is_settled = matches!(check(), SoftwareCheck::Confirmed | SoftwareCheck::Replaced);
-    if is_settled || connected.software.is_empty() || due_in > REGISTRATION_TIME {
+    let is_known = matches!(check(), SoftwareCheck::Confirmed | SoftwareCheck::Replaced);
+    let can_confirm = node.core.borrow().discovery.can_confirm(asked_at + due_in);
+    if is_known || connected.software.is_empty() || due_in > REGISTRATION_TIME || !can_confirm {
         return check();
     }
     sleep(due_in).await;
@@ -135,6 +136,10 @@
     let holds_all = node.core.borrow().discovery.holds_all();
     if holds_all && is_unknown() {
         refresh(node, wanted_at).await;
+        let is_new = node.core.borrow().discovery.view_confirmed_at() >= Some(wanted_at);
+        if is_new || !node.store_answers.get() {
+            return;
+        }
     }
     if is_unknown() {
         read_entry(node, &connected.process, wanted_at, is_unknown).await;
--- a/tests/confirmed_processes.rs
+++ b/tests/confirmed_processes.rs
@@ -148,6 +148,22 @@
     );
 }
 
+// Each run that was to be continued in an outage, or until that time after it, cost reads that can't
+// confirm anything.
+#[test]
+fn useless_reads() {
+    let mut discovery = discovery();
+    assert!(discovery.can_confirm(ms(1_000)));
+    discovery.store_failed(ms(1_000), ms(1_000), false);
+    assert!(discovery.can_confirm(ms(1_000)));
+    discovery.store_failed(ms(1_000) + OUTAGE_MIN, ms(1_600), false);
+    assert!(!discovery.can_confirm(ms(1_800)));
+    discovery.store_answered(ms(2_000));
+    let settled_at = ms(2_000) + RETURN_GRACE;
+    assert!(!discovery.can_confirm(settled_at - ms(1)));
+    assert!(discovery.can_confirm(settled_at));
+}
+
 // A VM that does not follow all endpoints reads single entries.
 #[test]
 fn single_entry() {
