Items that go on are sent while the store is asked

Change: while the store answers, the run is sent at once, and nothing of its answer counts before the store has told. A run that may not go on is closed, and the item waits, starts again or goes elsewhere as before.

--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -25,7 +25,7 @@
     self, Answer, AnswerEvidence, Failure, Outgoing, SendOptions, Target,
 };
 use crate::serve::node::Node;
-use crate::serve::processes;
+use crate::serve::processes::{self, EntrySource};
 use crate::serve::quarantine;
 use crate::util::json_bytes;
 
@@ -250,13 +250,16 @@
     if let Err(hold) = quarantine::admit_item(node, out) {
         return RunEnd::Quarantined(hold);
     }
-    if last_event(node, key).is_some() {
-        // Without a connection, sending fails in the same way and says why.
-        let _ = exchange::prepare(node, &target).await;
-    }
-    if !confirm_text(node, key).await {
-        quarantine::item_not_sent(node, out);
-        return RunEnd::Unconfirmed;
+    let is_confirmed_first = !processes::can_confirm(node, clock::now());
+    if is_confirmed_first {
+        if last_event(node, key).is_some() {
+            // Without a connection, sending fails in the same way and says why.
+            let _ = exchange::prepare(node, &target).await;
+        }
+        if !confirm_text(node, key).await {
+            quarantine::item_not_sent(node, out);
+            return RunEnd::Unconfirmed;
+        }
     }
     let made_by = node
         .runs
@@ -279,7 +282,7 @@
         after_event = after_event.unwrap_or(0);
         "item starts"
     );
-    let mut sent = send(node, &target, out, after_event).await;
+    let mut sent = send(node, &target, out, after_event, is_confirmed_first).await;
     if matches!(&sent, Ok(Err(failure)) if failure.software_unconfirmed) {
         if awaits_store(node, key, clock::now()) {
             quarantine::item_not_sent(node, out);
@@ -287,14 +290,10 @@
         }
         restart(node, key);
         after_event = None;
-        sent = send(node, &target, out, after_event).await;
+        sent = send(node, &target, out, after_event, is_confirmed_first).await;
     }
     let answer = match sent {
-        Ok(Ok(answer)) => {
-            node.runs
-                .with_progress(key, |progress| progress.unconfirmed_since = None);
-            answer
-        }
+        Ok(Ok(answer)) => answer,
         Ok(Err(failure)) => {
             if failure.stage == AttemptStage::NotSent {
                 quarantine::item_not_sent(node, out);
@@ -303,6 +302,14 @@
         }
         Err(_) => return failed(AttemptStage::MaybeSent, "no answer in time"),
     };
+    let connected = target.connected(&answer.connection);
+    if after_event.is_some() && !is_confirmed_first {
+        if let Err(end) = confirm_run(node, key, &connected, after_event).await {
+            return end;
+        }
+    }
+    node.runs
+        .with_progress(key, |progress| progress.unconfirmed_since = None);
     match answer.head.status {
         StatusCode::OK if answer.decoded.signed => {}
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Rejected,
@@ -311,7 +318,6 @@
     }
     let keep_alive = exchange::keep_alive(&answer.head);
     let evidence = AnswerEvidence::of(&answer.head, &answer.body);
-    let connected = target.connected(&answer.connection);
     match read_events(node, key, out, &connected, answer.body).await {
         Ok(())
             if evidence == AnswerEvidence::UntilClose && last_event(node, key) == after_event =>
@@ -342,15 +348,39 @@
     target: &Target,
     out: &Outgoing,
     last_event: Option<u64>,
+    is_confirmed_first: bool,
 ) -> Result<Result<Answer, Failure>, Elapsed> {
     let options = SendOptions {
         time_left: None,
         last_event,
-        continues: last_event.is_some(),
+        continues: last_event.is_some() && is_confirmed_first,
     };
     timeout(EVENT_TIMEOUT, exchange::send(node, target, out, options)).await
 }
 
+/// Checks that a run which was sent already may continue an item's text after `after_event`. Nothing of
+/// its answer counts before: a slot is not left idle for as long as the store takes to answer.
+async fn confirm_run(
+    node: &Rc<Node>,
+    key: &ItemKey,
+    connected: &ConnectedProcess,
+    after_event: Option<u64>,
+) -> Result<(), RunEnd> {
+    let check = processes::confirm_by(node, connected, EntrySource::Fleet).await;
+    if check == SoftwareCheck::Confirmed && confirm_text(node, key).await {
+        if last_event(node, key) == after_event {
+            return Ok(());
+        }
+    } else if awaits_store(node, key, clock::now()) {
+        return Err(RunEnd::Unconfirmed);
+    } else if check == SoftwareCheck::NotConfirmed {
+        restart(node, key);
+    }
+    let detail = "it is not known which process serves at the address";
+    let failure = Failure::not_of_endpoint(AttemptStage::MaybeSent, detail);
+    Err(RunEnd::Failed(failure))
+}
+
 /// Drops the text of an item unless it is known which software made it; false if that may be known
 /// later.
 async fn confirm_text(node: &Rc<Node>, key: &ItemKey) -> bool {
