--- a/src/serve/runs/item.rs
+++ b/src/serve/runs/item.rs
@@ -52,7 +52,8 @@
     Yielded,
     /// Not sent: a quarantined suspect delays the item.
     Quarantined(Hold),
-    /// Not sent: the store can't tell yet which software made the text, or would continue it.
+    /// Not sent, or closed unread: the store can't tell yet which software made the text, or would
+    /// continue it.
     Unconfirmed,
     Failed(Failure),
 }
